--- /dev/null
+++ b/core/src/main/java/io/briarward/core/platform/TableState.java
@@ -0,0 +1,82 @@
+package io.briarward.core.platform;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Tables held in memory that apply transactions one after another.
+ *
+ * <p>Serves the stand-in of the table service and tests. Thread-safe: every method is atomic.
+ */
+public final class TableState {
+  private final Map<String, NavigableMap<String, Row>> tables = new HashMap<>();
+  private long lastVersion;
+
+  private TableState() {}
+
+  /** Returns a state without rows. */
+  public static TableState create() {
+    return new TableState();
+  }
+
+  /** Applies the transaction if all its conditions hold. */
+  public synchronized CommitResult commit(Transaction transaction) {
+    ImmutableMap.Builder<RowKey, Optional<Row>> conflicts = ImmutableMap.builder();
+    for (Transaction.Condition condition : transaction.conditions()) {
+      Optional<Row> row = read(condition.row());
+      if (row.map(Row::version).orElse(Transaction.ABSENT) != condition.version()) {
+        conflicts.put(condition.row(), row);
+      }
+    }
+    ImmutableMap<RowKey, Optional<Row>> failed = conflicts.buildKeepingLast();
+    return failed.isEmpty() ? apply(transaction) : new CommitResult.Conflict(failed);
+  }
+
+  /** Returns the row, if it exists. */
+  public synchronized Optional<Row> read(RowKey key) {
+    return Optional.ofNullable(table(key.table()).get(key.key()));
+  }
+
+  /**
+   * Returns the rows of a table whose keys start with {@code prefix} and come after {@code after}.
+   *
+   * @param limit the largest number of rows returned, above 0
+   */
+  public synchronized ImmutableList<Row> scan(
+      String table, String prefix, String after, int limit) {
+    checkArgument(limit > 0, "limit is %s, expected > 0", limit);
+    boolean fromPrefix = after.compareTo(prefix) < 0;
+    String from = fromPrefix ? prefix : after;
+    return table(table).tailMap(from, fromPrefix).values().stream()
+        .takeWhile(row -> row.key().startsWith(prefix))
+        .limit(limit)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private CommitResult apply(Transaction transaction) {
+    ImmutableMap.Builder<RowKey, Long> versions = ImmutableMap.builder();
+    for (Transaction.Write write : transaction.writes()) {
+      NavigableMap<String, Row> table = table(write.row().table());
+      String key = write.row().key();
+      if (write.value().isPresent()) {
+        lastVersion++;
+        table.put(key, new Row(key, lastVersion, write.value().get()));
+        versions.put(write.row(), lastVersion);
+      } else {
+        table.remove(key);
+      }
+    }
+    return new CommitResult.Committed(versions.buildKeepingLast());
+  }
+
+  private NavigableMap<String, Row> table(String name) {
+    return tables.computeIfAbsent(name, unused -> new TreeMap<>());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/platform/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The data that goes to and comes from the platform's table service, without input or output.
+ *
+ * <p>Start with {@link io.briarward.core.platform.Transaction}; {@link
+ * io.briarward.core.platform.TableState} applies transactions in memory.
+ */
+package io.briarward.core.platform;
