--- /dev/null
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -0,0 +1,22 @@
+package io.briarward.experiments;
+
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.Optional;
+
+/** The measurements by name. */
+public final class Experiments {
+  private static final ImmutableSortedMap<String, Experiment> BY_NAME =
+      ImmutableSortedMap.<String, Experiment>naturalOrder().build();
+
+  private Experiments() {}
+
+  /** Returns the names in alphabetical order. */
+  public static Iterable<String> names() {
+    return BY_NAME.keySet();
+  }
+
+  /** Returns the measurement with the given name. */
+  public static Optional<Experiment> byName(String name) {
+    return Optional.ofNullable(BY_NAME.get(name));
+  }
+}
