--- /dev/null
+++ b/core/src/main/java/io/briarward/core/keys/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Decides which API keys are valid and whether a node may rely on what it knows about them.
+ *
+ * <p>Start with {@link io.briarward.core.keys.KeyIndex}, which finds the key that a secret belongs
+ * to.
+ */
+package io.briarward.core.keys;
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/peer/NettyPeerNetwork.java
@@ -0,0 +1,238 @@
+package io.briarward.node.peer;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableMap;
+import io.briarward.core.errors.ErrorKind;
+import io.briarward.core.errors.Failure;
+import io.briarward.core.errors.FailureException;
+import io.briarward.wire.proto.PeerMessage;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.AttributeKey;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tinylog.Logger;
+
+/**
+ * A peer network over TCP with length-prefixed protobuf messages.
+ *
+ * <p>One outgoing connection per peer, opened on demand; answers return on the connection that
+ * brought the request. Thread-safe.
+ */
+public final class NettyPeerNetwork implements PeerNetwork {
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int EVENT_LOOP_THREADS = 1;
+  private static final AttributeKey<PeerLink> LINK = AttributeKey.valueOf("briarward.peerLink");
+
+  private final PeerSettings settings;
+  private final Scheduler scheduler;
+  private final SecureRandom random = new SecureRandom();
+  private final Map<PeerMessage.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
+  private final Map<Long, SingleEmitter<PeerMessage>> pending = new ConcurrentHashMap<>();
+  private final AtomicLong lastCorrelationId = new AtomicLong();
+  private final EventLoopGroup eventLoops =
+      new MultiThreadIoEventLoopGroup(EVENT_LOOP_THREADS, NioIoHandler.newFactory());
+  private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
+  private volatile ImmutableMap<String, InetSocketAddress> addresses = ImmutableMap.of();
+  private final Channel server;
+
+  private NettyPeerNetwork(PeerSettings settings, Scheduler scheduler) {
+    this.settings = settings;
+    this.scheduler = scheduler;
+    this.server = listen();
+  }
+
+  /**
+   * Starts listening.
+   *
+   * @param scheduler times out requests
+   * @throws RuntimeException if the address cannot be bound
+   */
+  public static NettyPeerNetwork create(PeerSettings settings, Scheduler scheduler) {
+    checkNotNull(settings, "settings");
+    checkNotNull(scheduler, "scheduler");
+    return new NettyPeerNetwork(settings, scheduler);
+  }
+
+  /** Returns the port that peers connect to. */
+  public int port() {
+    return ((InetSocketAddress) server.localAddress()).getPort();
+  }
+
+  @Override
+  public void handle(PeerMessage.BodyCase body, PeerHandler handler) {
+    handlers.put(body, handler);
+  }
+
+  @Override
+  public void setAddresses(ImmutableMap<String, InetSocketAddress> byVmId) {
+    addresses = byVmId;
+    for (Map.Entry<String, PeerLink> entry : links.entrySet()) {
+      PeerLink link = entry.getValue();
+      if (!link.address().equals(byVmId.get(entry.getKey()))
+          && links.remove(entry.getKey(), link)) {
+        link.close();
+      }
+    }
+  }
+
+  @Override
+  public void send(String vmId, PeerMessage message) {
+    PeerMessage stamped = stamp(message).setCorrelationId(0).setAnswer(false).build();
+    link(vmId).ifPresent(link -> link.send(stamped));
+  }
+
+  @Override
+  public Single<PeerMessage> request(String vmId, PeerMessage message, long timeoutMillis) {
+    checkArgument(timeoutMillis > 0, "timeoutMillis is %s, expected > 0", timeoutMillis);
+    return Single.defer(() -> startRequest(vmId, message, timeoutMillis));
+  }
+
+  @Override
+  public void close() {
+    server.close();
+    setAddresses(ImmutableMap.of());
+    eventLoops.shutdownGracefully(0, CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private Single<PeerMessage> startRequest(String vmId, PeerMessage message, long timeoutMillis) {
+    Optional<PeerLink> link = link(vmId);
+    if (link.isEmpty()) {
+      return Single.error(unreachable(vmId));
+    }
+    long correlationId = lastCorrelationId.incrementAndGet();
+    PeerMessage stamped = stamp(message).setCorrelationId(correlationId).setAnswer(false).build();
+    return Single.<PeerMessage>create(
+            emitter -> {
+              pending.put(correlationId, emitter);
+              if (!link.get().send(stamped)) {
+                emitter.tryOnError(unreachable(vmId));
+              }
+            })
+        .timeout(
+            timeoutMillis,
+            TimeUnit.MILLISECONDS,
+            scheduler,
+            Single.defer(() -> timedOut(vmId, link.get())))
+        .doFinally(() -> pending.remove(correlationId));
+  }
+
+  private static Single<PeerMessage> timedOut(String vmId, PeerLink link) {
+    link.onRequestTimeout();
+    return Single.error(
+        new FailureException(
+            Failure.unknown(ErrorKind.DEADLINE_EXCEEDED, "no answer from VM " + vmId)));
+  }
+
+  private static FailureException unreachable(String vmId) {
+    return new FailureException(
+        Failure.notRun(ErrorKind.NOT_READY, "VM " + vmId + " cannot be reached"));
+  }
+
+  private Optional<PeerLink> link(String vmId) {
+    return Optional.ofNullable(
+        links.computeIfAbsent(
+            vmId,
+            id -> {
+              InetSocketAddress address = addresses.get(id);
+              return address == null ? null : newLink(address);
+            }));
+  }
+
+  private PeerLink newLink(InetSocketAddress address) {
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(eventLoops)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+            .handler(pipeline());
+    PeerLink link =
+        new PeerLink(
+            address, bootstrap, PeerLink::monotonicMillis, random, settings.maxQueuedBytes());
+    bootstrap.attr(LINK, link);
+    return link;
+  }
+
+  private Channel listen() {
+    return new ServerBootstrap()
+        .group(eventLoops)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+        .childHandler(pipeline())
+        .bind(settings.listenAddress())
+        .syncUninterruptibly()
+        .channel();
+  }
+
+  private WriteBufferWaterMark waterMark() {
+    return new WriteBufferWaterMark(settings.maxQueuedBytes() / 2, settings.maxQueuedBytes());
+  }
+
+  private PeerPipeline pipeline() {
+    return new PeerPipeline(settings.maxFrameBytes(), this::onMessage);
+  }
+
+  private void onMessage(Channel channel, PeerMessage message) {
+    PeerLink link = channel.attr(LINK).get();
+    if (link != null) {
+      link.onRead();
+    }
+    if (message.getAnswer()) {
+      complete(message);
+      return;
+    }
+    PeerHandler handler = handlers.get(message.getBodyCase());
+    if (handler == null) {
+      Logger.debug("No handler for a message of kind {}", message.getBodyCase());
+      return;
+    }
+    var unused =
+        handler
+            .onMessage(message)
+            .subscribe(
+                answer -> answer(channel, message.getCorrelationId(), answer),
+                error -> Logger.warn(error, "Handling a message from a peer failed"));
+  }
+
+  private void complete(PeerMessage answer) {
+    SingleEmitter<PeerMessage> emitter = pending.get(answer.getCorrelationId());
+    if (emitter != null) {
+      emitter.onSuccess(answer);
+    }
+  }
+
+  private void answer(Channel channel, long correlationId, PeerMessage answer) {
+    if (correlationId != 0 && channel.isWritable()) {
+      PeerMessage stamped = stamp(answer).setCorrelationId(correlationId).setAnswer(true).build();
+      channel.writeAndFlush(stamped, channel.voidPromise());
+    }
+  }
+
+  private PeerMessage.Builder stamp(PeerMessage message) {
+    return message.toBuilder()
+        .setSenderVmId(settings.vmId())
+        .setSenderIncarnation(settings.incarnation());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/peer/PeerLink.java
@@ -0,0 +1,152 @@
+package io.briarward.node.peer;
+
+import io.briarward.wire.proto.PeerMessage;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * The outgoing connection to one peer, opened when there is something to send.
+ *
+ * <p>Messages wait while the connection is opened and are dropped when that fails; further messages
+ * are then refused until a backoff with jitter has passed. Thread-safe.
+ */
+final class PeerLink implements AutoCloseable {
+  private static final long MIN_BACKOFF_MILLIS = 100;
+  private static final long MAX_BACKOFF_MILLIS = 2_000;
+  private static final long SILENCE_LIMIT_MILLIS = 2_000;
+
+  private final InetSocketAddress address;
+  private final Bootstrap bootstrap;
+  private final LongSupplier nowMillis;
+  private final RandomGenerator random;
+  private final long maxQueuedBytes;
+  private final Queue<PeerMessage> waiting = new ArrayDeque<>();
+  private long waitingBytes;
+  private Optional<Channel> channel = Optional.empty();
+  private boolean connecting;
+  private boolean closed;
+  private long backoffMillis = MIN_BACKOFF_MILLIS;
+  private long retryAtMillis = Long.MIN_VALUE;
+  private long lastReadMillis;
+
+  PeerLink(
+      InetSocketAddress address,
+      Bootstrap bootstrap,
+      LongSupplier nowMillis,
+      RandomGenerator random,
+      long maxQueuedBytes) {
+    this.address = address;
+    this.bootstrap = bootstrap;
+    this.nowMillis = nowMillis;
+    this.random = random;
+    this.maxQueuedBytes = maxQueuedBytes;
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  /** Sends a message, or returns false when it is dropped. */
+  synchronized boolean send(PeerMessage message) {
+    if (closed) {
+      return false;
+    }
+    if (channel.isPresent() && channel.get().isActive()) {
+      return write(channel.get(), message);
+    }
+    return enqueue(message) && connect();
+  }
+
+  /** Notes that the peer sent something. */
+  synchronized void onRead() {
+    lastReadMillis = nowMillis.getAsLong();
+  }
+
+  /**
+   * Closes the connection if the peer has been silent for long.
+   *
+   * <p>TCP would retransmit for minutes after a network partition; a new connection works at once.
+   */
+  synchronized void onRequestTimeout() {
+    if (nowMillis.getAsLong() - lastReadMillis >= SILENCE_LIMIT_MILLIS) {
+      channel.ifPresent(Channel::close);
+      channel = Optional.empty();
+    }
+  }
+
+  @Override
+  public synchronized void close() {
+    closed = true;
+    clearWaiting();
+    channel.ifPresent(Channel::close);
+    channel = Optional.empty();
+  }
+
+  private static boolean write(Channel channel, PeerMessage message) {
+    if (!channel.isWritable()) {
+      return false;
+    }
+    channel.writeAndFlush(message, channel.voidPromise());
+    return true;
+  }
+
+  private boolean enqueue(PeerMessage message) {
+    int bytes = message.getSerializedSize();
+    boolean refused = !connecting && nowMillis.getAsLong() < retryAtMillis;
+    if (refused || waitingBytes + bytes > maxQueuedBytes) {
+      return false;
+    }
+    waiting.add(message);
+    waitingBytes += bytes;
+    return true;
+  }
+
+  private boolean connect() {
+    if (!connecting) {
+      connecting = true;
+      ChannelFuture future = bootstrap.connect(address);
+      future.addListener(unused -> onConnected(future));
+    }
+    return true;
+  }
+
+  private synchronized void onConnected(ChannelFuture future) {
+    connecting = false;
+    if (!future.isSuccess()) {
+      clearWaiting();
+      retryAtMillis = nowMillis.getAsLong() + withJitter(backoffMillis);
+      backoffMillis = Math.min(2 * backoffMillis, MAX_BACKOFF_MILLIS);
+      return;
+    }
+    if (closed) {
+      future.channel().close();
+      return;
+    }
+    backoffMillis = MIN_BACKOFF_MILLIS;
+    lastReadMillis = nowMillis.getAsLong();
+    channel = Optional.of(future.channel());
+    waiting.forEach(message -> write(future.channel(), message));
+    clearWaiting();
+  }
+
+  private void clearWaiting() {
+    waiting.clear();
+    waitingBytes = 0;
+  }
+
+  private long withJitter(long millis) {
+    return millis / 2 + random.nextLong(millis);
+  }
+
+  static long monotonicMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/peer/PeerNetwork.java
@@ -0,0 +1,40 @@
+package io.briarward.node.peer;
+
+import com.google.common.collect.ImmutableMap;
+import io.briarward.wire.proto.PeerMessage;
+import io.reactivex.rxjava3.core.Single;
+import java.net.InetSocketAddress;
+
+/**
+ * Sends messages to other VMs and receives theirs.
+ *
+ * <p>Messages may be lost at any time; those that one VM sends to another arrive at most once.
+ * Thread-safe. Example:
+ *
+ * <pre>{@code
+ * network.handle(PeerMessage.BodyCase.MEMBERSHIP, message -> Maybe.just(answerTo(message)));
+ * Single<PeerMessage> answer = network.request("vm-2", probe, 500);
+ * }</pre>
+ */
+public interface PeerNetwork extends AutoCloseable {
+  /** Sends a message without waiting; it is dropped if the peer cannot be reached. */
+  void send(String vmId, PeerMessage message);
+
+  /**
+   * Sends a message and returns the answer.
+   *
+   * @return signals a {@link io.briarward.core.errors.FailureException} when no answer arrived
+   *     within {@code timeoutMillis} or the message could not be sent
+   */
+  Single<PeerMessage> request(String vmId, PeerMessage message, long timeoutMillis);
+
+  /** Registers the receiver of messages with the given body, in place of an earlier one. */
+  void handle(PeerMessage.BodyCase body, PeerHandler handler);
+
+  /** Sets the addresses of all peers; links to VMs that are not listed are closed. */
+  void setAddresses(ImmutableMap<String, InetSocketAddress> byVmId);
+
+  /** Closes all links and releases the port. */
+  @Override
+  void close();
+}
