Add the node's skeleton: platform clients, live proxy, operator interface and command line

A live request goes from the caller through route, key and due time to an upstream and back; its last byte waits for the usage record. A request with an idempotency key claims a row before it is sent, and a lost answer of the table service is resolved by reading that row.

--- /dev/null
+++ b/core/src/main/java/io/briarward/core/forwarding/HeaderRules.java
@@ -0,0 +1,106 @@
+package io.briarward.core.forwarding;
+
+import com.google.common.base.Ascii;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Decides which headers pass through a node.
+ *
+ * <p>Headers that belong to one connection, headers that authenticate the caller and any header
+ * whose value holds the caller's key are dropped. Stateless and thread-safe.
+ */
+public final class HeaderRules {
+  private static final ImmutableSet<String> HOP_BY_HOP =
+      ImmutableSet.of(
+          "connection",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade");
+  private static final ImmutableSet<String> AUTHENTICATION =
+      ImmutableSet.of("authorization", "x-api-key", "api-key", "cookie");
+  private static final ImmutableSet<String> SET_BY_NODE =
+      ImmutableSet.of(
+          "host",
+          "content-length",
+          "expect",
+          "traceparent",
+          "tracestate",
+          "x-request-id",
+          "x-timeout-millis",
+          "idempotency-key");
+  private static final String BEARER = "bearer ";
+
+  private HeaderRules() {}
+
+  /** Returns the secret in an {@code Authorization: Bearer} value. */
+  public static Optional<String> bearerSecret(String authorization) {
+    boolean bearer =
+        authorization.regionMatches(true, 0, BEARER, 0, BEARER.length())
+            && authorization.length() > BEARER.length();
+    return bearer ? Optional.of(authorization.substring(BEARER.length()).trim()) : Optional.empty();
+  }
+
+  /**
+   * Returns the request headers that go to the upstream.
+   *
+   * @param headers the caller's headers in order
+   * @param secret the key that the caller presented, if any
+   */
+  public static ImmutableList<Map.Entry<String, String>> toUpstream(
+      Iterable<Map.Entry<String, String>> headers, Optional<String> secret) {
+    ImmutableSet<String> listed = connectionListed(headers);
+    ImmutableList.Builder<Map.Entry<String, String>> kept = ImmutableList.builder();
+    for (Map.Entry<String, String> header : headers) {
+      String name = Ascii.toLowerCase(header.getKey());
+      boolean dropped =
+          HOP_BY_HOP.contains(name)
+              || AUTHENTICATION.contains(name)
+              || SET_BY_NODE.contains(name)
+              || listed.contains(name)
+              || secret.filter(header.getValue()::contains).isPresent();
+      if (!dropped) {
+        kept.add(Map.entry(header.getKey(), header.getValue()));
+      }
+    }
+    return kept.build();
+  }
+
+  /** Returns the answer's headers that go to the caller. */
+  public static ImmutableList<Map.Entry<String, String>> toCaller(
+      Iterable<Map.Entry<String, String>> headers) {
+    ImmutableSet<String> listed = connectionListed(headers);
+    ImmutableList.Builder<Map.Entry<String, String>> kept = ImmutableList.builder();
+    for (Map.Entry<String, String> header : headers) {
+      String name = Ascii.toLowerCase(header.getKey());
+      boolean framing = name.equals("content-length");
+      if (!HOP_BY_HOP.contains(name) && !listed.contains(name) && !framing) {
+        kept.add(Map.entry(header.getKey(), header.getValue()));
+      }
+    }
+    return kept.build();
+  }
+
+  private static ImmutableSet<String> connectionListed(
+      Iterable<Map.Entry<String, String>> headers) {
+    ImmutableSet.Builder<String> names = ImmutableSet.builder();
+    for (Map.Entry<String, String> header : headers) {
+      if (header.getKey().equalsIgnoreCase("connection")) {
+        Splitter.on(',')
+            .trimResults()
+            .omitEmptyStrings()
+            .split(Ascii.toLowerCase(header.getValue()))
+            .forEach(names::add);
+      }
+    }
+    return names.build();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/forwarding/RouteTableTest.java
@@ -0,0 +1,35 @@
+package io.briarward.core.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.configuration.Route;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class RouteTableTest {
+  private static final Route ANY = route("*", "/v1");
+  private static final Route LONG = route("*", "/v1/chat");
+  private static final Route HOST = route("mill.example", "/");
+
+  private final RouteTable table = RouteTable.of(ImmutableList.of(ANY, LONG, HOST));
+
+  @Test
+  void longestPrefixWins() {
+    assertThat(table.find("x", "/v1/chat/a")).hasValue(LONG);
+  }
+
+  @Test
+  void prefixMatchesWholeSegments() {
+    assertThat(table.find("x", "/v10")).isEmpty();
+  }
+
+  @Test
+  void exactHostGoesBeforeAnyHost() {
+    assertThat(table.find("MILL.example", "/v1/chat")).hasValue(HOST);
+  }
+
+  private static Route route(String host, String prefix) {
+    return new Route(host, prefix, "s", false, false, 1_000, 1, Optional.empty());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -0,0 +1,249 @@
+package io.briarward.node;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.briarward.core.errors.ErrorKind;
+import io.briarward.core.errors.Failure;
+import io.briarward.node.configuration.ConfigurationHolder;
+import io.briarward.node.configuration.ConfigurationPoller;
+import io.briarward.node.configuration.ConfigurationStore;
+import io.briarward.node.http.HttpAnswers;
+import io.briarward.node.live.ActiveRequests;
+import io.briarward.node.live.LeastInFlightSelector;
+import io.briarward.node.live.LiveContext;
+import io.briarward.node.live.LiveProxy;
+import io.briarward.node.live.UpstreamRequests;
+import io.briarward.node.operate.OperatorApi;
+import io.briarward.node.peer.NettyPeerNetwork;
+import io.briarward.node.peer.PeerNetwork;
+import io.briarward.node.peer.PeerSettings;
+import io.briarward.node.platform.HttpObjectStore;
+import io.briarward.node.platform.HttpReportSink;
+import io.briarward.node.platform.HttpTableService;
+import io.briarward.node.platform.HttpUpstreamOrders;
+import io.briarward.node.platform.HttpVmList;
+import io.briarward.node.platform.JsonHttpClient;
+import io.briarward.node.settings.NodeSettings;
+import io.briarward.node.telemetry.Metrics;
+import io.briarward.node.telemetry.Tracing;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * A running node.
+ *
+ * <p>Everything but peer links runs on one event loop. Example:
+ *
+ * <pre>{@code
+ * Node node = Node.start(vertx, settings).blockingGet();
+ * node.stop().blockingAwait();
+ * }</pre>
+ */
+public final class Node {
+  private static final int IDLE_CONNECTION_SECONDS = 120;
+
+  private final NodeContext context;
+  private final ActiveRequests active;
+  private final LiveProxy live;
+  private final Deque<AutoCloseable> parts = new ArrayDeque<>();
+  private HttpServer callerServer;
+  private HttpServer operatorServer;
+  private boolean stopping;
+
+  private Node(NodeContext context) {
+    this.context = context;
+    this.active = ActiveRequests.create();
+    UpstreamRequests upstreams = UpstreamRequests.create(context.vertx());
+    LiveContext liveContext =
+        new LiveContext(
+            context.scheduler(),
+            upstreams,
+            LeastInFlightSelector.create(context.settings().dataCentre()),
+            usage -> Completable.complete(),
+            active,
+            context.metrics(),
+            context.tracing(),
+            context.settings().maxBodyBytes());
+    this.live =
+        LiveProxy.create(
+            liveContext,
+            context.configuration(),
+            context.tables(),
+            context.settings().maxConcurrent());
+    parts.push(context.peers());
+    parts.push(context.tracing());
+    parts.push(upstreams);
+    parts.push(live);
+  }
+
+  /** Starts a node and returns it once it listens. */
+  public static Single<Node> start(Vertx vertx, NodeSettings settings) {
+    Context eventLoop = vertx.getOrCreateContext();
+    Scheduler scheduler = Schedulers.from(task -> eventLoop.runOnContext(unused -> task.run()));
+    return Single.<Node>create(
+            emitter ->
+                eventLoop.runOnContext(
+                    unused -> {
+                      Node node = new Node(createContext(vertx, settings, scheduler));
+                      node.listen().onSuccess(emitter::onSuccess).onFailure(emitter::onError);
+                    }))
+        .doOnSuccess(Node::logStarted);
+  }
+
+  /** Returns the port for callers and trainers. */
+  public int httpPort() {
+    return callerServer.actualPort();
+  }
+
+  /** Returns the port for operators. */
+  public int operatorPort() {
+    return operatorServer.actualPort();
+  }
+
+  /**
+   * Stops without cutting off a request.
+   *
+   * <p>The node says that it is not ready, waits for the balancer to notice, refuses new work,
+   * waits for running work and closes.
+   */
+  public Completable stop() {
+    NodeSettings settings = context.settings();
+    return Completable.fromAction(
+            () -> {
+              stopping = true;
+              Logger.info("stopping with {} requests in flight", active.count());
+            })
+        .subscribeOn(context.scheduler())
+        .delay(settings.stopDelayMillis(), TimeUnit.MILLISECONDS, context.scheduler())
+        .andThen(Completable.fromAction(live::stopAccepting))
+        .andThen(Completable.defer(active::whenIdle))
+        .timeout(
+            settings.stopDelayMillis() + settings.stopTimeoutMillis(),
+            TimeUnit.MILLISECONDS,
+            context.scheduler(),
+            Completable.fromAction(active::cutOffAll))
+        .andThen(Completable.defer(this::close));
+  }
+
+  /** Ends every running request at once, which lets a stop complete. */
+  public void cutOffAll() {
+    context.scheduler().scheduleDirect(active::cutOffAll);
+  }
+
+  private static NodeContext createContext(
+      Vertx vertx, NodeSettings settings, Scheduler scheduler) {
+    JsonHttpClient http = JsonHttpClient.create(vertx, settings.platformTimeoutMillis());
+    String incarnation = UUID.randomUUID().toString();
+    InetSocketAddress peerAddress = new InetSocketAddress(settings.host(), settings.peerPort());
+    PeerNetwork peers =
+        NettyPeerNetwork.create(
+            PeerSettings.of(settings.vmId(), incarnation, peerAddress), scheduler);
+    HttpTableService tables = HttpTableService.create(http, settings.tableService());
+    return new NodeContext(
+        settings,
+        incarnation,
+        vertx,
+        scheduler,
+        System.currentTimeMillis(),
+        scheduler.now(TimeUnit.MILLISECONDS),
+        tables,
+        HttpObjectStore.create(http, settings.objectStore()),
+        HttpUpstreamOrders.create(http, settings.upstreamOrders()),
+        HttpReportSink.create(http, settings.reportSink()),
+        HttpVmList.create(http, settings.vmList()),
+        peers,
+        ConfigurationHolder.create(),
+        ConfigurationStore.create(tables),
+        Metrics.create(),
+        Tracing.create(settings.vmId(), settings.otlpEndpoint()));
+  }
+
+  private Future<Node> listen() {
+    parts.push(
+        ConfigurationPoller.start(
+            context.configurationStore(), context.configuration(), context.scheduler()));
+    CallerServer callers =
+        new CallerServer(live, Node::refuseTrainer, context.metrics(), this::ready);
+    OperatorApi operators = OperatorApi.create(context, this::status);
+    NodeSettings settings = context.settings();
+    return listen(settings.httpPort(), callers::handle)
+        .onSuccess(server -> callerServer = server)
+        .compose(unused -> listen(settings.operatorPort(), operators::handle))
+        .onSuccess(server -> operatorServer = server)
+        .map(this);
+  }
+
+  private Future<HttpServer> listen(int port, Handler<HttpServerRequest> handler) {
+    HttpServerOptions options =
+        new HttpServerOptions()
+            .setHost(context.settings().host())
+            .setPort(port)
+            .setMaxHeaderSize(context.settings().maxHeaderBytes())
+            .setHandle100ContinueAutomatically(true)
+            .setIdleTimeout(IDLE_CONNECTION_SECONDS);
+    return context.vertx().createHttpServer(options).requestHandler(handler).listen();
+  }
+
+  private boolean ready() {
+    return !stopping && context.configuration().known();
+  }
+
+  private ObjectNode status() {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("vmId", context.settings().vmId())
+        .put("incarnation", context.incarnation())
+        .put("dataCentre", context.settings().dataCentre())
+        .put("ready", ready())
+        .put("configurationVersion", context.configuration().current().version())
+        .put("requestsInFlight", active.count());
+  }
+
+  private static void refuseTrainer(HttpServerRequest request) {
+    HttpAnswers.problem(
+        request, Failure.notRun(ErrorKind.NOT_READY, "rollouts are not served", 1_000));
+  }
+
+  private Completable close() {
+    return Completable.create(
+            emitter ->
+                Future.all(callerServer.close(), operatorServer.close())
+                    .onComplete(unused -> emitter.onComplete()))
+        .andThen(Completable.fromAction(this::closeParts));
+  }
+
+  private void closeParts() {
+    while (!parts.isEmpty()) {
+      AutoCloseable part = parts.pop();
+      try (part) {
+        Logger.debug("closing {}", part.getClass().getSimpleName());
+      } catch (Exception e) {
+        Logger.warn(e, "part not closed");
+      }
+    }
+  }
+
+  private void logStarted() {
+    Logger.info(
+        "node {} of {} serves callers on port {}, operators on port {}",
+        context.settings().vmId(),
+        context.settings().dataCentre(),
+        httpPort(),
+        operatorPort());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/http/HttpAnswers.java
@@ -0,0 +1,101 @@
+package io.briarward.node.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.math.LongMath;
+import io.briarward.core.errors.ErrorKind;
+import io.briarward.core.errors.Failure;
+import io.briarward.core.errors.FailureException;
+import io.briarward.node.platform.PlatformException;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.math.RoundingMode;
+
+/** Writes whole answers and problem documents. */
+public final class HttpAnswers {
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final long PLATFORM_RETRY_MILLIS = 2_000;
+
+  private HttpAnswers() {}
+
+  /** Answers with a JSON body. */
+  public static void json(HttpServerRequest request, int status, JsonNode body) {
+    HttpServerResponse response = request.response();
+    if (response.ended() || response.closed()) {
+      return;
+    }
+    response
+        .setStatusCode(status)
+        .putHeader("Content-Type", "application/json")
+        .end(Buffer.buffer(body.toString()));
+  }
+
+  /** Answers without a body. */
+  public static void empty(HttpServerRequest request, int status) {
+    if (!request.response().ended() && !request.response().closed()) {
+      request.response().setStatusCode(status).end();
+    }
+  }
+
+  /** Answers with the problem document of a failure, unless an answer has begun. */
+  public static void problem(HttpServerRequest request, Failure failure) {
+    HttpServerResponse response = request.response();
+    if (response.headWritten() || response.closed()) {
+      return;
+    }
+    failure
+        .retryAfterMillis()
+        .ifPresent(millis -> response.putHeader("Retry-After", Long.toString(seconds(millis))));
+    if (hasUnreadBody(request)) {
+      response.putHeader("Connection", "close");
+    }
+    response
+        .setStatusCode(failure.kind().httpStatus())
+        .putHeader("Content-Type", "application/problem+json")
+        .end(Buffer.buffer(problemDocument(failure).toString()));
+  }
+
+  /** Answers with the problem document of an exception. */
+  public static void problem(HttpServerRequest request, Throwable cause) {
+    problem(request, failureOf(cause));
+  }
+
+  /** Returns the failure that an exception stands for. */
+  public static Failure failureOf(Throwable cause) {
+    if (cause instanceof FailureException known) {
+      return known.failure();
+    }
+    if (cause instanceof PlatformException platform) {
+      return Failure.notRun(
+          ErrorKind.STORE_UNAVAILABLE, platform.getMessage(), PLATFORM_RETRY_MILLIS);
+    }
+    return Failure.unknown(ErrorKind.INTERNAL, ErrorKind.INTERNAL.title());
+  }
+
+  private static boolean hasUnreadBody(HttpServerRequest request) {
+    boolean bodied =
+        request.getHeader("Content-Length") != null
+            || request.getHeader("Transfer-Encoding") != null;
+    return bodied && !request.isEnded();
+  }
+
+  private static ObjectNode problemDocument(Failure failure) {
+    ObjectNode document =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("type", "urn:briarward:error:" + failure.kind().label())
+            .put("title", failure.kind().title())
+            .put("status", failure.kind().httpStatus())
+            .put("detail", failure.detail())
+            .put("kind", failure.kind().label())
+            .put("run", failure.runState().label());
+    failure.retryAfterMillis().ifPresent(millis -> document.put("retryAfterMillis", millis));
+    return document;
+  }
+
+  private static long seconds(long millis) {
+    return LongMath.divide(millis, MILLIS_PER_SECOND, RoundingMode.CEILING);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/live/LiveContext.java
@@ -0,0 +1,27 @@
+package io.briarward.node.live;
+
+import io.briarward.node.telemetry.Metrics;
+import io.briarward.node.telemetry.Tracing;
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What every live request of a node shares.
+ *
+ * @param maxBodyBytes the largest body of a request
+ */
+public record LiveContext(
+    Scheduler scheduler,
+    UpstreamRequests upstreams,
+    UpstreamSelector selector,
+    UsageRecorder usage,
+    ActiveRequests active,
+    Metrics metrics,
+    Tracing tracing,
+    long maxBodyBytes) {
+
+  /** Returns the time of the node's monotonic clock in milliseconds. */
+  public long nowMillis() {
+    return scheduler.now(TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/platform/JsonHttpClient.java
@@ -0,0 +1,122 @@
+package io.briarward.node.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+import io.briarward.node.platform.PlatformException.Effect;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+
+/** Sends requests with whole bodies to the platform's HTTP interfaces. */
+public final class JsonHttpClient implements AutoCloseable {
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int MAX_CONNECTIONS_PER_HOST = 16;
+  private static final int MAX_WAITING_REQUESTS = 256;
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final HttpClient client;
+  private final long timeoutMillis;
+
+  private JsonHttpClient(HttpClient client, long timeoutMillis) {
+    this.client = client;
+    this.timeoutMillis = timeoutMillis;
+  }
+
+  /** Returns a client whose requests fail after {@code timeoutMillis}. */
+  public static JsonHttpClient create(Vertx vertx, long timeoutMillis) {
+    HttpClientOptions options =
+        new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setKeepAlive(true);
+    PoolOptions pool =
+        new PoolOptions()
+            .setHttp1MaxSize(MAX_CONNECTIONS_PER_HOST)
+            .setMaxWaitQueueSize(MAX_WAITING_REQUESTS);
+    return new JsonHttpClient(vertx.createHttpClient(options, pool), timeoutMillis);
+  }
+
+  /** An answer with its whole body. */
+  public record Reply(int status, Buffer body) {
+    /** Parses the body as JSON. */
+    public JsonNode json() {
+      return parse(body);
+    }
+  }
+
+  /** Sends a request without a body. */
+  public Single<Reply> send(HttpMethod method, HostAndPort server, String path) {
+    return send(method, server, path, ImmutableMap.of(), Buffer.buffer());
+  }
+
+  /** Sends a JSON body. */
+  public Single<Reply> send(HttpMethod method, HostAndPort server, String path, JsonNode body) {
+    ImmutableMap<String, String> headers = ImmutableMap.of("Content-Type", "application/json");
+    return send(method, server, path, headers, Buffer.buffer(body.toString()));
+  }
+
+  /** Sends a request with headers and a body. */
+  public Single<Reply> send(
+      HttpMethod method,
+      HostAndPort server,
+      String path,
+      ImmutableMap<String, String> headers,
+      Buffer body) {
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(method)
+            .setHost(server.getHost())
+            .setPort(server.getPort())
+            .setURI(path)
+            .setTimeout(timeoutMillis)
+            .setIdleTimeout(timeoutMillis);
+    headers.forEach(options::putHeader);
+    return Single.create(
+        emitter ->
+            client
+                .request(options)
+                .recover(e -> Future.failedFuture(failed(Effect.NONE, server, e)))
+                .compose(request -> exchange(request, body, server))
+                .onSuccess(emitter::onSuccess)
+                .onFailure(emitter::tryOnError));
+  }
+
+  /**
+   * Parses JSON.
+   *
+   * @throws PlatformException when the bytes are not JSON
+   */
+  public static JsonNode parse(Buffer body) {
+    try {
+      return MAPPER.readTree(body.toString());
+    } catch (JsonProcessingException e) {
+      throw new PlatformException(Effect.UNKNOWN, "answer is not JSON: " + e.getOriginalMessage());
+    }
+  }
+
+  @Override
+  public void close() {
+    client.close();
+  }
+
+  private static Future<Reply> exchange(
+      HttpClientRequest request, Buffer body, HostAndPort server) {
+    return request
+        .send(body)
+        .compose(response -> response.body().map(bytes -> new Reply(response.statusCode(), bytes)))
+        .recover(e -> Future.failedFuture(failed(Effect.UNKNOWN, server, e)));
+  }
+
+  private static PlatformException failed(Effect effect, HostAndPort server, Throwable cause) {
+    return cause instanceof PlatformException known
+        ? known
+        : new PlatformException(effect, server + ": " + cause.getMessage());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/telemetry/Metrics.java
@@ -0,0 +1,88 @@
+package io.briarward.node.telemetry;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+
+/** The metrics of one node. Thread-safe. */
+public final class Metrics {
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter requests =
+      Counter.builder()
+          .name("briarward_requests_total")
+          .help("Live requests by service and outcome; the outcome is ok or an error kind.")
+          .labelNames("service", "outcome")
+          .register(registry);
+  private final Counter retries =
+      Counter.builder()
+          .name("briarward_retries_total")
+          .help("Attempts of live requests after the first.")
+          .labelNames("service")
+          .register(registry);
+  private final Gauge inFlight =
+      Gauge.builder()
+          .name("briarward_requests_in_flight")
+          .help("Live requests that run at present.")
+          .register(registry);
+  private final Gauge configurationVersion =
+      Gauge.builder()
+          .name("briarward_configuration_version")
+          .help("Version of the configuration in force on this node.")
+          .register(registry);
+  private final Histogram durationSeconds =
+      Histogram.builder()
+          .name("briarward_request_duration_seconds")
+          .help("Time from the first byte of a live request to the last byte of its answer.")
+          .labelNames("service")
+          .register(registry);
+
+  private Metrics() {}
+
+  /** Returns the metrics of a node that has just started. */
+  public static Metrics create() {
+    return new Metrics();
+  }
+
+  /** Returns the registry, where other parts of the node add their metrics. */
+  public PrometheusRegistry registry() {
+    return registry;
+  }
+
+  /** Counts a finished live request. */
+  public void requestFinished(String service, String outcome, double durationSeconds) {
+    requests.labelValues(service, outcome).inc();
+    this.durationSeconds.labelValues(service).observe(durationSeconds);
+  }
+
+  /** Counts a repeated attempt. */
+  public void retried(String service) {
+    retries.labelValues(service).inc();
+  }
+
+  /** Sets the number of live requests that run. */
+  public void inFlight(int count) {
+    inFlight.set(count);
+  }
+
+  /** Sets the version of the configuration in force. */
+  public void configurationVersion(long version) {
+    configurationVersion.set(version);
+  }
+
+  /** Returns all metrics in Prometheus's text format. */
+  public String scrape() {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try {
+      new PrometheusTextFormatWriter(false).write(bytes, registry.scrape());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toString(StandardCharsets.UTF_8);
+  }
+}
