Add the stand-ins of engines, plain services and the platform

The node needs something to talk to at each interface of docs/PLATFORM.md. Each stand-in is a class without sockets of its own behind one HTTP server, which adds the controls and the faults that all share. The engine generates by continuous batching in a class without input or output; its text is a function of prompt, seed and position, so callers can check their answers.

--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/StandIns.java
@@ -0,0 +1,174 @@
+package io.briarward.standins;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.briarward.standins.engine.EngineSettings;
+import io.briarward.standins.engine.EngineStandIn;
+import io.briarward.standins.http.Address;
+import io.briarward.standins.http.Faults;
+import io.briarward.standins.http.Options;
+import io.briarward.standins.http.RunningStandIn;
+import io.briarward.standins.http.StandIn;
+import io.briarward.standins.http.StandInServer;
+import io.briarward.standins.http.Timer;
+import io.briarward.standins.objects.ObjectStandIn;
+import io.briarward.standins.orders.OrderStandIn;
+import io.briarward.standins.orders.UpstreamLauncher;
+import io.briarward.standins.plain.PlainStandIn;
+import io.briarward.standins.reports.ReportStandIn;
+import io.briarward.standins.table.TableStandIn;
+import io.briarward.standins.vms.VmListStandIn;
+import io.briarward.standins.weights.WeightStandIn;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.vertx.core.Vertx;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+/**
+ * Starts stand-ins by name.
+ *
+ * <p>Options that every stand-in takes: {@code seed}, the seed of the draws that decide which
+ * operations a fault hits, and {@code secrets}, texts separated by commas whose appearance in a
+ * request is counted. Example:
+ *
+ * <pre>{@code
+ * RunningStandIn table =
+ *     StandIns.start(StandIns.Name.TABLE, vertx, "127.0.0.1", 0, Map.of()).blockingGet();
+ * }</pre>
+ */
+public final class StandIns {
+  private final Vertx vertx;
+  private final Scheduler scheduler;
+
+  private StandIns(Vertx vertx, Scheduler scheduler) {
+    this.vertx = vertx;
+    this.scheduler = scheduler;
+  }
+
+  /** The stand-ins that can be started. */
+  public enum Name {
+    /** A model engine. */
+    ENGINE,
+    /** A plain service. */
+    PLAIN,
+    /** The transactional table service. */
+    TABLE,
+    /** The object store. */
+    OBJECTS,
+    /** The interface that orders upstreams. */
+    ORDERS,
+    /** The interface that accepts usage reports. */
+    REPORTS,
+    /** The list of VMs. */
+    VMS,
+    /** The weight store. */
+    WEIGHTS;
+
+    /** Returns the name used on the command line. */
+    public String label() {
+      return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns the stand-in with the given label. */
+    public static Optional<Name> byLabel(String label) {
+      return Arrays.stream(values()).filter(name -> name.label().equals(label)).findFirst();
+    }
+  }
+
+  /** Returns a starter whose stand-ins take time and timers from the scheduler. */
+  public static StandIns with(Vertx vertx, Scheduler scheduler) {
+    return new StandIns(vertx, scheduler);
+  }
+
+  /** Starts a stand-in on the system clock. */
+  public static Single<RunningStandIn> start(
+      Name name, Vertx vertx, String host, int port, Map<String, String> options) {
+    return with(vertx, Schedulers.single()).start(name, new Address(host, port), options);
+  }
+
+  /**
+   * Starts a stand-in.
+   *
+   * @throws IllegalArgumentException if an option is unknown or its value is refused
+   */
+  public Single<RunningStandIn> start(Name name, Address address, Map<String, String> options) {
+    Options unread = Options.of(options);
+    ImmutableList<String> secrets = unread.list("secrets");
+    Faults faults = faults(name, unread.number("seed", 1));
+    Function<Timer, StandIn> factory = factory(name, unread, faults);
+    return StandInServer.start(
+        new StandInServer.Launch(vertx, scheduler, address, faults, secrets), factory);
+  }
+
+  /**
+   * Starts the platform's stand-ins, each on a free port of the loopback interface.
+   *
+   * @param options the options of each stand-in
+   */
+  public Single<ImmutableMap<Name, RunningStandIn>> startAll(
+      Map<Name, Map<String, String>> options) {
+    return Flowable.fromIterable(options.entrySet())
+        .concatMapSingle(
+            entry ->
+                start(entry.getKey(), Address.ephemeral(), entry.getValue())
+                    .map(running -> Map.entry(entry.getKey(), running)))
+        .toList()
+        .map(ImmutableMap::copyOf);
+  }
+
+  private static Faults faults(Name name, long seed) {
+    return switch (name) {
+      case ENGINE -> EngineStandIn.faults(seed);
+      case PLAIN -> PlainStandIn.faults(seed);
+      case TABLE -> TableStandIn.faults(seed);
+      case OBJECTS -> ObjectStandIn.faults(seed);
+      case ORDERS -> OrderStandIn.faults(seed);
+      case REPORTS -> ReportStandIn.faults(seed);
+      case VMS -> VmListStandIn.faults(seed);
+      case WEIGHTS -> WeightStandIn.faults(seed);
+    };
+  }
+
+  private Function<Timer, StandIn> factory(Name name, Options options, Faults faults) {
+    return timer -> {
+      StandIn standIn = create(name, options, faults, timer);
+      options.checkAllRead();
+      return standIn;
+    };
+  }
+
+  private StandIn create(Name name, Options options, Faults faults, Timer timer) {
+    return switch (name) {
+      case ENGINE -> EngineStandIn.create(vertx, timer, faults, EngineSettings.from(options));
+      case PLAIN -> PlainStandIn.create(timer, faults, PlainStandIn.Settings.from(options));
+      case TABLE -> TableStandIn.create(timer, faults, options);
+      case OBJECTS -> ObjectStandIn.create(timer, faults, options);
+      case ORDERS -> OrderStandIn.create(timer, faults, options, launcher(options));
+      case REPORTS -> ReportStandIn.create();
+      case VMS -> VmListStandIn.create(timer, faults, options);
+      case WEIGHTS -> WeightStandIn.create(timer, faults, options);
+    };
+  }
+
+  /** Upstreams of the services in option {@code plainServices} are plain, all others engines. */
+  private UpstreamLauncher launcher(Options options) {
+    ImmutableList<String> plainServices = options.list("plainServices");
+    ImmutableMap<String, String> upstreamOptions = options.map("upstreamOptions");
+    return (service, upstreamId) -> {
+      Name name = plainServices.contains(service) ? Name.PLAIN : Name.ENGINE;
+      ImmutableMap<String, String> all =
+          ImmutableMap.<String, String>builder()
+              .putAll(upstreamOptions)
+              .put("service", service)
+              .put("instance", upstreamId)
+              .buildOrThrow();
+      return start(name, Address.ephemeral(), all);
+    };
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/engine/EngineStandIn.java
@@ -0,0 +1,297 @@
+package io.briarward.standins.engine;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import io.briarward.standins.http.Answer;
+import io.briarward.standins.http.Call;
+import io.briarward.standins.http.Fault;
+import io.briarward.standins.http.Faults;
+import io.briarward.standins.http.FencingCheck;
+import io.briarward.standins.http.History;
+import io.briarward.standins.http.Json;
+import io.briarward.standins.http.StandIn;
+import io.briarward.standins.http.Timer;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+/** Serves completions by continuous batching, load reports, cache events, orders and KV caches. */
+public final class EngineStandIn implements StandIn {
+  private static final String COMPLETIONS = "/v1/completions";
+  private static final String REQUEST_ID = "X-Request-Id";
+
+  private final Timer timer;
+  private final Faults faults;
+  private final EngineSettings settings;
+  private final ContinuousBatch batch;
+  private final CacheEvents cacheEvents = new CacheEvents();
+  private final WeightLoader weights;
+  private final FencingCheck fencing;
+  private final RequestLog log = new RequestLog();
+  private final History<LoadReport> loadReports;
+  private final Map<Generation, CompletionWriter> writers = new HashMap<>();
+  private final Map<String, Integer> startsByRequest = new HashMap<>();
+  private final List<String> adapters = new ArrayList<>();
+  private String role = "";
+  private String model = "";
+  private boolean stepScheduled;
+  private boolean closed;
+  private long started;
+  private long completed;
+  private long cancelled;
+  private long generatedTokens;
+  private long nextRequestNumber;
+
+  private EngineStandIn(Vertx vertx, Timer timer, Faults faults, EngineSettings settings) {
+    this.timer = timer;
+    this.faults = faults;
+    this.settings = settings;
+    this.batch = new ContinuousBatch(settings, this::recordCacheUse);
+    this.weights = new WeightLoader(vertx, timer, settings, faults);
+    this.fencing = FencingCheck.create(settings.checksFencing(), faults);
+    this.loadReports = History.startingWith(loadReport());
+  }
+
+  /** Returns the faults of this stand-in, switched off. */
+  public static Faults faults(long seed) {
+    return Faults.of(
+        seed,
+        Fault.GARBAGE_SHARE,
+        Fault.TRUNCATED_SHARE,
+        Fault.SLOWDOWN,
+        Fault.WEIGHT_LOAD_FAILURE,
+        Fault.CACHE_EVENT_GAP_SHARE,
+        Fault.IGNORE_FENCING,
+        Fault.LAG_MILLIS);
+  }
+
+  /** Returns an idle engine. */
+  public static EngineStandIn create(
+      Vertx vertx, Timer timer, Faults faults, EngineSettings settings) {
+    return new EngineStandIn(vertx, timer, faults, settings);
+  }
+
+  @Override
+  public void handle(Call call) {
+    String operation = call.method() + " " + call.path();
+    switch (operation) {
+      case "POST " + COMPLETIONS -> complete(call);
+      case "GET /v1/load" -> call.answer(Answer.json(200, laggingLoad()));
+      case "GET /v1/cache/events" -> call.answer(Answer.json(200, cacheEvents(call)));
+      case "POST /v1/orders" -> obey(call);
+      case "GET /control/requests" ->
+          call.answer(Answer.json(200, Json.object().set("requests", log.describe())));
+      default -> handleResource(call);
+    }
+  }
+
+  @Override
+  public ObjectNode state() {
+    long repeated = startsByRequest.values().stream().filter(count -> count > 1).count();
+    ObjectNode state = Json.object();
+    state.put("service", settings.service()).put("instance", settings.instance());
+    state.put("started", started).put("completed", completed).put("cancelled", cancelled);
+    state.put("generatedTokens", generatedTokens).put("requestsRunTwice", repeated);
+    state.put("running", batch.running().size()).put("queued", batch.waitingCount());
+    state.put("weightVersion", weights.weightVersion());
+    state.put("loadingVersion", weights.loadingVersion());
+    state.put("weightLoadFailures", weights.failures());
+    state.put("role", role).put("model", model).set("adapters", Json.tree(adapters));
+    fencing.describe(state);
+    return state;
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    weights.close();
+  }
+
+  private void handleResource(Call call) {
+    ImmutableList<String> path = call.segments();
+    boolean hasId = path.size() == 3;
+    if (hasId && call.method().equals("DELETE") && call.path().startsWith(COMPLETIONS)) {
+      String id = path.get(2);
+      cancel(generation -> generation.request().id().equals(id));
+      call.answer(Answer.empty(204));
+    } else if (hasId && path.get(1).equals("kv")) {
+      transferKv(call, path.get(2));
+    } else if (call.method().equals("GET") && call.path().startsWith("/v1/weights/")) {
+      long version = Long.parseLong(path.get(path.size() - 1));
+      call.answer(
+          weights
+              .weights(version)
+              .map(bytes -> Answer.bytes(200, bytes))
+              .orElseGet(Answer::notFound));
+    } else {
+      call.answer(Answer.notFound());
+    }
+  }
+
+  private void complete(Call call) {
+    String id = call.header(REQUEST_ID).orElseGet(this::nextRequestId);
+    Generation generation = new Generation(CompletionRequest.parse(id, call.json()));
+    started++;
+    startsByRequest.merge(id, 1, Integer::sum);
+    writers.put(generation, new CompletionWriter(call, generation));
+    call.onClose(() -> cancel(each -> each == generation));
+    batch.add(generation);
+    recordLoad();
+    scheduleStep();
+  }
+
+  private String nextRequestId() {
+    nextRequestNumber++;
+    return settings.instance() + "-" + nextRequestNumber;
+  }
+
+  private void cancel(Predicate<Generation> matches) {
+    for (Generation generation : batch.removeIf(matches)) {
+      cancelled++;
+      log.record(generation, RequestLog.Outcome.CANCELLED);
+      Optional.ofNullable(writers.remove(generation)).ifPresent(CompletionWriter::breakOff);
+    }
+    recordLoad();
+  }
+
+  private void scheduleStep() {
+    if (stepScheduled || batch.idle()) {
+      return;
+    }
+    stepScheduled = true;
+    batch.admit(nowMicros());
+    double factor = faults.valueOr(Fault.SLOWDOWN, 1);
+    timer.schedule((long) (batch.stepMicros() * factor), this::step);
+  }
+
+  private void step() {
+    stepScheduled = false;
+    if (closed) {
+      return;
+    }
+    batch.step(nowMicros(), weights.weightVersion()).forEach(this::emit);
+    recordLoad();
+    scheduleStep();
+  }
+
+  private void emit(Emission emission) {
+    Generation generation = emission.generation();
+    generatedTokens += emission.tokens();
+    CompletionWriter writer = writers.get(generation);
+    if (generation.finished()) {
+      completed++;
+      log.record(generation, RequestLog.Outcome.COMPLETED);
+      writers.remove(generation);
+      end(writer, emission);
+    } else {
+      writer.write(emission);
+    }
+  }
+
+  private void end(CompletionWriter writer, Emission last) {
+    if (faults.hits(Fault.TRUNCATED_SHARE)) {
+      writer.breakOff();
+    } else if (faults.hits(Fault.GARBAGE_SHARE)) {
+      writer.writeGarbage();
+    } else {
+      writer.write(last);
+    }
+  }
+
+  private void obey(Call call) {
+    OrderRequest order = OrderRequest.parse(call.json());
+    if (!fencing.accepts(order.fencingNumber())) {
+      call.answer(fencing.refusal(order.fencingNumber()));
+      return;
+    }
+    switch (order.kind()) {
+      case LOAD_WEIGHTS -> weights.load(order.version(), order.source());
+      case LOAD_ADAPTER -> adapters.add(order.name());
+      case LOAD_MODEL -> model = order.name();
+      case SET_ROLE -> role = order.name();
+      default -> throw new AssertionError(order.kind());
+    }
+    recordLoad();
+    call.answer(Answer.json(202, Json.object().put("kind", order.kind().name())));
+  }
+
+  private void transferKv(Call call, String requestId) {
+    if (call.method().equals("PUT")) {
+      batch.importKv(requestId);
+      call.answer(Answer.empty(204));
+      return;
+    }
+    Optional<ObjectNode> kv =
+        batch.running().stream()
+            .filter(generation -> generation.request().id().equals(requestId))
+            .findFirst()
+            .map(EngineStandIn::describeKv);
+    call.answer(Answer.found(kv));
+  }
+
+  private static ObjectNode describeKv(Generation generation) {
+    return Json.object()
+        .put("requestId", generation.request().id())
+        .put("prompt", generation.request().prompt())
+        .put("tokens", generation.nextToken());
+  }
+
+  private void recordCacheUse(PrefixCache.Use use) {
+    use.stored().forEach(hash -> recordCacheEvent(CacheEvents.Type.STORED, hash));
+    use.evicted().forEach(hash -> recordCacheEvent(CacheEvents.Type.EVICTED, hash));
+  }
+
+  private void recordCacheEvent(CacheEvents.Type type, String hash) {
+    long visibleMillis = timer.nowMillis() + settings.cacheEventDelayMillis();
+    boolean lost = faults.hits(Fault.CACHE_EVENT_GAP_SHARE);
+    cacheEvents.record(type, hash, visibleMillis, lost);
+  }
+
+  private ObjectNode cacheEvents(Call call) {
+    long after = call.query("after").map(Long::parseLong).orElse(0L);
+    long last = after;
+    ArrayNode list = Json.array();
+    for (CacheEvents.Event event : cacheEvents.after(after, timer.nowMillis())) {
+      list.addObject()
+          .put("sequence", event.sequence())
+          .put("type", event.type().name())
+          .put("prefixHash", event.prefixHash());
+      last = event.sequence();
+    }
+    ObjectNode answer = Json.object();
+    answer.set("events", list);
+    return answer.put("last", last);
+  }
+
+  private ObjectNode laggingLoad() {
+    recordLoad();
+    long lagMillis = (long) faults.valueOr(Fault.LAG_MILLIS, (double) settings.loadLagMillis());
+    return (ObjectNode) Json.tree(loadReports.asOf(timer.nowMillis() - lagMillis));
+  }
+
+  private void recordLoad() {
+    loadReports.put(timer.nowMillis(), loadReport());
+  }
+
+  private LoadReport loadReport() {
+    return new LoadReport(
+        batch.running().size(),
+        batch.waitingCount(),
+        settings.batchLimit(),
+        weights.weightVersion(),
+        weights.loadingVersion(),
+        timer.nowMillis(),
+        batch.kvTokens(),
+        settings.kvLimitTokens());
+  }
+
+  private long nowMicros() {
+    return TimeUnit.MILLISECONDS.toMicros(timer.nowMillis());
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/engine/WeightLoader.java
@@ -0,0 +1,135 @@
+package io.briarward.standins.engine;
+
+import io.briarward.standins.http.Address;
+import io.briarward.standins.http.Fault;
+import io.briarward.standins.http.Faults;
+import io.briarward.standins.http.Timer;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import java.util.Optional;
+
+/** Fetches weights and swaps them in; a later order replaces an earlier one. */
+final class WeightLoader implements AutoCloseable {
+  private static final long RETRY_MILLIS = 250;
+  private static final int MAX_ATTEMPTS = 240;
+  private static final int TOO_MANY_REQUESTS = 429;
+
+  private final EngineSettings settings;
+  private final Faults faults;
+  private final Timer timer;
+  private final HttpClient client;
+  private long weightVersion;
+  private long loadingVersion;
+  private long loadNumber;
+  private Buffer weights = Buffer.buffer();
+  private long failures;
+
+  WeightLoader(Vertx vertx, Timer timer, EngineSettings settings, Faults faults) {
+    this.settings = settings;
+    this.faults = faults;
+    this.timer = timer;
+    this.client = vertx.createHttpClient();
+    this.weightVersion = settings.weightVersion();
+  }
+
+  /** Returns the version that generates tokens now. */
+  long weightVersion() {
+    return weightVersion;
+  }
+
+  /** Returns the version being loaded, 0 when there is none. */
+  long loadingVersion() {
+    return loadingVersion;
+  }
+
+  /** Returns how many loads failed. */
+  long failures() {
+    return failures;
+  }
+
+  /** Returns the weights of a version, if they are the present ones. */
+  Optional<Buffer> weights(long version) {
+    return version == weightVersion ? Optional.of(weights) : Optional.empty();
+  }
+
+  /** Starts to load a version, unless it is present or being loaded. */
+  void load(long version, Optional<Address> source) {
+    if (version == loadingVersion || (loadingVersion == 0 && version == weightVersion)) {
+      return;
+    }
+    loadNumber++;
+    loadingVersion = version;
+    Optional<Address> from = source.or(settings::weightStore);
+    if (from.isPresent()) {
+      fetch(new Load(loadNumber, version, from.get()), 1);
+    } else {
+      install(loadNumber, version, Buffer.buffer());
+    }
+  }
+
+  @Override
+  public void close() {
+    client.close();
+  }
+
+  private record Load(long number, long version, Address source) {}
+
+  private void fetch(Load load, int attempt) {
+    if (load.number() != loadNumber) {
+      return;
+    }
+    String path = "/v1/weights/" + settings.service() + "/" + load.version();
+    client
+        .request(HttpMethod.GET, load.source().port(), load.source().host(), path)
+        .compose(request -> request.send())
+        .onSuccess(response -> receive(load, attempt, response))
+        .onFailure(unused -> retry(load, attempt));
+  }
+
+  private void receive(Load load, int attempt, HttpClientResponse response) {
+    if (response.statusCode() == 200) {
+      response
+          .body()
+          .onSuccess(bytes -> install(load.number(), load.version(), bytes))
+          .onFailure(unused -> retry(load, attempt));
+    } else if (response.statusCode() >= TOO_MANY_REQUESTS) {
+      retry(load, attempt);
+    } else {
+      fail(load.number());
+    }
+  }
+
+  private void retry(Load load, int attempt) {
+    if (attempt >= MAX_ATTEMPTS) {
+      fail(load.number());
+      return;
+    }
+    timer.scheduleMillis(RETRY_MILLIS, () -> fetch(load, attempt + 1));
+  }
+
+  private void install(long number, long version, Buffer bytes) {
+    double factor = faults.valueOr(Fault.SLOWDOWN, 1);
+    long delayMillis = (long) (settings.weightLoadMillis() * factor);
+    timer.scheduleMillis(delayMillis, () -> swap(number, version, bytes));
+  }
+
+  private void swap(long number, long version, Buffer bytes) {
+    if (faults.on(Fault.WEIGHT_LOAD_FAILURE)) {
+      fail(number);
+    } else if (number == loadNumber) {
+      weightVersion = version;
+      weights = bytes;
+      loadingVersion = 0;
+    }
+  }
+
+  private void fail(long number) {
+    if (number == loadNumber) {
+      failures++;
+      loadingVersion = 0;
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/engine/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The stand-in of a model engine.
+ *
+ * <p>Start with {@link io.briarward.standins.engine.EngineStandIn}.
+ */
+package io.briarward.standins.engine;
--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/http/Timer.java
@@ -0,0 +1,33 @@
+package io.briarward.standins.http;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.Context;
+import java.util.concurrent.TimeUnit;
+
+/** The clock and the timers of a stand-in, whose actions run on its event loop. */
+public final class Timer {
+  private final Scheduler scheduler;
+  private final Context context;
+
+  Timer(Scheduler scheduler, Context context) {
+    this.scheduler = scheduler;
+    this.context = context;
+  }
+
+  /** Returns the present time in milliseconds since the epoch. */
+  public long nowMillis() {
+    return scheduler.now(TimeUnit.MILLISECONDS);
+  }
+
+  /** Runs the action on the event loop after the delay. */
+  public Disposable schedule(long delayMicros, Runnable action) {
+    return scheduler.scheduleDirect(
+        () -> context.runOnContext(unused -> action.run()), delayMicros, TimeUnit.MICROSECONDS);
+  }
+
+  /** Runs the action on the event loop after the delay. */
+  public Disposable scheduleMillis(long delayMillis, Runnable action) {
+    return schedule(TimeUnit.MILLISECONDS.toMicros(delayMillis), action);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/objects/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The stand-in of the platform's object store.
+ *
+ * <p>Start with {@link io.briarward.standins.objects.ObjectStandIn}.
+ */
+package io.briarward.standins.objects;
--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/plain/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The stand-in of a plain service.
+ *
+ * <p>Start with {@link io.briarward.standins.plain.PlainStandIn}.
+ */
+package io.briarward.standins.plain;
--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/reports/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The stand-in of the platform's interface that accepts usage reports.
+ *
+ * <p>Start with {@link io.briarward.standins.reports.ReportStandIn}.
+ */
+package io.briarward.standins.reports;
--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/table/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The stand-in of the platform's transactional table service.
+ *
+ * <p>Start with {@link io.briarward.standins.table.TableStandIn}.
+ */
+package io.briarward.standins.table;
--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/weights/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The stand-in of the rate-limited weight store.
+ *
+ * <p>Start with {@link io.briarward.standins.weights.WeightStandIn}.
+ */
+package io.briarward.standins.weights;
