Choose upstreams by outstanding work, prefix locality and bounded load

Round robin ignores queues and caches; a full scan grows with the fleet. A decision compares a bounded set: prefix holders, the group's home on a consistent-hash ring, and random samples of the upstreams that accept work and satisfy the weight bound.

--- /dev/null
+++ b/core/src/main/java/io/briarward/core/routing/Partition.java
@@ -0,0 +1,87 @@
+package io.briarward.core.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The upstreams of a data centre that accept work and share market and weight version.
+ *
+ * <p>Adding, removing and sampling take constant time. Not thread-safe.
+ */
+final class Partition {
+  private final boolean reclaimable;
+  private final long weightVersion;
+  private final List<UpstreamState> members = new ArrayList<>();
+  private double outstanding;
+  private double others;
+  private double slots;
+
+  Partition(boolean reclaimable, long weightVersion) {
+    this.reclaimable = reclaimable;
+    this.weightVersion = weightVersion;
+  }
+
+  boolean serves(long minWeightVersion, boolean reclaimableAllowed) {
+    return weightVersion >= minWeightVersion && (reclaimableAllowed || !reclaimable);
+  }
+
+  boolean holds(UpstreamState state) {
+    return reclaimable == state.upstream().reclaimable() && weightVersion == state.weightVersion();
+  }
+
+  long weightVersion() {
+    return weightVersion;
+  }
+
+  void add(UpstreamState state) {
+    state.setPartition(this, members.size());
+    members.add(state);
+    outstanding += state.outstanding();
+    others += state.othersAtReport();
+    slots += state.slots();
+  }
+
+  /** Removes a member whose load has not changed since it was added. */
+  void remove(UpstreamState state) {
+    int index = state.partitionIndex();
+    UpstreamState last = members.remove(members.size() - 1);
+    if (last != state) {
+      members.set(index, last);
+      last.setPartition(this, index);
+    }
+    state.setPartition(null, 0);
+    outstanding -= state.outstanding();
+    others -= state.othersAtReport();
+    slots -= state.slots();
+    if (members.isEmpty()) {
+      clearSums();
+    }
+  }
+
+  /** Removes rounding errors, which would otherwise add up. */
+  private void clearSums() {
+    outstanding = 0;
+    others = 0;
+    slots = 0;
+  }
+
+  int size() {
+    return members.size();
+  }
+
+  UpstreamState get(int index) {
+    return members.get(index);
+  }
+
+  double outstanding() {
+    return outstanding;
+  }
+
+  double others() {
+    return others;
+  }
+
+  double slots() {
+    return slots;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/routing/Router.java
@@ -0,0 +1,211 @@
+package io.briarward.core.routing;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import io.briarward.core.configuration.Upstream;
+import io.briarward.core.errors.ErrorKind;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses upstreams for requests.
+ *
+ * <p>A chosen upstream has a place reserved, which counts as outstanding work until the choice is
+ * given back. Thread-safe: one lock guards short sections that do no I/O. Times are milliseconds of
+ * one clock, given by the caller.
+ *
+ * <p>Example: {@code router.choose(request, nowMillis).match(chosen -> send(chosen.choice()),
+ * refused -> answer(refused.kind()))}.
+ */
+public final class Router {
+  private static final long UNKNOWN_SERVICE_RETRY_MILLIS = 1_000;
+
+  private final String localDataCentre;
+  private final RoutingPolicy policy;
+  private final RandomGenerator random;
+
+  @GuardedBy("this")
+  private final Map<String, ServicePool> pools = new HashMap<>();
+
+  @GuardedBy("this")
+  private final Map<String, ShareMeter> reclaimableShares = new HashMap<>();
+
+  @GuardedBy("this")
+  private final Map<Long, Reservation> reservations = new HashMap<>();
+
+  @GuardedBy("this")
+  private long lastTicket;
+
+  private Router(String localDataCentre, RoutingPolicy policy, RandomGenerator random) {
+    this.localDataCentre = checkNotNull(localDataCentre, "localDataCentre");
+    this.policy = checkNotNull(policy, "policy");
+    this.random = checkNotNull(random, "random");
+  }
+
+  /**
+   * Creates a router that knows no upstream.
+   *
+   * @param localDataCentre the data centre whose upstreams are preferred
+   * @param random the source of every random choice; used under the router's lock only
+   */
+  public static Router create(
+      String localDataCentre, RoutingPolicy policy, RandomGenerator random) {
+    return new Router(localDataCentre, policy, random);
+  }
+
+  /**
+   * Replaces the upstreams of a service, configured and ordered ones alike.
+   *
+   * <p>What is known of an upstream is kept while its entry stays the same. One that is no longer
+   * listed gets no new work; requests in flight there may still be given back.
+   */
+  public synchronized void replaceUpstreams(String service, ImmutableList<Upstream> upstreams) {
+    checkNotNull(service, "service");
+    checkNotNull(upstreams, "upstreams");
+    pools
+        .computeIfAbsent(service, id -> new ServicePool(localDataCentre, policy, random))
+        .replace(upstreams);
+  }
+
+  /** Chooses an upstream and reserves a place there, or tells why there is none. */
+  public synchronized RouteResult choose(RouteRequest request, long nowMillis) {
+    checkNotNull(request, "request");
+    ServicePool pool = pools.get(request.service());
+    if (pool == null) {
+      return new RouteResult.Refused(ErrorKind.NO_UPSTREAM, UNKNOWN_SERVICE_RETRY_MILLIS);
+    }
+    ShareMeter share =
+        reclaimableShares.computeIfAbsent(request.partner(), partner -> new ShareMeter());
+    boolean reclaimableAllowed =
+        share.allows(request.work(), request.reclaimableShare(), nowMillis);
+    Optional<ServicePool.Located> located = pool.choose(request, reclaimableAllowed, nowMillis);
+    if (located.isEmpty()) {
+      return pool.refusal(request, reclaimableAllowed);
+    }
+    UpstreamState state = located.get().state();
+    share.record(request.work(), state.upstream().reclaimable(), nowMillis);
+    return new RouteResult.Chosen(reserve(located.get(), request, nowMillis));
+  }
+
+  @GuardedBy("this")
+  private UpstreamChoice reserve(
+      ServicePool.Located located, RouteRequest request, long nowMillis) {
+    UpstreamState state = located.state();
+    boolean reuse = located.pool().reuseLikelihood(request, state, nowMillis) > 0;
+    lastTicket++;
+    UpstreamChoice choice =
+        new UpstreamChoice(lastTicket, request.service(), state.upstream(), reuse);
+    located.pool().onDispatched(state, request, nowMillis);
+    reservations.put(lastTicket, new Reservation(located, request, nowMillis));
+    return choice;
+  }
+
+  /** Gives back a choice whose answer arrived in full. */
+  public synchronized void onFinished(UpstreamChoice choice, long nowMillis) {
+    Reservation reservation = reservations.remove(choice.ticket());
+    if (reservation != null) {
+      long durationMillis = nowMillis - reservation.dispatchedAtMillis;
+      reservation
+          .pool()
+          .onFinished(reservation.state(), reservation.request, durationMillis, nowMillis);
+    }
+  }
+
+  /** Gives back a choice whose upstream refused the connection, broke off or answered wrongly. */
+  public synchronized void onFailed(UpstreamChoice choice, long nowMillis) {
+    Reservation reservation = reservations.remove(choice.ticket());
+    if (reservation != null) {
+      reservation.pool().onFailed(reservation.state(), reservation.request, nowMillis);
+    }
+  }
+
+  /** Gives back a choice that says nothing of the upstream, such as a call its caller ended. */
+  public synchronized void onReleased(UpstreamChoice choice, long nowMillis) {
+    Reservation reservation = reservations.remove(choice.ticket());
+    if (reservation != null) {
+      reservation.pool().onReleased(reservation.state(), reservation.request, nowMillis);
+    }
+  }
+
+  /** Records that the answer to a choice, still in flight, used nothing of the prefix cache. */
+  public synchronized void onNothingCached(UpstreamChoice choice) {
+    Reservation reservation = reservations.get(choice.ticket());
+    if (reservation != null) {
+      reservation.pool().onNothingCached(reservation.state(), reservation.request);
+    }
+  }
+
+  /** Records a load report; one that is older than the last is ignored. */
+  public synchronized void onLoadReport(String upstreamId, LoadReport report, long nowMillis) {
+    checkNotNull(report, "report");
+    forUpstream(upstreamId, (pool, state) -> pool.onLoadReport(state, report, nowMillis));
+  }
+
+  /** Records cache events, in the order in which they were received. */
+  public synchronized void onCacheEvents(
+      String upstreamId, ImmutableList<CacheEvent> events, long nowMillis) {
+    checkNotNull(events, "events");
+    forUpstream(upstreamId, (pool, state) -> pool.onCacheEvents(state, events, nowMillis));
+  }
+
+  /** Counts a failed probe, such as a load report that could not be fetched, as a failure. */
+  public synchronized void onUnreachable(String upstreamId, long nowMillis) {
+    forUpstream(upstreamId, (pool, state) -> pool.onUnreachable(state, nowMillis));
+  }
+
+  /** Stops new work to an upstream at once; it stays so until its entry is replaced. */
+  public synchronized void markLeaving(String upstreamId) {
+    forUpstream(upstreamId, DataCentrePool::markLeaving);
+  }
+
+  /** Records the aggregate load of a service in another data centre. */
+  public synchronized void onDataCentreLoad(String service, DataCentreLoad load) {
+    checkNotNull(load, "load");
+    ServicePool pool = pools.get(service);
+    if (pool != null) {
+      pool.onDataCentreLoad(load);
+    }
+  }
+
+  /** Returns the aggregate load of a service in the local data centre. */
+  public synchronized Optional<DataCentreLoad> localLoad(String service, long nowMillis) {
+    return Optional.ofNullable(pools.get(service)).map(pool -> pool.localLoad(nowMillis));
+  }
+
+  /** Returns the ids of a service's upstreams in the local data centre. */
+  public synchronized ImmutableSet<String> localUpstreamIds(String service) {
+    ServicePool pool = pools.get(service);
+    return pool == null ? ImmutableSet.of() : pool.localIds();
+  }
+
+  /** Returns the number of places reserved and not given back. */
+  public synchronized int reservedCount() {
+    return reservations.size();
+  }
+
+  @GuardedBy("this")
+  private void forUpstream(String upstreamId, BiConsumer<DataCentrePool, UpstreamState> action) {
+    checkNotNull(upstreamId, "upstreamId");
+    for (ServicePool pool : pools.values()) {
+      Optional<ServicePool.Located> located = pool.locate(upstreamId);
+      located.ifPresent(at -> action.accept(at.pool(), at.state()));
+    }
+  }
+
+  private record Reservation(
+      ServicePool.Located located, RouteRequest request, long dispatchedAtMillis) {
+    DataCentrePool pool() {
+      return located.pool();
+    }
+
+    UpstreamState state() {
+      return located.state();
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/routing/UpstreamChoice.java
@@ -0,0 +1,25 @@
+package io.briarward.core.routing;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.briarward.core.configuration.Upstream;
+
+/**
+ * A reserved place at an upstream.
+ *
+ * <p>Every choice must be given back exactly once through {@link Router#onFinished}, {@link
+ * Router#onFailed} or {@link Router#onReleased}; further calls have no effect.
+ *
+ * @param ticket identifies the reservation within its router
+ * @param service the id of the service
+ * @param upstream where to send the request
+ * @param reuseExpected whether the upstream is expected to have the prompt's prefix cached
+ */
+public record UpstreamChoice(
+    long ticket, String service, Upstream upstream, boolean reuseExpected) {
+  /** Checks the fields. */
+  public UpstreamChoice {
+    checkNotNull(service, "service");
+    checkNotNull(upstream, "upstream");
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/routing/RouterTest.java
@@ -0,0 +1,137 @@
+package io.briarward.core.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.briarward.core.configuration.Upstream;
+import io.briarward.core.errors.ErrorKind;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class RouterTest {
+  private static final String SERVICE = "recipe-llm";
+
+  private final Router router =
+      Router.create("nadi", RoutingPolicy.DEFAULT, new SplittableRandom(7));
+
+  @Test
+  void choosesLeastOutstandingUpstream() {
+    router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a"), upstream("b")));
+    router.onLoadReport("a", new LoadReport(8, 4, 8, 1, 1_000), 1_000);
+    router.onLoadReport("b", new LoadReport(1, 0, 8, 1, 1_000), 1_000);
+    assertThat(chosenId(request().build(), 1_000)).isEqualTo("b");
+  }
+
+  @Test
+  void leavingUpstreamGetsNoWork() {
+    router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a")));
+    router.markLeaving("a");
+    assertThat(refusal(request().build(), 0)).isEqualTo(ErrorKind.NO_UPSTREAM);
+  }
+
+  @Test
+  void removedUpstreamGetsNoWork() {
+    router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a"), upstream("b")));
+    router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("b")));
+    assertThat(chosenId(request().build(), 0)).isEqualTo("b");
+  }
+
+  @Test
+  void staleUpstreamIsRefusedWithStaleBound() {
+    router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a")));
+    router.onLoadReport("a", new LoadReport(0, 0, 8, 4, 0), 0);
+    assertThat(refusal(request().minWeightVersion(5).build(), 0)).isEqualTo(ErrorKind.STALE_BOUND);
+  }
+
+  @Test
+  void excludedUpstreamIsNotChosen() {
+    router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a"), upstream("b")));
+    RouteRequest request = request().excluded(ImmutableSet.of("a")).build();
+    assertThat(chosenId(request, 0)).isEqualTo("b");
+  }
+
+  @Test
+  void ownRequestsAreNotCountedTwice() {
+    router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a"), upstream("b")));
+    // The report of "a" counts the two requests that this node has in flight there.
+    RouteRequest toA = request().excluded(ImmutableSet.of("b")).build();
+    chosenId(toA, 0);
+    chosenId(toA, 0);
+    router.onLoadReport("a", new LoadReport(2, 0, 8, 1, 100), 200);
+    router.onLoadReport("b", new LoadReport(3, 0, 8, 1, 100), 200);
+    assertThat(chosenId(request().build(), 200)).isEqualTo("a");
+  }
+
+  @Test
+  void ejectedUpstreamIsReadmittedWithOneRequestAtOnce() {
+    router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a"), upstream("b")));
+    for (int i = 0; i < Health.FAILURES_BEFORE_EJECTION; i++) {
+      router.onUnreachable("a", 0);
+    }
+    RouteRequest toA = request().excluded(ImmutableSet.of("b")).build();
+    assertThat(refusal(toA, Health.MIN_EJECTION_MILLIS - 1)).isEqualTo(ErrorKind.NO_UPSTREAM);
+    assertThat(chosenId(toA, Health.MIN_EJECTION_MILLIS)).isEqualTo("a");
+    assertThat(refusal(toA, Health.MIN_EJECTION_MILLIS)).isEqualTo(ErrorKind.NO_UPSTREAM);
+  }
+
+  @Test
+  void groupStaysOnOneUpstreamWhileItsQueueIsShort() {
+    router.replaceUpstreams(
+        SERVICE, ImmutableList.of(upstream("a"), upstream("b"), upstream("c"), upstream("d")));
+    RouteRequest sample = request().group("group-1").promptTokens(8_000).build();
+    ImmutableSet.Builder<String> used = ImmutableSet.builder();
+    for (int i = 0; i < 8; i++) {
+      used.add(chosenId(sample, i));
+    }
+    assertThat(used.build()).hasSize(1);
+  }
+
+  @Test
+  void remoteDataCentreServesWhenLocalHasNone() {
+    Upstream remote = new Upstream("r", "ba", "127.0.0.1", 9_000, false, false, 8);
+    router.replaceUpstreams(SERVICE, ImmutableList.of(remote));
+    assertThat(chosenId(request().build(), 0)).isEqualTo("r");
+  }
+
+  @Test
+  void choiceGivenBackTwiceCountsOnce() {
+    router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a")));
+    UpstreamChoice choice = choice(request().build(), 0);
+    router.onFinished(choice, 10);
+    router.onFailed(choice, 10);
+    assertThat(router.localLoad(SERVICE, 10).orElseThrow().outstanding()).isEqualTo(0.0);
+  }
+
+  private static Upstream upstream(String id) {
+    return new Upstream(id, "nadi", "127.0.0.1", 9_000, false, false, 8);
+  }
+
+  private static RouteRequest.Builder request() {
+    return RouteRequest.builder(SERVICE, "vatuwaqa");
+  }
+
+  private UpstreamChoice choice(RouteRequest request, long nowMillis) {
+    return router
+        .choose(request, nowMillis)
+        .match(
+            RouteResult.Chosen::choice,
+            refused -> {
+              throw new AssertionError("refused: " + refused);
+            });
+  }
+
+  private String chosenId(RouteRequest request, long nowMillis) {
+    return choice(request, nowMillis).upstream().id();
+  }
+
+  private ErrorKind refusal(RouteRequest request, long nowMillis) {
+    return router
+        .choose(request, nowMillis)
+        .match(
+            chosen -> {
+              throw new AssertionError("chosen: " + chosen);
+            },
+            RouteResult.Refused::kind);
+  }
+}
