Count a request as running until its answer is written

Cause: a stop closed the listening sockets as soon as no request was counted as running, and a request was uncounted before its answer's last bytes were written, so a stop cut off the answer. Seen as 'Connection was closed' in LiveProxyTest.stopLetsRunningRequestsFinish (1 failed of 16). Ruled out: the upstream, which had answered. Change: the request is uncounted when the write completes, and the servers shut down gracefully, which also covers trainers' and operators' requests. After: 16 of 16 pass. Also adds the tests of the live path under faults and the layering rules.

--- /dev/null
+++ b/cli/src/test/java/io/briarward/cli/LayeringTest.java
@@ -0,0 +1,55 @@
+package io.briarward.cli;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+@AnalyzeClasses(packages = "io.briarward", importOptions = ImportOption.DoNotIncludeTests.class)
+class LayeringTest {
+  @ArchTest
+  static final ArchRule CORE_DOES_NO_INPUT_OR_OUTPUT =
+      noClasses()
+          .that()
+          .resideInAPackage("io.briarward.core..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "io.vertx..",
+              "io.netty..",
+              "io.reactivex..",
+              "java.net..",
+              "java.nio.channels..",
+              "java.nio.file..",
+              "java.util.concurrent..",
+              "org.tinylog..");
+
+  @ArchTest
+  static final ArchRule CORE_HAS_NO_CLOCK =
+      noClasses()
+          .that()
+          .resideInAPackage("io.briarward.core..")
+          .should()
+          .callMethod(System.class, "currentTimeMillis")
+          .orShould()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("java.time.Clock");
+
+  @ArchTest
+  static final ArchRule NODE_DOES_NOT_KNOW_THE_STAND_INS =
+      noClasses()
+          .that()
+          .resideInAPackage("io.briarward.node..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("io.briarward.standins..");
+
+  @ArchTest
+  static final ArchRule CORE_PACKAGES_FORM_NO_CYCLE =
+      slices().matching("io.briarward.core.(*)..").should().beFreeOfCycles();
+}
--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -56,6 +56,7 @@
  */
 public final class Node {
   private static final int IDLE_CONNECTION_SECONDS = 120;
+  private static final int SHUTDOWN_TIMEOUT_SECONDS = 30;
 
   private final NodeContext context;
   private final ActiveRequests active;
@@ -222,11 +223,16 @@
   private Completable close() {
     return Completable.create(
             emitter ->
-                Future.all(callerServer.close(), operatorServer.close())
+                Future.all(shutdown(callerServer), shutdown(operatorServer))
                     .onComplete(unused -> emitter.onComplete()))
         .andThen(Completable.fromAction(this::closeParts));
   }
 
+  /** Lets requests finish that are not counted as live ones. */
+  private static Future<Void> shutdown(HttpServer server) {
+    return server.shutdown(SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
+
   private void closeParts() {
     while (!parts.isEmpty()) {
       AutoCloseable part = parts.pop();
--- a/node/src/main/java/io/briarward/node/http/HttpAnswers.java
+++ b/node/src/main/java/io/briarward/node/http/HttpAnswers.java
@@ -4,10 +4,12 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.math.LongMath;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
 import io.briarward.core.errors.FailureException;
 import io.briarward.node.platform.PlatformException;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -39,11 +41,16 @@
     }
   }
 
-  /** Answers with the problem document of a failure, unless an answer has begun. */
-  public static void problem(HttpServerRequest request, Failure failure) {
+  /**
+   * Answers with the problem document of a failure, unless an answer has begun.
+   *
+   * @return completes once the answer is written
+   */
+  @CanIgnoreReturnValue
+  public static Future<Void> problem(HttpServerRequest request, Failure failure) {
     HttpServerResponse response = request.response();
     if (response.headWritten() || response.closed()) {
-      return;
+      return Future.succeededFuture();
     }
     failure
         .retryAfterMillis()
@@ -51,7 +58,7 @@
     if (hasUnreadBody(request)) {
       response.putHeader("Connection", "close");
     }
-    response
+    return response
         .setStatusCode(failure.kind().httpStatus())
         .putHeader("Content-Type", "application/problem+json")
         .end(Buffer.buffer(problemDocument(failure).toString()));
--- a/node/src/main/java/io/briarward/node/live/AnswerRelay.java
+++ b/node/src/main/java/io/briarward/node/live/AnswerRelay.java
@@ -3,6 +3,7 @@
 import com.google.common.primitives.Longs;
 import io.briarward.core.forwarding.CompletionScanner;
 import io.briarward.core.forwarding.HeaderRules;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
@@ -82,11 +83,11 @@
     return scanner.map(CompletionScanner::completionTokens).orElse(0L);
   }
 
-  /** Lets the last byte of the answer go. */
-  void end() {
-    if (!downstream.ended() && !downstream.closed()) {
-      downstream.end(held);
-    }
+  /** Lets the last byte of the answer go; completes once it is written. */
+  Future<Void> end() {
+    return downstream.ended() || downstream.closed()
+        ? Future.succeededFuture()
+        : downstream.end(held);
   }
 
   private void onChunk(Buffer chunk) {
--- a/node/src/main/java/io/briarward/node/live/LiveExchange.java
+++ b/node/src/main/java/io/briarward/node/live/LiveExchange.java
@@ -12,6 +12,7 @@
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.StatusCode;
 import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
@@ -230,8 +231,7 @@
             .subscribe(
                 () -> {
                   if (!finished) {
-                    finish("ok");
-                    relay.end();
+                    finish("ok", relay.end());
                   }
                 });
   }
@@ -242,7 +242,8 @@
 
   private void onCallerGone() {
     if (!finished) {
-      finish("caller-gone");
+      finished = true;
+      finish("caller-gone", Future.succeededFuture());
       upstreamRequest.ifPresent(HttpClientRequest::reset);
       observer.failed(runState());
     }
@@ -260,21 +261,27 @@
     if (finished) {
       return;
     }
-    finish(failure.kind().label());
+    finished = true;
     upstreamRequest.ifPresent(HttpClientRequest::reset);
     observer.failed(failure.runState());
     span.setStatus(StatusCode.ERROR, failure.kind().label());
-    if (downstream.response().headWritten()) {
-      downstream.connection().close();
-    } else {
-      HttpAnswers.problem(downstream, failure);
-    }
+    // Part of an answer must not look whole, so its connection is broken.
+    Future<Void> written =
+        downstream.response().headWritten()
+            ? downstream.connection().close()
+            : HttpAnswers.problem(downstream, failure);
+    finish(failure.kind().label(), written);
   }
 
-  private void finish(String outcome) {
+  /** Ends the request, which counts as running until its answer is written. */
+  private void finish(String outcome, Future<Void> written) {
     finished = true;
     deadline.dispose();
     releaseSlot(outcome.equals("ok"));
+    written.onComplete(unused -> deregister(outcome));
+  }
+
+  private void deregister(String outcome) {
     context.active().remove(this);
     context.metrics().inFlight(context.active().count());
     double seconds = (context.nowMillis() - request.startMillis()) / 1e3;
--- a/node/src/main/java/io/briarward/node/telemetry/Metrics.java
+++ b/node/src/main/java/io/briarward/node/telemetry/Metrics.java
@@ -72,7 +72,7 @@
 
   /** Sets the version of the configuration in force. */
   public void configurationVersion(long version) {
-    configurationVersion.set(version);
+    configurationVersion.set((double) version);
   }
 
   /** Returns all metrics in Prometheus's text format. */
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/live/LiveProxyTest.java
@@ -0,0 +1,351 @@
+package io.briarward.node.live;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.hash.Hashing;
+import io.briarward.core.configuration.ApiKey;
+import io.briarward.core.configuration.Configuration;
+import io.briarward.core.configuration.Organisation;
+import io.briarward.core.configuration.Partner;
+import io.briarward.core.configuration.Route;
+import io.briarward.core.configuration.Service;
+import io.briarward.core.configuration.Upstream;
+import io.briarward.node.Node;
+import io.briarward.node.platform.JsonHttpClient;
+import io.briarward.node.platform.JsonHttpClient.Reply;
+import io.briarward.node.platform.PlatformException;
+import io.briarward.node.testing.TestDeployment;
+import io.briarward.standins.StandIns;
+import io.briarward.standins.engine.CompletionText;
+import io.briarward.standins.http.RunningStandIn;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class LiveProxyTest {
+  private static final String SECRET = "mill-secret";
+  private static final ImmutableMap<String, String> KEY =
+      ImmutableMap.of("Authorization", "Bearer " + SECRET);
+
+  private final TestDeployment deployment = TestDeployment.start();
+  private RunningStandIn engine;
+  private RunningStandIn plain;
+  private RunningStandIn otherPlain;
+  private Node node;
+
+  @BeforeEach
+  void startNode() {
+    engine = deployment.standIn(StandIns.Name.ENGINE, Map.of("secrets", SECRET));
+    plain = deployment.standIn(StandIns.Name.PLAIN, Map.of("secrets", SECRET));
+    otherPlain = deployment.standIn(StandIns.Name.PLAIN, Map.of("secrets", SECRET));
+    node = deployment.node("vm-1");
+    deployment.apply(node, configuration(ImmutableList.of(key())), 0);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    node.stop().blockingAwait();
+    deployment.close();
+  }
+
+  @Test
+  void answerReachesTheCaller() {
+    Reply reply = get("/orders/7", KEY);
+
+    assertThat(reply.status()).isEqualTo(200);
+    assertThat(reply.json().path("path").asText()).isEqualTo("/orders/7");
+  }
+
+  @Test
+  void upstreamNeverSeesTheKey() {
+    get("/orders/7", with("X-Token", SECRET, "Cookie", "k=" + SECRET));
+    get("/orders/7?key=" + SECRET, KEY);
+    get("/open", KEY);
+
+    assertThat(seenSecrets(plain) + seenSecrets(otherPlain)).isEqualTo(0);
+  }
+
+  @Test
+  void unknownKeyIsRefusedBeforeAnythingRuns() {
+    Reply reply = get("/orders/7", ImmutableMap.of("Authorization", "Bearer guess"));
+
+    assertThat(reply.status()).isEqualTo(401);
+    assertThat(reply.json().path("run").asText()).isEqualTo("not-run");
+    assertThat(executions()).isEqualTo(0);
+  }
+
+  @Test
+  void nonIdempotentRequestIsNotRepeatedWhenItsAnswerIsLost() {
+    deployment.fault(plain, "answerLostShare", 1);
+    deployment.fault(otherPlain, "answerLostShare", 1);
+
+    Reply reply = post("/orders", KEY, "x");
+
+    assertThat(reply.status()).isEqualTo(502);
+    assertThat(reply.json().path("run").asText()).isEqualTo("unknown");
+    assertThat(executions()).isEqualTo(1);
+  }
+
+  @Test
+  void idempotentRequestIsRepeatedOnAnotherUpstream() {
+    deployment.fault(plain, "answerLostShare", 1);
+
+    List<Integer> statuses =
+        IntStream.range(0, 4).map(i -> get("/orders/" + i, KEY).status()).boxed().toList();
+
+    assertThat(statuses).containsExactly(200, 200, 200, 200);
+  }
+
+  @Test
+  void refusedConnectionIsTriedElsewhereAlsoForNonIdempotentRequests() {
+    plain.close();
+
+    List<Integer> statuses =
+        IntStream.range(0, 4).map(i -> post("/orders", KEY, "x").status()).boxed().toList();
+
+    assertThat(statuses).containsExactly(200, 200, 200, 200);
+  }
+
+  @Test
+  void repeatedIdempotencyKeyGetsTheFirstAnswerThroughAnotherNode() {
+    Node other = deployment.node("vm-2");
+    ImmutableMap<String, String> keyed = with("Idempotency-Key", "order-1", "X-A", "b");
+    Reply first = post("/orders", keyed, "x");
+    deployment.apply(node, configuration(ImmutableList.of(key())), 1);
+    Reply second = deployment.send(HttpMethod.POST, awaitReady(other), "/orders", keyed, "x");
+    other.stop().blockingAwait();
+
+    assertThat(second.body()).isEqualTo(first.body());
+    assertThat(executions()).isEqualTo(1);
+  }
+
+  @Test
+  void keyedRequestIsNotRunWhileTheTableServiceIsOut() {
+    deployment.fault(deployment.platform(StandIns.Name.TABLE), "outage", 1);
+
+    Reply reply = post("/orders", with("Idempotency-Key", "order-2", "X-A", "b"), "x");
+
+    assertThat(reply.status()).isEqualTo(503);
+    assertThat(reply.json().path("run").asText()).isEqualTo("not-run");
+    assertThat(executions()).isEqualTo(0);
+  }
+
+  @Test
+  void lostAnswerOfTheTableServiceStillRunsTheKeyedRequestOnce() {
+    deployment.fault(deployment.platform(StandIns.Name.TABLE), "answerLostShare", 0.5);
+    ImmutableMap<String, String> keyed = with("Idempotency-Key", "order-3", "X-A", "b");
+
+    for (int i = 0; i < 20; i++) {
+      post("/orders", keyed, "x");
+    }
+
+    assertThat(executions()).isAtMost(1);
+  }
+
+  @Test
+  void halfAnAnswerIsNotPassedOffAsWhole() {
+    deployment.fault(plain, "truncatedShare", 1);
+    deployment.fault(otherPlain, "truncatedShare", 1);
+
+    assertThrows(PlatformException.class, () -> post("/orders", KEY, "x"));
+  }
+
+  @Test
+  void truncatedCompletionIsNotPassedOffAsWhole() {
+    deployment.fault(engine, "truncatedShare", 1);
+
+    assertThrows(PlatformException.class, () -> complete("prompt", 1));
+  }
+
+  @Test
+  void eachCallerGetsTheAnswerToItsOwnPrompt() {
+    List<String> answers =
+        IntStream.range(0, 32)
+            .parallel()
+            .mapToObj(i -> completedText(complete("prompt " + i, i)))
+            .toList();
+
+    for (int i = 0; i < answers.size(); i++) {
+      assertThat(answers.get(i)).isEqualTo(CompletionText.text("prompt " + i, i, 16));
+    }
+  }
+
+  @Test
+  void bodyOverTheLimitIsRefused() {
+    Reply reply = post("/orders", KEY, "x".repeat((16 << 20) + 1));
+
+    assertThat(reply.status()).isEqualTo(413);
+  }
+
+  @Test
+  void withdrawnKeyEndsRunningRequests() {
+    deployment.fault(plain, "hang", 1);
+    deployment.fault(otherPlain, "hang", 1);
+    var answer =
+        deployment
+            .vertx()
+            .executeBlocking(() -> post("/orders", KEY, "x"))
+            .toCompletionStage()
+            .toCompletableFuture();
+    awaitInFlight(1);
+    deployment.apply(node, configuration(ImmutableList.of()), 1);
+
+    assertThat(answer.join().status()).isEqualTo(401);
+  }
+
+  @Test
+  void stopLetsRunningRequestsFinish() {
+    deployment.fault(plain, "slowdown", 50);
+    deployment.fault(otherPlain, "slowdown", 50);
+    var answer =
+        deployment
+            .vertx()
+            .executeBlocking(() -> post("/orders", KEY, "x"))
+            .toCompletionStage()
+            .toCompletableFuture();
+    awaitInFlight(1);
+    node.stop().blockingAwait();
+
+    assertThat(answer.join().status()).isEqualTo(200);
+  }
+
+  @Test
+  void requestThatNoUpstreamTakesWasNotRunAndSaysWhenToComeBack() {
+    plain.close();
+    otherPlain.close();
+
+    Reply reply = post("/orders", KEY, "x");
+
+    assertThat(reply.status()).isAnyOf(502, 503);
+    assertThat(reply.json().path("run").asText()).isEqualTo("not-run");
+  }
+
+  private int awaitReady(Node other) {
+    while (get(other.httpPort(), "/readyz").status() != 200
+        || status(other).path("configurationVersion").asLong() < 2) {
+      Thread.onSpinWait();
+    }
+    return other.httpPort();
+  }
+
+  private void awaitInFlight(int count) {
+    while (status(node).path("requestsInFlight").asInt() < count) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private JsonNode status(Node of) {
+    ImmutableMap<String, String> token =
+        ImmutableMap.of("Authorization", "Bearer " + TestDeployment.OPERATOR_TOKEN);
+    return deployment.send(HttpMethod.GET, of.operatorPort(), "/v1/status", token, "").json();
+  }
+
+  private Reply get(int port, String path) {
+    return deployment.send(HttpMethod.GET, port, path, ImmutableMap.of(), "");
+  }
+
+  private Reply get(String path, ImmutableMap<String, String> headers) {
+    return deployment.send(HttpMethod.GET, node.httpPort(), path, headers, "");
+  }
+
+  private Reply post(String path, ImmutableMap<String, String> headers, String body) {
+    return deployment.send(HttpMethod.POST, node.httpPort(), path, headers, body);
+  }
+
+  private Reply complete(String prompt, long seed) {
+    String body =
+        "{\"model\":\"recipe-llm\",\"prompt\":\"%s\",\"max_tokens\":16,\"seed\":%d,\"stream\":true}"
+            .formatted(prompt, seed);
+    return post("/v1/completions", KEY, body);
+  }
+
+  private static String completedText(Reply reply) {
+    StringBuilder text = new StringBuilder();
+    for (String line : Splitter.on('\n').split(reply.body().toString())) {
+      if (line.startsWith("data: {")) {
+        text.append(
+            JsonHttpClient.parse(Buffer.buffer(line.substring("data: ".length())))
+                .path("choices")
+                .path(0)
+                .path("text")
+                .asText());
+      }
+    }
+    return text.toString();
+  }
+
+  private long executions() {
+    return deployment.state(plain).path("executions").asLong()
+        + deployment.state(otherPlain).path("executions").asLong();
+  }
+
+  private long seenSecrets(RunningStandIn standIn) {
+    return deployment.state(standIn).path("requestsWithSecret").asLong()
+        + deployment.state(standIn).path("authorizationHeaders").asLong();
+  }
+
+  private static ImmutableMap<String, String> with(
+      String name, String value, String otherName, String otherValue) {
+    return ImmutableMap.<String, String>builder()
+        .putAll(KEY)
+        .put(name, value)
+        .put(otherName, otherValue)
+        .buildOrThrow();
+  }
+
+  private static ApiKey key() {
+    String sha256 = Hashing.sha256().hashString(SECRET, StandardCharsets.UTF_8).toString();
+    return new ApiKey("k", "mill", sha256, ImmutableSet.of(ApiKey.Scope.CALL));
+  }
+
+  private Configuration configuration(ImmutableList<ApiKey> keys) {
+    return new Configuration(
+        ImmutableList.of("nadi"),
+        ImmutableList.of(new Partner("vatuwaqa", 0.5)),
+        ImmutableList.of(new Organisation("mill", "vatuwaqa", 1, 1_000, 1_000)),
+        keys,
+        ImmutableList.of(
+            new Service(
+                "recipe-llm", Service.Kind.MODEL, ImmutableList.of(upstream("engine", engine))),
+            new Service(
+                "order-desk",
+                Service.Kind.PLAIN,
+                ImmutableList.of(upstream("plain", plain), upstream("other", otherPlain)))),
+        ImmutableList.of(
+            route("/v1/completions", "recipe-llm", true, Optional.empty()),
+            route("/orders", "order-desk", false, Optional.empty()),
+            route("/open", "order-desk", false, Optional.of("mill"))),
+        ImmutableList.of(),
+        ImmutableList.of());
+  }
+
+  private static Route route(
+      String prefix, String service, boolean idempotent, Optional<String> openOrganisation) {
+    return new Route(
+        "*",
+        prefix,
+        service,
+        openOrganisation.isPresent(),
+        idempotent,
+        60_000,
+        1,
+        openOrganisation);
+  }
+
+  private static Upstream upstream(String id, RunningStandIn standIn) {
+    return new Upstream(id, "nadi", "127.0.0.1", standIn.port(), false, true, 16);
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/settings/NodeSettingsTest.java
@@ -0,0 +1,58 @@
+package io.briarward.node.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ObjectArrays;
+import org.junit.jupiter.api.Test;
+
+class NodeSettingsTest {
+  private static final String[] REQUIRED = {
+    "--vm-id", "vm-1",
+    "--data-centre", "nadi",
+    "--operator-token-sha256", "0".repeat(64),
+    "--table-service", "127.0.0.1:1",
+    "--object-store", "127.0.0.1:2",
+    "--upstream-orders", "127.0.0.1:3",
+    "--report-sink", "127.0.0.1:4",
+    "--vm-list", "127.0.0.1:5"
+  };
+
+  @Test
+  void environmentVariableFillsFlagThatIsNotGiven() {
+    assertThat(parse(ImmutableMap.of("BRIARWARD_HTTP_PORT", "9000")).httpPort()).isEqualTo(9000);
+  }
+
+  @Test
+  void flagGoesBeforeItsEnvironmentVariable() {
+    ImmutableMap<String, String> environment = ImmutableMap.of("BRIARWARD_HTTP_PORT", "9000");
+
+    assertThat(parse(environment, "--http-port", "9001").httpPort()).isEqualTo(9001);
+  }
+
+  @Test
+  void refusedValueIsNamedWithItsFlagAndWhatIsAccepted() {
+    SettingsException e =
+        assertThrows(
+            SettingsException.class,
+            () -> parse(ImmutableMap.of(), "--max-concurrent", "0").check());
+
+    assertThat(e).hasMessageThat().isEqualTo("--max-concurrent is 0, expected above 0");
+  }
+
+  @Test
+  void hostNameIsRefusedWhereAnIpNumberIsNeeded() {
+    SettingsException e =
+        assertThrows(
+            SettingsException.class,
+            () -> parse(ImmutableMap.of(), "--report-sink", "reports.example:80"));
+
+    assertThat(e).hasMessageThat().contains("reports.example:80");
+  }
+
+  private static NodeSettings parse(ImmutableMap<String, String> environment, String... more) {
+    return SettingsParser.parse(
+        new NodeSettings(), environment, ObjectArrays.concat(REQUIRED, more, String.class));
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/testing/TestDeployment.java
@@ -0,0 +1,157 @@
+package io.briarward.node.testing;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.hash.Hashing;
+import com.google.common.net.HostAndPort;
+import io.briarward.core.configuration.Configuration;
+import io.briarward.core.configuration.ConfigurationCodec;
+import io.briarward.node.Node;
+import io.briarward.node.platform.JsonHttpClient;
+import io.briarward.node.settings.NodeSettings;
+import io.briarward.node.settings.SettingsParser;
+import io.briarward.standins.StandIns;
+import io.briarward.standins.http.RunningStandIn;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Stand-ins of the platform and nodes in this process, on ports of the loopback interface. */
+public final class TestDeployment implements AutoCloseable {
+  /** The token that the nodes take from operators. */
+  public static final String OPERATOR_TOKEN = "operator-token";
+
+  private static final String HOST = "127.0.0.1";
+  private static final long CLIENT_TIMEOUT_MILLIS = 30_000;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final JsonHttpClient client = JsonHttpClient.create(vertx, CLIENT_TIMEOUT_MILLIS);
+  private final List<AutoCloseable> running = new ArrayList<>();
+  private final Map<StandIns.Name, RunningStandIn> platform;
+
+  private TestDeployment() {
+    platform =
+        ImmutableMap.of(
+            StandIns.Name.TABLE, standIn(StandIns.Name.TABLE, Map.of()),
+            StandIns.Name.OBJECTS, standIn(StandIns.Name.OBJECTS, Map.of()),
+            StandIns.Name.ORDERS, standIn(StandIns.Name.ORDERS, Map.of()),
+            StandIns.Name.REPORTS, standIn(StandIns.Name.REPORTS, Map.of()),
+            StandIns.Name.VMS, standIn(StandIns.Name.VMS, Map.of()));
+  }
+
+  /** Starts the platform's stand-ins. */
+  public static TestDeployment start() {
+    return new TestDeployment();
+  }
+
+  /** Starts a stand-in on a free port. */
+  public RunningStandIn standIn(StandIns.Name name, Map<String, String> options) {
+    RunningStandIn started = StandIns.start(name, vertx, HOST, 0, options).blockingGet();
+    running.add(started);
+    return started;
+  }
+
+  /** Returns a stand-in of the platform. */
+  public RunningStandIn platform(StandIns.Name name) {
+    return platform.get(name);
+  }
+
+  /** Starts a node that stops without delay. */
+  public Node node(String vmId) {
+    NodeSettings settings =
+        SettingsParser.parse(
+                new NodeSettings(),
+                ImmutableMap.of(),
+                "--vm-id",
+                vmId,
+                "--data-centre",
+                "nadi",
+                "--http-port",
+                "0",
+                "--operator-port",
+                "0",
+                "--peer-port",
+                "0",
+                "--stop-delay-millis",
+                "0",
+                "--operator-token-sha256",
+                Hashing.sha256().hashString(OPERATOR_TOKEN, StandardCharsets.UTF_8).toString(),
+                "--table-service",
+                address(StandIns.Name.TABLE),
+                "--object-store",
+                address(StandIns.Name.OBJECTS),
+                "--upstream-orders",
+                address(StandIns.Name.ORDERS),
+                "--report-sink",
+                address(StandIns.Name.REPORTS),
+                "--vm-list",
+                address(StandIns.Name.VMS))
+            .check();
+    return Node.start(vertx, settings).blockingGet();
+  }
+
+  /** Submits a configuration in place of {@code expectedVersion}. */
+  public void apply(Node node, Configuration configuration, long expectedVersion) {
+    JsonHttpClient.Reply reply =
+        send(
+            HttpMethod.PUT,
+            node.operatorPort(),
+            "/v1/configuration",
+            ImmutableMap.of(
+                "Authorization",
+                "Bearer " + OPERATOR_TOKEN,
+                "If-Match",
+                "\"" + expectedVersion + "\""),
+            ConfigurationCodec.print(configuration));
+    if (reply.status() != 200) {
+      throw new IllegalStateException("configuration refused: " + reply.body());
+    }
+  }
+
+  /** Sends a request and returns its whole answer. */
+  public JsonHttpClient.Reply send(
+      HttpMethod method, int port, String path, ImmutableMap<String, String> headers, String body) {
+    return client
+        .send(method, HostAndPort.fromParts(HOST, port), path, headers, Buffer.buffer(body))
+        .blockingGet();
+  }
+
+  /** Switches a fault of a stand-in. */
+  public void fault(RunningStandIn standIn, String name, double value) {
+    String body =
+        JsonNodeFactory.instance.objectNode().put("name", name).put("value", value).toString();
+    JsonHttpClient.Reply reply =
+        send(HttpMethod.POST, standIn.port(), "/control/faults", ImmutableMap.of(), body);
+    if (reply.status() >= 300) {
+      throw new IllegalStateException("fault refused: " + reply.body());
+    }
+  }
+
+  /** Returns the state that a stand-in shows. */
+  public JsonNode state(RunningStandIn standIn) {
+    return send(HttpMethod.GET, standIn.port(), "/control/state", ImmutableMap.of(), "").json();
+  }
+
+  /** Returns the client's event loops, for requests that a test takes apart itself. */
+  public Vertx vertx() {
+    return vertx;
+  }
+
+  @Override
+  public void close() throws Exception {
+    client.close();
+    for (AutoCloseable each : running) {
+      each.close();
+    }
+    vertx.close().toCompletionStage().toCompletableFuture().get();
+  }
+
+  private String address(StandIns.Name name) {
+    return HOST + ":" + platform.get(name).port();
+  }
+}
