--- /dev/null
+++ b/core/src/main/java/io/briarward/core/distribution/ControlNode.java
@@ -0,0 +1,368 @@
+package io.briarward.core.distribution;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.membership.Digest;
+import io.briarward.core.membership.ListedVm;
+import io.briarward.core.membership.Member;
+import io.briarward.core.membership.Membership;
+import io.briarward.core.membership.MembershipMessage;
+import io.briarward.core.membership.Outgoing;
+import io.briarward.core.platform.Row;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * The control state machine of one node: members, the held configuration, and how fresh it is.
+ *
+ * <p>Two VMs of each data centre read the head row of the store once a second. Every probe and
+ * answer carries the sender's version, so that a node that is behind fetches what it lacks from
+ * that peer; a node that took over a new version announces it to a few others at once. Answers also
+ * carry how long ago the store was seen to hold nothing newer, see {@link #evidenceAtMillis}.
+ *
+ * <p>Times are milliseconds of a monotonic clock. Not thread-safe: all calls come from one thread.
+ */
+public final class ControlNode {
+  private static final int READERS_PER_DATA_CENTRE = 2;
+  private static final int ANNOUNCEMENT_COPIES = 4;
+  private static final long HEAD_READ_INTERVAL_MILLIS = 1_000;
+  private static final long READ_TIMEOUT_MILLIS = 2_000;
+  private static final long FETCH_TIMEOUT_MILLIS = 500;
+
+  private final String dataCentre;
+  private final String vmId;
+  private final long startedAtMillis;
+  private final Membership membership;
+  private final ConfigurationReplica replica = new ConfigurationReplica();
+  private OptionalLong evidenceAtMillis = OptionalLong.empty();
+  private long highestSeenVersion = Digest.NO_VERSION;
+  private OptionalLong readStartedAtMillis = OptionalLong.empty();
+  private OptionalLong lastHeadReadMillis = OptionalLong.empty();
+  private OptionalLong fetchStartedAtMillis = OptionalLong.empty();
+  private boolean reader;
+  private boolean settled;
+
+  private ControlNode(String vmId, String dataCentre, Membership membership, long startedAtMillis) {
+    this.startedAtMillis = startedAtMillis;
+    this.vmId = vmId;
+    this.dataCentre = dataCentre;
+    this.membership = membership;
+  }
+
+  /**
+   * Returns a node that knows no other VM and no configuration yet.
+   *
+   * @param startedAtMillis the present time
+   */
+  public static ControlNode create(
+      String vmId, String dataCentre, Membership membership, long startedAtMillis) {
+    checkNotNull(vmId, "vmId");
+    checkNotNull(dataCentre, "dataCentre");
+    checkNotNull(membership, "membership");
+    return new ControlNode(vmId, dataCentre, membership, startedAtMillis);
+  }
+
+  /** Takes over the platform's list of VMs. */
+  public void setListed(ImmutableList<ListedVm> vms) {
+    membership.setListed(vms);
+    chooseReader();
+  }
+
+  /** Does what is due; to be called once per probe interval. */
+  public ImmutableList<Action> tick(long nowMillis) {
+    settled = isSettled(nowMillis);
+    ImmutableList.Builder<Action> actions = ImmutableList.builder();
+    addAll(actions, membership.tick(nowMillis, digest(nowMillis)));
+    if (mayRead(nowMillis) && isDue(lastHeadReadMillis, HEAD_READ_INTERVAL_MILLIS, nowMillis)) {
+      chooseReader();
+      lastHeadReadMillis = OptionalLong.of(nowMillis);
+      if (reader || replica.held().isEmpty()) {
+        actions.add(read(StoreRead.head(), nowMillis));
+      }
+    }
+    return actions.build();
+  }
+
+  /** Handles a probe or an answer. */
+  public ImmutableList<Action> onMembership(
+      String from, MembershipMessage message, long nowMillis) {
+    OptionalLong sentAtMillis = membership.sentAtMillis(message);
+    List<Outgoing> out = membership.receive(from, message, nowMillis, digest(nowMillis));
+    if (sentAtMillis.isPresent()) {
+      acceptEvidence(message.digest(), sentAtMillis.getAsLong());
+    }
+    ImmutableList.Builder<Action> actions = ImmutableList.builder();
+    addAll(actions, out);
+    fetchIfBehind(from, message.digest(), nowMillis, actions);
+    return actions.build();
+  }
+
+  /** Handles a message about versions. */
+  public ImmutableList<Action> onConfiguration(
+      String from, ConfigurationMessage message, long nowMillis) {
+    ImmutableList.Builder<Action> actions = ImmutableList.builder();
+    if (message.kind() == ConfigurationMessage.Kind.REQUEST) {
+      actions.add(contentFor(from, message.afterVersion(), nowMillis));
+    }
+    if (message.kind() == ConfigurationMessage.Kind.CONTENT) {
+      fetchStartedAtMillis = OptionalLong.empty();
+      if (installContent(message)) {
+        announce(nowMillis, actions);
+      }
+    }
+    fetchIfBehind(from, message.digest(), nowMillis, actions);
+    return actions.build();
+  }
+
+  /**
+   * Handles the rows of a read.
+   *
+   * @param rows in order of key; empty when there are none
+   * @param startedAtMillis when the read was sent
+   */
+  public ImmutableList<Action> onStoreAnswer(
+      StoreRead read, ImmutableList<Row> rows, long startedAtMillis, long nowMillis) {
+    readStartedAtMillis = OptionalLong.empty();
+    long before = replica.version();
+    ImmutableList.Builder<Action> actions = ImmutableList.builder();
+    switch (read.kind()) {
+      case HEAD -> onHead(rows, startedAtMillis, nowMillis, actions);
+      case LOG -> onLog(read, rows, nowMillis, actions);
+      case SNAPSHOT -> onSnapshot(read, rows, nowMillis, actions);
+      default -> throw new AssertionError(read.kind());
+    }
+    if (replica.version() > before) {
+      announce(nowMillis, actions);
+    }
+    return actions.build();
+  }
+
+  /** Notes that a read failed; it is tried again when the next is due. */
+  public void onStoreFailure() {
+    readStartedAtMillis = OptionalLong.empty();
+  }
+
+  /**
+   * Takes over a version that this node's own transaction has just created.
+   *
+   * @param sentAtMillis when the transaction was sent
+   */
+  public ImmutableList<Action> onAccepted(
+      ConfigurationDelta delta, long sentAtMillis, long nowMillis) {
+    ImmutableList.Builder<Action> actions = ImmutableList.builder();
+    boolean installed = replica.install(ImmutableList.of(delta));
+    noteVersion(delta.version());
+    if (replica.version() >= delta.version()) {
+      noteEvidence(sentAtMillis);
+    }
+    if (installed) {
+      announce(nowMillis, actions);
+    }
+    return actions.build();
+  }
+
+  /** Tells the others that this node takes no new work from now on. */
+  public ImmutableList<Action> leave(long nowMillis) {
+    ImmutableList.Builder<Action> actions = ImmutableList.builder();
+    addAll(actions, membership.leave(nowMillis, digest(nowMillis)));
+    return actions.build();
+  }
+
+  /** Returns the configuration that this node serves from; empty until it knows one. */
+  public Optional<ConfigurationDocument> held() {
+    return replica.held();
+  }
+
+  /**
+   * Returns a time at which the store held no later version than this node holds now.
+   *
+   * <p>It derives from a strong read's or a probe's sending time, never from the arrival of an
+   * answer, so that it is not too late whatever the network did. Empty until known.
+   */
+  public OptionalLong evidenceAtMillis() {
+    return evidenceAtMillis;
+  }
+
+  /**
+   * Returns whether this process has learned the current version since it started.
+   *
+   * <p>It has when the store was seen after the start to hold nothing newer, or when a majority of
+   * settled VMs answered and none held a newer version. Before that it must not serve.
+   */
+  public boolean isSettled(long nowMillis) {
+    if (settled || replica.held().isEmpty()) {
+      return settled;
+    }
+    boolean sawStore =
+        evidenceAtMillis.isPresent() && evidenceAtMillis.getAsLong() >= startedAtMillis;
+    return sawStore || (!isBehind() && hasMajority(nowMillis));
+  }
+
+  /** Returns whether some node is known to have held a later version. */
+  public boolean isBehind() {
+    return replica.version() < highestSeenVersion;
+  }
+
+  /** Returns whether a majority of the VMs answered lately, each settled. */
+  public boolean hasMajority(long nowMillis) {
+    return hasMajorityWith(ConfigurationDocument.EMPTY_VERSION, nowMillis);
+  }
+
+  /**
+   * Returns whether a majority of the VMs answered lately, each settled and holding {@code
+   * version}.
+   */
+  public boolean hasMajorityWith(long version, long nowMillis) {
+    return membership.contacts().hasMajority(nowMillis, held -> held >= version);
+  }
+
+  /** Returns the other VMs. */
+  public ImmutableList<Member> members() {
+    return membership.members();
+  }
+
+  private Digest digest(long nowMillis) {
+    Optional<Long> ageMillis =
+        evidenceAtMillis.isPresent()
+            ? Optional.of(Math.max(0, nowMillis - evidenceAtMillis.getAsLong()))
+            : Optional.empty();
+    return new Digest(replica.version(), ageMillis, settled);
+  }
+
+  private void acceptEvidence(Digest digest, long sentAtMillis) {
+    if (digest.evidenceAgeMillis().isPresent() && digest.version() <= replica.version()) {
+      noteEvidence(sentAtMillis - digest.evidenceAgeMillis().get());
+    }
+  }
+
+  private void noteEvidence(long atMillis) {
+    long known = evidenceAtMillis.orElse(atMillis);
+    evidenceAtMillis = OptionalLong.of(Math.max(known, atMillis));
+  }
+
+  private void noteVersion(long version) {
+    highestSeenVersion = Math.max(highestSeenVersion, version);
+  }
+
+  private void fetchIfBehind(
+      String from, Digest digest, long nowMillis, ImmutableList.Builder<Action> actions) {
+    noteVersion(digest.version());
+    boolean due = isDue(fetchStartedAtMillis, FETCH_TIMEOUT_MILLIS, nowMillis);
+    if (digest.version() > replica.version() && due) {
+      fetchStartedAtMillis = OptionalLong.of(nowMillis);
+      ConfigurationMessage request =
+          ConfigurationMessage.request(digest(nowMillis), replica.version());
+      actions.add(new Action.SendConfiguration(from, request));
+    }
+  }
+
+  private Action contentFor(String to, long afterVersion, long nowMillis) {
+    Optional<ImmutableList<ConfigurationDelta>> deltas = replica.deltasAfter(afterVersion);
+    Optional<ConfigurationMessage.Whole> whole =
+        deltas.isPresent() ? Optional.empty() : replica.held().map(ControlNode::wholeOf);
+    ConfigurationMessage content =
+        ConfigurationMessage.content(digest(nowMillis), deltas.orElse(ImmutableList.of()), whole);
+    return new Action.SendConfiguration(to, content);
+  }
+
+  private static ConfigurationMessage.Whole wholeOf(ConfigurationDocument document) {
+    return new ConfigurationMessage.Whole(document.version(), document.json(), document.checksum());
+  }
+
+  private boolean installContent(ConfigurationMessage message) {
+    boolean installed =
+        message
+            .whole()
+            .filter(whole -> whole.version() > replica.version())
+            .flatMap(
+                whole ->
+                    ConfigurationDocument.parse(whole.version(), whole.json(), whole.checksum()))
+            .filter(replica::install)
+            .isPresent();
+    return replica.install(message.deltas()) || installed;
+  }
+
+  private void announce(long nowMillis, ImmutableList.Builder<Action> actions) {
+    ConfigurationMessage announcement = ConfigurationMessage.announcement(digest(nowMillis));
+    for (String other : membership.pick(ANNOUNCEMENT_COPIES)) {
+      actions.add(new Action.SendConfiguration(other, announcement));
+    }
+  }
+
+  private void onHead(
+      ImmutableList<Row> rows,
+      long startedAtMillis,
+      long nowMillis,
+      ImmutableList.Builder<Action> actions) {
+    if (rows.isEmpty()) {
+      replica.install(ConfigurationDocument.empty());
+      noteEvidence(startedAtMillis);
+      return;
+    }
+    StoreLayout.Head head = StoreLayout.head(rows.get(0));
+    noteVersion(head.version());
+    if (head.version() <= replica.version()) {
+      noteEvidence(startedAtMillis);
+      return;
+    }
+    boolean logReaches = replica.version() >= head.snapshotVersion();
+    boolean startsEmpty = head.snapshotVersion() == ConfigurationDocument.EMPTY_VERSION;
+    if (startsEmpty) {
+      replica.install(ConfigurationDocument.empty());
+    }
+    actions.add(
+        logReaches || startsEmpty
+            ? read(StoreRead.logAfter(replica.version()), nowMillis)
+            : read(StoreRead.snapshot(head.snapshotVersion()), nowMillis));
+  }
+
+  private void onLog(
+      StoreRead read,
+      ImmutableList<Row> rows,
+      long nowMillis,
+      ImmutableList.Builder<Action> actions) {
+    replica.install(rows.stream().map(row -> StoreLayout.logEntry(row).delta()).toList());
+    if (rows.size() == StoreRead.MAX_LOG_ROWS && replica.version() > read.version()) {
+      actions.add(read(StoreRead.logAfter(replica.version()), nowMillis));
+    }
+  }
+
+  private void onSnapshot(
+      StoreRead read,
+      ImmutableList<Row> rows,
+      long nowMillis,
+      ImmutableList.Builder<Action> actions) {
+    if (rows.isEmpty()) {
+      return;
+    }
+    StoreLayout.Snapshot snapshot = StoreLayout.snapshot(rows.get(0));
+    ConfigurationDocument.parse(read.version(), snapshot.json(), snapshot.checksum())
+        .filter(replica::install)
+        .ifPresent(
+            document -> actions.add(read(StoreRead.logAfter(document.version()), nowMillis)));
+  }
+
+  private Action read(StoreRead read, long nowMillis) {
+    readStartedAtMillis = OptionalLong.of(nowMillis);
+    return new Action.ReadStore(read);
+  }
+
+  private boolean mayRead(long nowMillis) {
+    return isDue(readStartedAtMillis, READ_TIMEOUT_MILLIS, nowMillis);
+  }
+
+  private void chooseReader() {
+    reader =
+        ReaderSelection.isReader(vmId, dataCentre, membership.members(), READERS_PER_DATA_CENTRE);
+  }
+
+  private static boolean isDue(OptionalLong lastMillis, long intervalMillis, long nowMillis) {
+    return lastMillis.isEmpty() || nowMillis - lastMillis.getAsLong() >= intervalMillis;
+  }
+
+  private static void addAll(ImmutableList.Builder<Action> actions, List<Outgoing> out) {
+    out.forEach(each -> actions.add(new Action.SendMembership(each.vmId(), each.message())));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/membership/Digest.java
@@ -0,0 +1,33 @@
+package io.briarward.core.membership;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.Optional;
+
+/**
+ * What a node knows of the configuration, in the few bytes that each probe carries.
+ *
+ * @param version the version that the node holds, or {@link #NO_VERSION}
+ * @param evidenceAgeMillis how long ago the store held no later version than this one, as far as
+ *     the node knows; empty when it does not
+ * @param settled whether the node's present process has learned the current version, from the store
+ *     or from a majority of settled nodes; only settled nodes count towards a majority
+ */
+public record Digest(long version, Optional<Long> evidenceAgeMillis, boolean settled) {
+  /** The version of a node that holds no configuration yet. */
+  public static final long NO_VERSION = -1;
+
+  /** Checks the fields. */
+  public Digest {
+    checkArgument(version >= NO_VERSION, "version is %s, expected >= -1", version);
+    checkArgument(
+        evidenceAgeMillis.isEmpty() || evidenceAgeMillis.get() >= 0,
+        "evidenceAgeMillis is %s, expected >= 0",
+        evidenceAgeMillis);
+  }
+
+  /** Returns the digest of a node that holds no configuration yet. */
+  public static Digest none() {
+    return new Digest(NO_VERSION, Optional.empty(), false);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/membership/ProbeSchedule.java
@@ -0,0 +1,63 @@
+package io.briarward.core.membership;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Goes round all other VMs in an order that is shuffled anew in each round.
+ *
+ * <p>A VM is thus probed by each node within two rounds, and by some node far earlier. Not
+ * thread-safe.
+ */
+final class ProbeSchedule {
+  private final Random random;
+  private final List<String> order = new ArrayList<>();
+  private int position;
+
+  ProbeSchedule(Random random) {
+    this.random = random;
+  }
+
+  /** Replaces the VMs that take part, without starting a new round. */
+  void setVms(ImmutableSet<String> vmIds) {
+    Set<String> added = new HashSet<>(vmIds);
+    added.removeAll(order);
+    for (int i = order.size() - 1; i >= 0; i--) {
+      if (!vmIds.contains(order.get(i))) {
+        order.remove(i);
+        position -= i < position ? 1 : 0;
+      }
+    }
+    added.stream().sorted().forEach(vmId -> order.add(random.nextInt(order.size() + 1), vmId));
+  }
+
+  Optional<String> next() {
+    if (order.isEmpty()) {
+      return Optional.empty();
+    }
+    if (position >= order.size()) {
+      Collections.shuffle(order, random);
+      position = 0;
+    }
+    return Optional.of(order.get(position++));
+  }
+
+  /** Returns up to {@code count} different VMs at random, without {@code excluded}. */
+  List<String> pick(int count, String excluded) {
+    Set<String> picked = new HashSet<>();
+    int attempts = Math.min(4 * count, order.size());
+    for (int i = 0; i < attempts && picked.size() < count; i++) {
+      String vmId = order.get(random.nextInt(order.size()));
+      if (!vmId.equals(excluded)) {
+        picked.add(vmId);
+      }
+    }
+    return picked.stream().sorted().toList();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/configuration/ConfigurationMessageCodec.java
@@ -0,0 +1,57 @@
+package io.briarward.node.configuration;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.distribution.ConfigurationMessage;
+import io.briarward.core.distribution.DeltaCodec;
+import io.briarward.node.membership.MembershipCodec;
+import io.briarward.wire.proto.WholeConfiguration;
+import java.util.Optional;
+
+/** Translates messages about versions to and from protobuf. Thread-safe. */
+public final class ConfigurationMessageCodec {
+  private ConfigurationMessageCodec() {}
+
+  /** Encodes a message. */
+  public static io.briarward.wire.proto.ConfigurationMessage encode(ConfigurationMessage message) {
+    checkNotNull(message, "message");
+    io.briarward.wire.proto.ConfigurationMessage.Builder builder =
+        io.briarward.wire.proto.ConfigurationMessage.newBuilder()
+            .setKind(
+                io.briarward.wire.proto.ConfigurationMessage.Kind.valueOf(message.kind().name()))
+            .setDigest(MembershipCodec.encode(message.digest()))
+            .setAfterVersionPlusOne(message.afterVersion() + 1);
+    message.deltas().forEach(delta -> builder.addDeltas(DeltaCodec.print(delta)));
+    message.whole().ifPresent(whole -> builder.setWhole(encode(whole)));
+    return builder.build();
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @throws IllegalArgumentException when a field cannot be read
+   */
+  public static ConfigurationMessage decode(io.briarward.wire.proto.ConfigurationMessage message) {
+    return new ConfigurationMessage(
+        ConfigurationMessage.Kind.valueOf(message.getKind().name()),
+        MembershipCodec.decode(message.getDigest()),
+        message.getAfterVersionPlusOne() - 1,
+        message.getDeltasList().stream()
+            .map(DeltaCodec::parse)
+            .collect(ImmutableList.toImmutableList()),
+        message.hasWhole() ? Optional.of(decode(message.getWhole())) : Optional.empty());
+  }
+
+  private static WholeConfiguration encode(ConfigurationMessage.Whole whole) {
+    return WholeConfiguration.newBuilder()
+        .setVersion(whole.version())
+        .setJson(whole.json())
+        .setChecksum(whole.checksum())
+        .build();
+  }
+
+  private static ConfigurationMessage.Whole decode(WholeConfiguration whole) {
+    return new ConfigurationMessage.Whole(whole.getVersion(), whole.getJson(), whole.getChecksum());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/membership/MembershipCodec.java
@@ -0,0 +1,80 @@
+package io.briarward.node.membership;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.membership.Digest;
+import io.briarward.core.membership.MemberState;
+import io.briarward.core.membership.MemberUpdate;
+import io.briarward.core.membership.MembershipMessage;
+import io.briarward.wire.proto.ConfigurationDigest;
+import io.briarward.wire.proto.MemberStatement;
+import java.util.Optional;
+
+/** Translates probes and answers to and from protobuf. Thread-safe. */
+public final class MembershipCodec {
+  private MembershipCodec() {}
+
+  /** Encodes a message. */
+  public static io.briarward.wire.proto.MembershipMessage encode(MembershipMessage message) {
+    checkNotNull(message, "message");
+    io.briarward.wire.proto.MembershipMessage.Builder builder =
+        io.briarward.wire.proto.MembershipMessage.newBuilder()
+            .setKind(io.briarward.wire.proto.MembershipMessage.Kind.valueOf(message.kind().name()))
+            .setSequence(message.sequence())
+            .setSubject(message.subject())
+            .setDigest(encode(message.digest()));
+    message.updates().forEach(update -> builder.addStatements(encode(update)));
+    return builder.build();
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @throws IllegalArgumentException when a field has a value unknown to this version
+   */
+  public static MembershipMessage decode(io.briarward.wire.proto.MembershipMessage message) {
+    return new MembershipMessage(
+        MembershipMessage.Kind.valueOf(message.getKind().name()),
+        message.getSequence(),
+        message.getSubject(),
+        message.getStatementsList().stream()
+            .map(MembershipCodec::decode)
+            .collect(ImmutableList.toImmutableList()),
+        decode(message.getDigest()));
+  }
+
+  /** Encodes a digest. */
+  public static ConfigurationDigest encode(Digest digest) {
+    ConfigurationDigest.Builder builder =
+        ConfigurationDigest.newBuilder()
+            .setVersionPlusOne(digest.version() + 1)
+            .setSettled(digest.settled());
+    digest.evidenceAgeMillis().ifPresent(builder::setEvidenceAgeMillis);
+    return builder.build();
+  }
+
+  /** Decodes a digest. */
+  public static Digest decode(ConfigurationDigest digest) {
+    Optional<Long> ageMillis =
+        digest.hasEvidenceAgeMillis()
+            ? Optional.of(digest.getEvidenceAgeMillis())
+            : Optional.empty();
+    return new Digest(digest.getVersionPlusOne() - 1, ageMillis, digest.getSettled());
+  }
+
+  private static MemberStatement encode(MemberUpdate update) {
+    return MemberStatement.newBuilder()
+        .setVmId(update.vmId())
+        .setState(MemberStatement.State.valueOf(update.state().name()))
+        .setIncarnation(update.incarnation())
+        .build();
+  }
+
+  private static MemberUpdate decode(MemberStatement statement) {
+    return new MemberUpdate(
+        statement.getVmId(),
+        MemberState.valueOf(statement.getState().name()),
+        statement.getIncarnation());
+  }
+}
--- a/node/src/main/java/io/briarward/node/peer/NettyPeerNetwork.java
+++ b/node/src/main/java/io/briarward/node/peer/NettyPeerNetwork.java
@@ -19,6 +19,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.AttributeKey;
+import io.netty.util.concurrent.Future;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
@@ -85,13 +86,11 @@
   @Override
   public void setAddresses(ImmutableMap<String, InetSocketAddress> byVmId) {
     addresses = byVmId;
-    for (Map.Entry<String, PeerLink> entry : links.entrySet()) {
-      PeerLink link = entry.getValue();
-      if (!link.address().equals(byVmId.get(entry.getKey()))
-          && links.remove(entry.getKey(), link)) {
-        link.close();
-      }
-    }
+    links
+        .entrySet()
+        .removeIf(
+            entry ->
+                closeIfMoved(entry.getValue(), Optional.ofNullable(byVmId.get(entry.getKey()))));
   }
 
   @Override
@@ -108,9 +107,18 @@
 
   @Override
   public void close() {
-    server.close();
+    Future<?> unusedServer = server.close();
     setAddresses(ImmutableMap.of());
-    eventLoops.shutdownGracefully(0, CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    Future<?> unusedLoops =
+        eventLoops.shutdownGracefully(0, CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private static boolean closeIfMoved(PeerLink link, Optional<InetSocketAddress> address) {
+    if (address.filter(link.address()::equals).isPresent()) {
+      return false;
+    }
+    link.close();
+    return true;
   }
 
   private Single<PeerMessage> startRequest(String vmId, PeerMessage message, long timeoutMillis) {
@@ -226,7 +234,7 @@
   private void answer(Channel channel, long correlationId, PeerMessage answer) {
     if (correlationId != 0 && channel.isWritable()) {
       PeerMessage stamped = stamp(answer).setCorrelationId(correlationId).setAnswer(true).build();
-      channel.writeAndFlush(stamped, channel.voidPromise());
+      Future<?> unused = channel.writeAndFlush(stamped, channel.voidPromise());
     }
   }
 
--- a/node/src/main/java/io/briarward/node/peer/PeerLink.java
+++ b/node/src/main/java/io/briarward/node/peer/PeerLink.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Optional;
@@ -77,8 +78,7 @@
    */
   synchronized void onRequestTimeout() {
     if (nowMillis.getAsLong() - lastReadMillis >= SILENCE_LIMIT_MILLIS) {
-      channel.ifPresent(Channel::close);
-      channel = Optional.empty();
+      closeChannel();
     }
   }
 
@@ -86,7 +86,14 @@
   public synchronized void close() {
     closed = true;
     clearWaiting();
-    channel.ifPresent(Channel::close);
+    closeChannel();
+  }
+
+  private void closeChannel() {
+    channel.ifPresent(
+        open -> {
+          Future<?> unused = open.close();
+        });
     channel = Optional.empty();
   }
 
@@ -94,7 +101,7 @@
     if (!channel.isWritable()) {
       return false;
     }
-    channel.writeAndFlush(message, channel.voidPromise());
+    Future<?> unused = channel.writeAndFlush(message, channel.voidPromise());
     return true;
   }
 
@@ -113,7 +120,7 @@
     if (!connecting) {
       connecting = true;
       ChannelFuture future = bootstrap.connect(address);
-      future.addListener(unused -> onConnected(future));
+      Future<?> unused = future.addListener(done -> onConnected(future));
     }
     return true;
   }
@@ -127,13 +134,15 @@
       return;
     }
     if (closed) {
-      future.channel().close();
+      Future<?> unused = future.channel().close();
       return;
     }
     backoffMillis = MIN_BACKOFF_MILLIS;
     lastReadMillis = nowMillis.getAsLong();
     channel = Optional.of(future.channel());
-    waiting.forEach(message -> write(future.channel(), message));
+    for (PeerMessage message : waiting) {
+      boolean unused = write(future.channel(), message);
+    }
     clearWaiting();
   }
 
--- a/node/src/main/java/io/briarward/node/peer/PeerPipeline.java
+++ b/node/src/main/java/io/briarward/node/peer/PeerPipeline.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.tinylog.Logger;
@@ -46,14 +47,14 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
       if (event instanceof IdleStateEvent) {
-        context.close();
+        Future<?> unused = context.close();
       }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       Logger.debug("Closing peer connection {}: {}", context.channel(), cause.toString());
-      context.close();
+      Future<?> unused = context.close();
     }
   }
 }
--- a/wire/src/main/java/io/briarward/wire/proto/Configuration.java
+++ b/wire/src/main/java/io/briarward/wire/proto/Configuration.java
@@ -26,6 +26,11 @@
     registerAllExtensions(
         (com.google.protobuf.ExtensionRegistryLite) registry);
   }
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_briarward_WholeConfiguration_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_briarward_WholeConfiguration_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_briarward_ConfigurationMessage_descriptor;
   static final 
@@ -40,21 +45,38 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\023configuration.proto\022\tbriarward\"\026\n\024Conf" +
-      "igurationMessageB\033\n\027io.briarward.wire.pr" +
-      "otoP\001b\006proto3"
+      "\n\023configuration.proto\022\tbriarward\032\020member" +
+      "ship.proto\"E\n\022WholeConfiguration\022\017\n\007vers" +
+      "ion\030\001 \001(\004\022\014\n\004json\030\002 \001(\t\022\020\n\010checksum\030\003 \001(" +
+      "\t\"\242\002\n\024ConfigurationMessage\0222\n\004kind\030\001 \001(\016" +
+      "2$.briarward.ConfigurationMessage.Kind\022." +
+      "\n\006digest\030\002 \001(\0132\036.briarward.Configuration" +
+      "Digest\022\036\n\026after_version_plus_one\030\003 \001(\004\022\016" +
+      "\n\006deltas\030\004 \003(\t\022,\n\005whole\030\005 \001(\0132\035.briarwar" +
+      "d.WholeConfiguration\"H\n\004Kind\022\024\n\020KIND_UNS" +
+      "PECIFIED\020\000\022\020\n\014ANNOUNCEMENT\020\001\022\013\n\007REQUEST\020" +
+      "\002\022\013\n\007CONTENT\020\003B\033\n\027io.briarward.wire.prot" +
+      "oP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
         new com.google.protobuf.Descriptors.FileDescriptor[] {
+          io.briarward.wire.proto.Membership.getDescriptor(),
         });
-    internal_static_briarward_ConfigurationMessage_descriptor =
+    internal_static_briarward_WholeConfiguration_descriptor =
       getDescriptor().getMessageType(0);
+    internal_static_briarward_WholeConfiguration_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_briarward_WholeConfiguration_descriptor,
+        new java.lang.String[] { "Version", "Json", "Checksum", });
+    internal_static_briarward_ConfigurationMessage_descriptor =
+      getDescriptor().getMessageType(1);
     internal_static_briarward_ConfigurationMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_briarward_ConfigurationMessage_descriptor,
-        new java.lang.String[] { });
+        new java.lang.String[] { "Kind", "Digest", "AfterVersionPlusOne", "Deltas", "Whole", });
     descriptor.resolveAllFeaturesImmutable();
+    io.briarward.wire.proto.Membership.getDescriptor();
   }
 
   // @@protoc_insertion_point(outer_class_scope)
--- a/wire/src/main/java/io/briarward/wire/proto/ConfigurationMessage.java
+++ b/wire/src/main/java/io/briarward/wire/proto/ConfigurationMessage.java
@@ -32,6 +32,9 @@
     super(builder);
   }
   private ConfigurationMessage() {
+    kind_ = 0;
+    deltas_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -52,6 +55,280 @@
             io.briarward.wire.proto.ConfigurationMessage.class, io.briarward.wire.proto.ConfigurationMessage.Builder.class);
   }
 
+  /**
+   * Protobuf enum {@code briarward.ConfigurationMessage.Kind}
+   */
+  public enum Kind
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <code>KIND_UNSPECIFIED = 0;</code>
+     */
+    KIND_UNSPECIFIED(0),
+    /**
+     * <code>ANNOUNCEMENT = 1;</code>
+     */
+    ANNOUNCEMENT(1),
+    /**
+     * <code>REQUEST = 2;</code>
+     */
+    REQUEST(2),
+    /**
+     * <code>CONTENT = 3;</code>
+     */
+    CONTENT(3),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Kind");
+    }
+    /**
+     * <code>KIND_UNSPECIFIED = 0;</code>
+     */
+    public static final int KIND_UNSPECIFIED_VALUE = 0;
+    /**
+     * <code>ANNOUNCEMENT = 1;</code>
+     */
+    public static final int ANNOUNCEMENT_VALUE = 1;
+    /**
+     * <code>REQUEST = 2;</code>
+     */
+    public static final int REQUEST_VALUE = 2;
+    /**
+     * <code>CONTENT = 3;</code>
+     */
+    public static final int CONTENT_VALUE = 3;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static Kind valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static Kind forNumber(int value) {
+      switch (value) {
+        case 0: return KIND_UNSPECIFIED;
+        case 1: return ANNOUNCEMENT;
+        case 2: return REQUEST;
+        case 3: return CONTENT;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<Kind>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        Kind> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<Kind>() {
+            public Kind findValueByNumber(int number) {
+              return Kind.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValue(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return io.briarward.wire.proto.ConfigurationMessage.getDescriptor().getEnumType(0);
+    }
+
+    private static final Kind[] VALUES = values();
+
+    public static Kind valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private Kind(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:briarward.ConfigurationMessage.Kind)
+  }
+
+  private int bitField0_;
+  public static final int KIND_FIELD_NUMBER = 1;
+  private int kind_ = 0;
+  /**
+   * <code>.briarward.ConfigurationMessage.Kind kind = 1;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  @java.lang.Override public int getKindValue() {
+    return kind_;
+  }
+  /**
+   * <code>.briarward.ConfigurationMessage.Kind kind = 1;</code>
+   * @return The kind.
+   */
+  @java.lang.Override public io.briarward.wire.proto.ConfigurationMessage.Kind getKind() {
+    io.briarward.wire.proto.ConfigurationMessage.Kind result = io.briarward.wire.proto.ConfigurationMessage.Kind.forNumber(kind_);
+    return result == null ? io.briarward.wire.proto.ConfigurationMessage.Kind.UNRECOGNIZED : result;
+  }
+
+  public static final int DIGEST_FIELD_NUMBER = 2;
+  private io.briarward.wire.proto.ConfigurationDigest digest_;
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 2;</code>
+   * @return Whether the digest field is set.
+   */
+  @java.lang.Override
+  public boolean hasDigest() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 2;</code>
+   * @return The digest.
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.ConfigurationDigest getDigest() {
+    return digest_ == null ? io.briarward.wire.proto.ConfigurationDigest.getDefaultInstance() : digest_;
+  }
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 2;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.ConfigurationDigestOrBuilder getDigestOrBuilder() {
+    return digest_ == null ? io.briarward.wire.proto.ConfigurationDigest.getDefaultInstance() : digest_;
+  }
+
+  public static final int AFTER_VERSION_PLUS_ONE_FIELD_NUMBER = 3;
+  private long afterVersionPlusOne_ = 0L;
+  /**
+   * <pre>
+   * The version that the sender of a request holds, plus 1; 0 when it holds none.
+   * </pre>
+   *
+   * <code>uint64 after_version_plus_one = 3;</code>
+   * @return The afterVersionPlusOne.
+   */
+  @java.lang.Override
+  public long getAfterVersionPlusOne() {
+    return afterVersionPlusOne_;
+  }
+
+  public static final int DELTAS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList deltas_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Consecutive deltas in JSON.
+   * </pre>
+   *
+   * <code>repeated string deltas = 4;</code>
+   * @return A list containing the deltas.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getDeltasList() {
+    return deltas_;
+  }
+  /**
+   * <pre>
+   * Consecutive deltas in JSON.
+   * </pre>
+   *
+   * <code>repeated string deltas = 4;</code>
+   * @return The count of deltas.
+   */
+  public int getDeltasCount() {
+    return deltas_.size();
+  }
+  /**
+   * <pre>
+   * Consecutive deltas in JSON.
+   * </pre>
+   *
+   * <code>repeated string deltas = 4;</code>
+   * @param index The index of the element to return.
+   * @return The deltas at the given index.
+   */
+  public java.lang.String getDeltas(int index) {
+    return deltas_.get(index);
+  }
+  /**
+   * <pre>
+   * Consecutive deltas in JSON.
+   * </pre>
+   *
+   * <code>repeated string deltas = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the deltas at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getDeltasBytes(int index) {
+    return deltas_.getByteString(index);
+  }
+
+  public static final int WHOLE_FIELD_NUMBER = 5;
+  private io.briarward.wire.proto.WholeConfiguration whole_;
+  /**
+   * <code>.briarward.WholeConfiguration whole = 5;</code>
+   * @return Whether the whole field is set.
+   */
+  @java.lang.Override
+  public boolean hasWhole() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <code>.briarward.WholeConfiguration whole = 5;</code>
+   * @return The whole.
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.WholeConfiguration getWhole() {
+    return whole_ == null ? io.briarward.wire.proto.WholeConfiguration.getDefaultInstance() : whole_;
+  }
+  /**
+   * <code>.briarward.WholeConfiguration whole = 5;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.WholeConfigurationOrBuilder getWholeOrBuilder() {
+    return whole_ == null ? io.briarward.wire.proto.WholeConfiguration.getDefaultInstance() : whole_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -66,14 +343,58 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    if (kind_ != io.briarward.wire.proto.ConfigurationMessage.Kind.KIND_UNSPECIFIED.getNumber()) {
+      output.writeEnum(1, kind_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(2, getDigest());
+    }
+    if (afterVersionPlusOne_ != 0L) {
+      output.writeUInt64(3, afterVersionPlusOne_);
+    }
+    for (int i = 0; i < deltas_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, deltas_.getRaw(i));
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(5, getWhole());
+    }
     getUnknownFields().writeTo(output);
   }
+  private int computeSerializedSize_0() {
+    int size = 0;
+    if (kind_ != io.briarward.wire.proto.ConfigurationMessage.Kind.KIND_UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(1, kind_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(2, getDigest());
+    }
+    if (afterVersionPlusOne_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, afterVersionPlusOne_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < deltas_.size(); i++) {
+        dataSize += computeStringSizeNoTag(deltas_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getDeltasList().size();
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, getWhole());
+    }
+    return size;
+  }
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
     if (size != -1) return size;
 
     size = 0;
+    size += computeSerializedSize_0();
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -89,6 +410,21 @@
     }
     io.briarward.wire.proto.ConfigurationMessage other = (io.briarward.wire.proto.ConfigurationMessage) obj;
 
+    if (kind_ != other.kind_) return false;
+    if (hasDigest() != other.hasDigest()) return false;
+    if (hasDigest()) {
+      if (!getDigest()
+          .equals(other.getDigest())) return false;
+    }
+    if (getAfterVersionPlusOne()
+        != other.getAfterVersionPlusOne()) return false;
+    if (!getDeltasList()
+        .equals(other.getDeltasList())) return false;
+    if (hasWhole() != other.hasWhole()) return false;
+    if (hasWhole()) {
+      if (!getWhole()
+          .equals(other.getWhole())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -100,6 +436,23 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + KIND_FIELD_NUMBER;
+    hash = (53 * hash) + kind_;
+    if (hasDigest()) {
+      hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+      hash = (53 * hash) + getDigest().hashCode();
+    }
+    hash = (37 * hash) + AFTER_VERSION_PLUS_ONE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAfterVersionPlusOne());
+    if (getDeltasCount() > 0) {
+      hash = (37 * hash) + DELTAS_FIELD_NUMBER;
+      hash = (53 * hash) + getDeltasList().hashCode();
+    }
+    if (hasWhole()) {
+      hash = (37 * hash) + WHOLE_FIELD_NUMBER;
+      hash = (53 * hash) + getWhole().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -223,17 +576,39 @@
 
     // Construct using io.briarward.wire.proto.ConfigurationMessage.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetDigestFieldBuilder();
+        internalGetWholeFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
       super.clear();
+      bitField0_ = 0;
+      kind_ = 0;
+      digest_ = null;
+      if (digestBuilder_ != null) {
+        digestBuilder_.dispose();
+        digestBuilder_ = null;
+      }
+      afterVersionPlusOne_ = 0L;
+      deltas_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      whole_ = null;
+      if (wholeBuilder_ != null) {
+        wholeBuilder_.dispose();
+        wholeBuilder_ = null;
+      }
       return this;
     }
 
@@ -260,10 +635,39 @@
     @java.lang.Override
     public io.briarward.wire.proto.ConfigurationMessage buildPartial() {
       io.briarward.wire.proto.ConfigurationMessage result = new io.briarward.wire.proto.ConfigurationMessage(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartial0(io.briarward.wire.proto.ConfigurationMessage result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.kind_ = kind_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.digest_ = digestBuilder_ == null
+            ? digest_
+            : digestBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.afterVersionPlusOne_ = afterVersionPlusOne_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        deltas_.makeImmutable();
+        result.deltas_ = deltas_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.whole_ = wholeBuilder_ == null
+            ? whole_
+            : wholeBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      result.bitField0_ |= to_bitField0_;
+    }
+
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof io.briarward.wire.proto.ConfigurationMessage) {
@@ -276,6 +680,28 @@
 
     public Builder mergeFrom(io.briarward.wire.proto.ConfigurationMessage other) {
       if (other == io.briarward.wire.proto.ConfigurationMessage.getDefaultInstance()) return this;
+      if (other.kind_ != 0) {
+        setKindValue(other.getKindValue());
+      }
+      if (other.hasDigest()) {
+        mergeDigest(other.getDigest());
+      }
+      if (other.getAfterVersionPlusOne() != 0L) {
+        setAfterVersionPlusOne(other.getAfterVersionPlusOne());
+      }
+      if (!other.deltas_.isEmpty()) {
+        if (deltas_.isEmpty()) {
+          deltas_ = other.deltas_;
+          bitField0_ |= 0x00000008;
+        } else {
+          ensureDeltasIsMutable();
+          deltas_.addAll(other.deltas_);
+        }
+        onChanged();
+      }
+      if (other.hasWhole()) {
+        mergeWhole(other.getWhole());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -300,6 +726,35 @@
             case 0:
               done = true;
               break;
+            case 8: {
+              kind_ = input.readEnum();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 8
+            case 18: {
+              input.readMessage(
+                  internalGetDigestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 24: {
+              afterVersionPlusOne_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 34: {
+              ensureDeltasIsMutable();
+              deltas_.add(input.readStringRequireUtf8());
+              break;
+            } // case 34
+            case 42: {
+              input.readMessage(
+                  internalGetWholeFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -315,6 +770,488 @@
       } // finally
       return this;
     }
+    private int bitField0_;
+
+    private int kind_ = 0;
+    /**
+     * <code>.briarward.ConfigurationMessage.Kind kind = 1;</code>
+     * @return The enum numeric value on the wire for kind.
+     */
+    @java.lang.Override public int getKindValue() {
+      return kind_;
+    }
+    /**
+     * <code>.briarward.ConfigurationMessage.Kind kind = 1;</code>
+     * @param value The enum numeric value on the wire for kind to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKindValue(int value) {
+      kind_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.ConfigurationMessage.Kind kind = 1;</code>
+     * @return The kind.
+     */
+    @java.lang.Override
+    public io.briarward.wire.proto.ConfigurationMessage.Kind getKind() {
+      io.briarward.wire.proto.ConfigurationMessage.Kind result = io.briarward.wire.proto.ConfigurationMessage.Kind.forNumber(kind_);
+      return result == null ? io.briarward.wire.proto.ConfigurationMessage.Kind.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.briarward.ConfigurationMessage.Kind kind = 1;</code>
+     * @param value The kind to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setKind(io.briarward.wire.proto.ConfigurationMessage.Kind value) {
+      java.util.Objects.requireNonNull(value);
+      bitField0_ |= 0x00000001;
+      kind_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.ConfigurationMessage.Kind kind = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKind() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      kind_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private io.briarward.wire.proto.ConfigurationDigest digest_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.briarward.wire.proto.ConfigurationDigest, io.briarward.wire.proto.ConfigurationDigest.Builder, io.briarward.wire.proto.ConfigurationDigestOrBuilder> digestBuilder_;
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 2;</code>
+     * @return Whether the digest field is set.
+     */
+    public boolean hasDigest() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 2;</code>
+     * @return The digest.
+     */
+    public io.briarward.wire.proto.ConfigurationDigest getDigest() {
+      if (digestBuilder_ == null) {
+        return digest_ == null ? io.briarward.wire.proto.ConfigurationDigest.getDefaultInstance() : digest_;
+      } else {
+        return digestBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 2;</code>
+     */
+    public Builder setDigest(io.briarward.wire.proto.ConfigurationDigest value) {
+      if (digestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        digest_ = value;
+      } else {
+        digestBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 2;</code>
+     */
+    public Builder setDigest(
+        io.briarward.wire.proto.ConfigurationDigest.Builder builderForValue) {
+      if (digestBuilder_ == null) {
+        digest_ = builderForValue.build();
+      } else {
+        digestBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 2;</code>
+     */
+    public Builder mergeDigest(io.briarward.wire.proto.ConfigurationDigest value) {
+      if (digestBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0) &&
+          digest_ != null &&
+          digest_ != io.briarward.wire.proto.ConfigurationDigest.getDefaultInstance()) {
+          getDigestBuilder().mergeFrom(value);
+        } else {
+          digest_ = value;
+        }
+      } else {
+        digestBuilder_.mergeFrom(value);
+      }
+      if (digest_ != null) {
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 2;</code>
+     */
+    public Builder clearDigest() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      digest_ = null;
+      if (digestBuilder_ != null) {
+        digestBuilder_.dispose();
+        digestBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 2;</code>
+     */
+    public io.briarward.wire.proto.ConfigurationDigest.Builder getDigestBuilder() {
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return internalGetDigestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 2;</code>
+     */
+    public io.briarward.wire.proto.ConfigurationDigestOrBuilder getDigestOrBuilder() {
+      if (digestBuilder_ != null) {
+        return digestBuilder_.getMessageOrBuilder();
+      } else {
+        return digest_ == null ?
+            io.briarward.wire.proto.ConfigurationDigest.getDefaultInstance() : digest_;
+      }
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 2;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.briarward.wire.proto.ConfigurationDigest, io.briarward.wire.proto.ConfigurationDigest.Builder, io.briarward.wire.proto.ConfigurationDigestOrBuilder> 
+        internalGetDigestFieldBuilder() {
+      if (digestBuilder_ == null) {
+        digestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.briarward.wire.proto.ConfigurationDigest, io.briarward.wire.proto.ConfigurationDigest.Builder, io.briarward.wire.proto.ConfigurationDigestOrBuilder>(
+                getDigest(),
+                getParentForChildren(),
+                isClean());
+        digest_ = null;
+      }
+      return digestBuilder_;
+    }
+
+    private long afterVersionPlusOne_ ;
+    /**
+     * <pre>
+     * The version that the sender of a request holds, plus 1; 0 when it holds none.
+     * </pre>
+     *
+     * <code>uint64 after_version_plus_one = 3;</code>
+     * @return The afterVersionPlusOne.
+     */
+    @java.lang.Override
+    public long getAfterVersionPlusOne() {
+      return afterVersionPlusOne_;
+    }
+    /**
+     * <pre>
+     * The version that the sender of a request holds, plus 1; 0 when it holds none.
+     * </pre>
+     *
+     * <code>uint64 after_version_plus_one = 3;</code>
+     * @param value The afterVersionPlusOne to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAfterVersionPlusOne(long value) {
+
+      afterVersionPlusOne_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The version that the sender of a request holds, plus 1; 0 when it holds none.
+     * </pre>
+     *
+     * <code>uint64 after_version_plus_one = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAfterVersionPlusOne() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      afterVersionPlusOne_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList deltas_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureDeltasIsMutable() {
+      if (!deltas_.isModifiable()) {
+        deltas_ = new com.google.protobuf.LazyStringArrayList(deltas_);
+      }
+      bitField0_ |= 0x00000008;
+    }
+    /**
+     * <pre>
+     * Consecutive deltas in JSON.
+     * </pre>
+     *
+     * <code>repeated string deltas = 4;</code>
+     * @return A list containing the deltas.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getDeltasList() {
+      deltas_.makeImmutable();
+      return deltas_;
+    }
+    /**
+     * <pre>
+     * Consecutive deltas in JSON.
+     * </pre>
+     *
+     * <code>repeated string deltas = 4;</code>
+     * @return The count of deltas.
+     */
+    public int getDeltasCount() {
+      return deltas_.size();
+    }
+    /**
+     * <pre>
+     * Consecutive deltas in JSON.
+     * </pre>
+     *
+     * <code>repeated string deltas = 4;</code>
+     * @param index The index of the element to return.
+     * @return The deltas at the given index.
+     */
+    public java.lang.String getDeltas(int index) {
+      return deltas_.get(index);
+    }
+    /**
+     * <pre>
+     * Consecutive deltas in JSON.
+     * </pre>
+     *
+     * <code>repeated string deltas = 4;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the deltas at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getDeltasBytes(int index) {
+      return deltas_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Consecutive deltas in JSON.
+     * </pre>
+     *
+     * <code>repeated string deltas = 4;</code>
+     * @param index The index to set the value at.
+     * @param value The deltas to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDeltas(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureDeltasIsMutable();
+      deltas_.set(index, value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive deltas in JSON.
+     * </pre>
+     *
+     * <code>repeated string deltas = 4;</code>
+     * @param value The deltas to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDeltas(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureDeltasIsMutable();
+      deltas_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive deltas in JSON.
+     * </pre>
+     *
+     * <code>repeated string deltas = 4;</code>
+     * @param values The deltas to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllDeltas(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureDeltasIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, deltas_);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive deltas in JSON.
+     * </pre>
+     *
+     * <code>repeated string deltas = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDeltas() {
+      deltas_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000008);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive deltas in JSON.
+     * </pre>
+     *
+     * <code>repeated string deltas = 4;</code>
+     * @param value The bytes of the deltas to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDeltasBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureDeltasIsMutable();
+      deltas_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    private io.briarward.wire.proto.WholeConfiguration whole_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.briarward.wire.proto.WholeConfiguration, io.briarward.wire.proto.WholeConfiguration.Builder, io.briarward.wire.proto.WholeConfigurationOrBuilder> wholeBuilder_;
+    /**
+     * <code>.briarward.WholeConfiguration whole = 5;</code>
+     * @return Whether the whole field is set.
+     */
+    public boolean hasWhole() {
+      return ((bitField0_ & 0x00000010) != 0);
+    }
+    /**
+     * <code>.briarward.WholeConfiguration whole = 5;</code>
+     * @return The whole.
+     */
+    public io.briarward.wire.proto.WholeConfiguration getWhole() {
+      if (wholeBuilder_ == null) {
+        return whole_ == null ? io.briarward.wire.proto.WholeConfiguration.getDefaultInstance() : whole_;
+      } else {
+        return wholeBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.briarward.WholeConfiguration whole = 5;</code>
+     */
+    public Builder setWhole(io.briarward.wire.proto.WholeConfiguration value) {
+      if (wholeBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        whole_ = value;
+      } else {
+        wholeBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.WholeConfiguration whole = 5;</code>
+     */
+    public Builder setWhole(
+        io.briarward.wire.proto.WholeConfiguration.Builder builderForValue) {
+      if (wholeBuilder_ == null) {
+        whole_ = builderForValue.build();
+      } else {
+        wholeBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.WholeConfiguration whole = 5;</code>
+     */
+    public Builder mergeWhole(io.briarward.wire.proto.WholeConfiguration value) {
+      if (wholeBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0) &&
+          whole_ != null &&
+          whole_ != io.briarward.wire.proto.WholeConfiguration.getDefaultInstance()) {
+          getWholeBuilder().mergeFrom(value);
+        } else {
+          whole_ = value;
+        }
+      } else {
+        wholeBuilder_.mergeFrom(value);
+      }
+      if (whole_ != null) {
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.briarward.WholeConfiguration whole = 5;</code>
+     */
+    public Builder clearWhole() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      whole_ = null;
+      if (wholeBuilder_ != null) {
+        wholeBuilder_.dispose();
+        wholeBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.WholeConfiguration whole = 5;</code>
+     */
+    public io.briarward.wire.proto.WholeConfiguration.Builder getWholeBuilder() {
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return internalGetWholeFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.briarward.WholeConfiguration whole = 5;</code>
+     */
+    public io.briarward.wire.proto.WholeConfigurationOrBuilder getWholeOrBuilder() {
+      if (wholeBuilder_ != null) {
+        return wholeBuilder_.getMessageOrBuilder();
+      } else {
+        return whole_ == null ?
+            io.briarward.wire.proto.WholeConfiguration.getDefaultInstance() : whole_;
+      }
+    }
+    /**
+     * <code>.briarward.WholeConfiguration whole = 5;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.briarward.wire.proto.WholeConfiguration, io.briarward.wire.proto.WholeConfiguration.Builder, io.briarward.wire.proto.WholeConfigurationOrBuilder> 
+        internalGetWholeFieldBuilder() {
+      if (wholeBuilder_ == null) {
+        wholeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.briarward.wire.proto.WholeConfiguration, io.briarward.wire.proto.WholeConfiguration.Builder, io.briarward.wire.proto.WholeConfigurationOrBuilder>(
+                getWhole(),
+                getParentForChildren(),
+                isClean());
+        whole_ = null;
+      }
+      return wholeBuilder_;
+    }
 
     // @@protoc_insertion_point(builder_scope:briarward.ConfigurationMessage)
   }
--- a/wire/src/main/java/io/briarward/wire/proto/ConfigurationMessageOrBuilder.java
+++ b/wire/src/main/java/io/briarward/wire/proto/ConfigurationMessageOrBuilder.java
@@ -9,4 +9,96 @@
 public interface ConfigurationMessageOrBuilder extends
     // @@protoc_insertion_point(interface_extends:briarward.ConfigurationMessage)
     com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>.briarward.ConfigurationMessage.Kind kind = 1;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  int getKindValue();
+  /**
+   * <code>.briarward.ConfigurationMessage.Kind kind = 1;</code>
+   * @return The kind.
+   */
+  io.briarward.wire.proto.ConfigurationMessage.Kind getKind();
+
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 2;</code>
+   * @return Whether the digest field is set.
+   */
+  boolean hasDigest();
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 2;</code>
+   * @return The digest.
+   */
+  io.briarward.wire.proto.ConfigurationDigest getDigest();
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 2;</code>
+   */
+  io.briarward.wire.proto.ConfigurationDigestOrBuilder getDigestOrBuilder();
+
+  /**
+   * <pre>
+   * The version that the sender of a request holds, plus 1; 0 when it holds none.
+   * </pre>
+   *
+   * <code>uint64 after_version_plus_one = 3;</code>
+   * @return The afterVersionPlusOne.
+   */
+  long getAfterVersionPlusOne();
+
+  /**
+   * <pre>
+   * Consecutive deltas in JSON.
+   * </pre>
+   *
+   * <code>repeated string deltas = 4;</code>
+   * @return A list containing the deltas.
+   */
+  java.util.List<java.lang.String>
+      getDeltasList();
+  /**
+   * <pre>
+   * Consecutive deltas in JSON.
+   * </pre>
+   *
+   * <code>repeated string deltas = 4;</code>
+   * @return The count of deltas.
+   */
+  int getDeltasCount();
+  /**
+   * <pre>
+   * Consecutive deltas in JSON.
+   * </pre>
+   *
+   * <code>repeated string deltas = 4;</code>
+   * @param index The index of the element to return.
+   * @return The deltas at the given index.
+   */
+  java.lang.String getDeltas(int index);
+  /**
+   * <pre>
+   * Consecutive deltas in JSON.
+   * </pre>
+   *
+   * <code>repeated string deltas = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the deltas at the given index.
+   */
+  com.google.protobuf.ByteString
+      getDeltasBytes(int index);
+
+  /**
+   * <code>.briarward.WholeConfiguration whole = 5;</code>
+   * @return Whether the whole field is set.
+   */
+  boolean hasWhole();
+  /**
+   * <code>.briarward.WholeConfiguration whole = 5;</code>
+   * @return The whole.
+   */
+  io.briarward.wire.proto.WholeConfiguration getWhole();
+  /**
+   * <code>.briarward.WholeConfiguration whole = 5;</code>
+   */
+  io.briarward.wire.proto.WholeConfigurationOrBuilder getWholeOrBuilder();
 }
--- a/wire/src/main/java/io/briarward/wire/proto/Membership.java
+++ b/wire/src/main/java/io/briarward/wire/proto/Membership.java
@@ -26,6 +26,16 @@
     registerAllExtensions(
         (com.google.protobuf.ExtensionRegistryLite) registry);
   }
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_briarward_ConfigurationDigest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_briarward_ConfigurationDigest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_briarward_MemberStatement_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_briarward_MemberStatement_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_briarward_MembershipMessage_descriptor;
   static final 
@@ -40,20 +50,46 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\020membership.proto\022\tbriarward\"\023\n\021Members" +
-      "hipMessageB\033\n\027io.briarward.wire.protoP\001b" +
+      "\n\020membership.proto\022\tbriarward\"z\n\023Configu" +
+      "rationDigest\022\030\n\020version_plus_one\030\001 \001(\004\022 " +
+      "\n\023evidence_age_millis\030\002 \001(\004H\000\210\001\001\022\017\n\007sett" +
+      "led\030\003 \001(\010B\026\n\024_evidence_age_millis\"\236\001\n\017Me" +
+      "mberStatement\022\r\n\005vm_id\030\001 \001(\t\022/\n\005state\030\002 " +
+      "\001(\0162 .briarward.MemberStatement.State\022\023\n" +
+      "\013incarnation\030\003 \001(\003\"6\n\005State\022\t\n\005ALIVE\020\000\022\013" +
+      "\n\007LEAVING\020\001\022\013\n\007SUSPECT\020\002\022\010\n\004DEAD\020\003\"\245\002\n\021M" +
+      "embershipMessage\022/\n\004kind\030\001 \001(\0162!.briarwa" +
+      "rd.MembershipMessage.Kind\022\020\n\010sequence\030\002 " +
+      "\001(\004\022\017\n\007subject\030\003 \001(\t\022.\n\nstatements\030\004 \003(\013" +
+      "2\032.briarward.MemberStatement\022.\n\006digest\030\005" +
+      " \001(\0132\036.briarward.ConfigurationDigest\"\\\n\004" +
+      "Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\t\n\005PROBE\020\001\022\n\n" +
+      "\006ANSWER\020\002\022\022\n\016INDIRECT_PROBE\020\003\022\023\n\017INDIREC" +
+      "T_ANSWER\020\004B\033\n\027io.briarward.wire.protoP\001b" +
       "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
         new com.google.protobuf.Descriptors.FileDescriptor[] {
         });
-    internal_static_briarward_MembershipMessage_descriptor =
+    internal_static_briarward_ConfigurationDigest_descriptor =
       getDescriptor().getMessageType(0);
+    internal_static_briarward_ConfigurationDigest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_briarward_ConfigurationDigest_descriptor,
+        new java.lang.String[] { "VersionPlusOne", "EvidenceAgeMillis", "Settled", });
+    internal_static_briarward_MemberStatement_descriptor =
+      getDescriptor().getMessageType(1);
+    internal_static_briarward_MemberStatement_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_briarward_MemberStatement_descriptor,
+        new java.lang.String[] { "VmId", "State", "Incarnation", });
+    internal_static_briarward_MembershipMessage_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_briarward_MembershipMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_briarward_MembershipMessage_descriptor,
-        new java.lang.String[] { });
+        new java.lang.String[] { "Kind", "Sequence", "Subject", "Statements", "Digest", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/io/briarward/wire/proto/MembershipMessage.java
+++ b/wire/src/main/java/io/briarward/wire/proto/MembershipMessage.java
@@ -32,6 +32,9 @@
     super(builder);
   }
   private MembershipMessage() {
+    kind_ = 0;
+    subject_ = "";
+    statements_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -52,6 +55,294 @@
             io.briarward.wire.proto.MembershipMessage.class, io.briarward.wire.proto.MembershipMessage.Builder.class);
   }
 
+  /**
+   * Protobuf enum {@code briarward.MembershipMessage.Kind}
+   */
+  public enum Kind
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <code>KIND_UNSPECIFIED = 0;</code>
+     */
+    KIND_UNSPECIFIED(0),
+    /**
+     * <code>PROBE = 1;</code>
+     */
+    PROBE(1),
+    /**
+     * <code>ANSWER = 2;</code>
+     */
+    ANSWER(2),
+    /**
+     * <code>INDIRECT_PROBE = 3;</code>
+     */
+    INDIRECT_PROBE(3),
+    /**
+     * <code>INDIRECT_ANSWER = 4;</code>
+     */
+    INDIRECT_ANSWER(4),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Kind");
+    }
+    /**
+     * <code>KIND_UNSPECIFIED = 0;</code>
+     */
+    public static final int KIND_UNSPECIFIED_VALUE = 0;
+    /**
+     * <code>PROBE = 1;</code>
+     */
+    public static final int PROBE_VALUE = 1;
+    /**
+     * <code>ANSWER = 2;</code>
+     */
+    public static final int ANSWER_VALUE = 2;
+    /**
+     * <code>INDIRECT_PROBE = 3;</code>
+     */
+    public static final int INDIRECT_PROBE_VALUE = 3;
+    /**
+     * <code>INDIRECT_ANSWER = 4;</code>
+     */
+    public static final int INDIRECT_ANSWER_VALUE = 4;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static Kind valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static Kind forNumber(int value) {
+      switch (value) {
+        case 0: return KIND_UNSPECIFIED;
+        case 1: return PROBE;
+        case 2: return ANSWER;
+        case 3: return INDIRECT_PROBE;
+        case 4: return INDIRECT_ANSWER;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<Kind>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        Kind> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<Kind>() {
+            public Kind findValueByNumber(int number) {
+              return Kind.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValue(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return io.briarward.wire.proto.MembershipMessage.getDescriptor().getEnumType(0);
+    }
+
+    private static final Kind[] VALUES = values();
+
+    public static Kind valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private Kind(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:briarward.MembershipMessage.Kind)
+  }
+
+  private int bitField0_;
+  public static final int KIND_FIELD_NUMBER = 1;
+  private int kind_ = 0;
+  /**
+   * <code>.briarward.MembershipMessage.Kind kind = 1;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  @java.lang.Override public int getKindValue() {
+    return kind_;
+  }
+  /**
+   * <code>.briarward.MembershipMessage.Kind kind = 1;</code>
+   * @return The kind.
+   */
+  @java.lang.Override public io.briarward.wire.proto.MembershipMessage.Kind getKind() {
+    io.briarward.wire.proto.MembershipMessage.Kind result = io.briarward.wire.proto.MembershipMessage.Kind.forNumber(kind_);
+    return result == null ? io.briarward.wire.proto.MembershipMessage.Kind.UNRECOGNIZED : result;
+  }
+
+  public static final int SEQUENCE_FIELD_NUMBER = 2;
+  private long sequence_ = 0L;
+  /**
+   * <code>uint64 sequence = 2;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+
+  public static final int SUBJECT_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object subject_ = "";
+  /**
+   * <pre>
+   * The VM that an indirect probe is about.
+   * </pre>
+   *
+   * <code>string subject = 3;</code>
+   * @return The subject.
+   */
+  @java.lang.Override
+  public java.lang.String getSubject() {
+    java.lang.Object ref = subject_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      subject_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The VM that an indirect probe is about.
+   * </pre>
+   *
+   * <code>string subject = 3;</code>
+   * @return The bytes for subject.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSubjectBytes() {
+    java.lang.Object ref = subject_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      subject_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int STATEMENTS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<io.briarward.wire.proto.MemberStatement> statements_;
+  /**
+   * <code>repeated .briarward.MemberStatement statements = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.briarward.wire.proto.MemberStatement> getStatementsList() {
+    return statements_;
+  }
+  /**
+   * <code>repeated .briarward.MemberStatement statements = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.briarward.wire.proto.MemberStatementOrBuilder> 
+      getStatementsOrBuilderList() {
+    return statements_;
+  }
+  /**
+   * <code>repeated .briarward.MemberStatement statements = 4;</code>
+   */
+  @java.lang.Override
+  public int getStatementsCount() {
+    return statements_.size();
+  }
+  /**
+   * <code>repeated .briarward.MemberStatement statements = 4;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.MemberStatement getStatements(int index) {
+    return statements_.get(index);
+  }
+  /**
+   * <code>repeated .briarward.MemberStatement statements = 4;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.MemberStatementOrBuilder getStatementsOrBuilder(
+      int index) {
+    return statements_.get(index);
+  }
+
+  public static final int DIGEST_FIELD_NUMBER = 5;
+  private io.briarward.wire.proto.ConfigurationDigest digest_;
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 5;</code>
+   * @return Whether the digest field is set.
+   */
+  @java.lang.Override
+  public boolean hasDigest() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 5;</code>
+   * @return The digest.
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.ConfigurationDigest getDigest() {
+    return digest_ == null ? io.briarward.wire.proto.ConfigurationDigest.getDefaultInstance() : digest_;
+  }
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 5;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.ConfigurationDigestOrBuilder getDigestOrBuilder() {
+    return digest_ == null ? io.briarward.wire.proto.ConfigurationDigest.getDefaultInstance() : digest_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -66,14 +357,58 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    if (kind_ != io.briarward.wire.proto.MembershipMessage.Kind.KIND_UNSPECIFIED.getNumber()) {
+      output.writeEnum(1, kind_);
+    }
+    if (sequence_ != 0L) {
+      output.writeUInt64(2, sequence_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(subject_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, subject_);
+    }
+    for (int i = 0; i < statements_.size(); i++) {
+      output.writeMessage(4, statements_.get(i));
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(5, getDigest());
+    }
     getUnknownFields().writeTo(output);
   }
+  private int computeSerializedSize_0() {
+    int size = 0;
+    if (kind_ != io.briarward.wire.proto.MembershipMessage.Kind.KIND_UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(1, kind_);
+    }
+    if (sequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(2, sequence_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(subject_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, subject_);
+    }
+
+        {
+          final int count = statements_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(statements_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, getDigest());
+    }
+    return size;
+  }
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
     if (size != -1) return size;
 
     size = 0;
+    size += computeSerializedSize_0();
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -89,6 +424,18 @@
     }
     io.briarward.wire.proto.MembershipMessage other = (io.briarward.wire.proto.MembershipMessage) obj;
 
+    if (kind_ != other.kind_) return false;
+    if (getSequence()
+        != other.getSequence()) return false;
+    if (!getSubject()
+        .equals(other.getSubject())) return false;
+    if (!getStatementsList()
+        .equals(other.getStatementsList())) return false;
+    if (hasDigest() != other.hasDigest()) return false;
+    if (hasDigest()) {
+      if (!getDigest()
+          .equals(other.getDigest())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -100,6 +447,21 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + KIND_FIELD_NUMBER;
+    hash = (53 * hash) + kind_;
+    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSequence());
+    hash = (37 * hash) + SUBJECT_FIELD_NUMBER;
+    hash = (53 * hash) + getSubject().hashCode();
+    if (getStatementsCount() > 0) {
+      hash = (37 * hash) + STATEMENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getStatementsList().hashCode();
+    }
+    if (hasDigest()) {
+      hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+      hash = (53 * hash) + getDigest().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -223,17 +585,40 @@
 
     // Construct using io.briarward.wire.proto.MembershipMessage.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetStatementsFieldBuilder();
+        internalGetDigestFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
       super.clear();
+      bitField0_ = 0;
+      kind_ = 0;
+      sequence_ = 0L;
+      subject_ = "";
+      if (statementsBuilder_ == null) {
+        statements_ = java.util.Collections.emptyList();
+      } else {
+        statements_ = null;
+        statementsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
+      digest_ = null;
+      if (digestBuilder_ != null) {
+        digestBuilder_.dispose();
+        digestBuilder_ = null;
+      }
       return this;
     }
 
@@ -260,10 +645,45 @@
     @java.lang.Override
     public io.briarward.wire.proto.MembershipMessage buildPartial() {
       io.briarward.wire.proto.MembershipMessage result = new io.briarward.wire.proto.MembershipMessage(this);
+      buildPartialRepeatedFields(result);
+      if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(io.briarward.wire.proto.MembershipMessage result) {
+      if (statementsBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          statements_ = java.util.Collections.unmodifiableList(statements_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.statements_ = statements_;
+      } else {
+        result.statements_ = statementsBuilder_.build();
+      }
+    }
+
+    private void buildPartial0(io.briarward.wire.proto.MembershipMessage result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.kind_ = kind_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.sequence_ = sequence_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.subject_ = subject_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.digest_ = digestBuilder_ == null
+            ? digest_
+            : digestBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
+    }
+
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof io.briarward.wire.proto.MembershipMessage) {
@@ -276,6 +696,46 @@
 
     public Builder mergeFrom(io.briarward.wire.proto.MembershipMessage other) {
       if (other == io.briarward.wire.proto.MembershipMessage.getDefaultInstance()) return this;
+      if (other.kind_ != 0) {
+        setKindValue(other.getKindValue());
+      }
+      if (other.getSequence() != 0L) {
+        setSequence(other.getSequence());
+      }
+      if (!other.getSubject().isEmpty()) {
+        subject_ = other.subject_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      if (statementsBuilder_ == null) {
+        if (!other.statements_.isEmpty()) {
+          if (statements_.isEmpty()) {
+            statements_ = other.statements_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureStatementsIsMutable();
+            statements_.addAll(other.statements_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.statements_.isEmpty()) {
+          if (statementsBuilder_.isEmpty()) {
+            statementsBuilder_.dispose();
+            statementsBuilder_ = null;
+            statements_ = other.statements_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            statementsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStatementsFieldBuilder() : null;
+          } else {
+            statementsBuilder_.addAllMessages(other.statements_);
+          }
+        }
+      }
+      if (other.hasDigest()) {
+        mergeDigest(other.getDigest());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -300,6 +760,41 @@
             case 0:
               done = true;
               break;
+            case 8: {
+              kind_ = input.readEnum();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 8
+            case 16: {
+              sequence_ = input.readUInt64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
+            case 26: {
+              subject_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
+            case 34: {
+              io.briarward.wire.proto.MemberStatement m =
+                  input.readMessage(
+                      io.briarward.wire.proto.MemberStatement.parser(),
+                      extensionRegistry);
+              if (statementsBuilder_ == null) {
+                ensureStatementsIsMutable();
+                statements_.add(m);
+              } else {
+                statementsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
+            case 42: {
+              input.readMessage(
+                  internalGetDigestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -315,6 +810,536 @@
       } // finally
       return this;
     }
+    private int bitField0_;
+
+    private int kind_ = 0;
+    /**
+     * <code>.briarward.MembershipMessage.Kind kind = 1;</code>
+     * @return The enum numeric value on the wire for kind.
+     */
+    @java.lang.Override public int getKindValue() {
+      return kind_;
+    }
+    /**
+     * <code>.briarward.MembershipMessage.Kind kind = 1;</code>
+     * @param value The enum numeric value on the wire for kind to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKindValue(int value) {
+      kind_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.MembershipMessage.Kind kind = 1;</code>
+     * @return The kind.
+     */
+    @java.lang.Override
+    public io.briarward.wire.proto.MembershipMessage.Kind getKind() {
+      io.briarward.wire.proto.MembershipMessage.Kind result = io.briarward.wire.proto.MembershipMessage.Kind.forNumber(kind_);
+      return result == null ? io.briarward.wire.proto.MembershipMessage.Kind.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.briarward.MembershipMessage.Kind kind = 1;</code>
+     * @param value The kind to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setKind(io.briarward.wire.proto.MembershipMessage.Kind value) {
+      java.util.Objects.requireNonNull(value);
+      bitField0_ |= 0x00000001;
+      kind_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.MembershipMessage.Kind kind = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKind() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      kind_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long sequence_ ;
+    /**
+     * <code>uint64 sequence = 2;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+    /**
+     * <code>uint64 sequence = 2;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
+
+      sequence_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 sequence = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      sequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object subject_ = "";
+    /**
+     * <pre>
+     * The VM that an indirect probe is about.
+     * </pre>
+     *
+     * <code>string subject = 3;</code>
+     * @return The subject.
+     */
+    public java.lang.String getSubject() {
+      java.lang.Object ref = subject_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        subject_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The VM that an indirect probe is about.
+     * </pre>
+     *
+     * <code>string subject = 3;</code>
+     * @return The bytes for subject.
+     */
+    public com.google.protobuf.ByteString
+        getSubjectBytes() {
+      java.lang.Object ref = subject_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        subject_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The VM that an indirect probe is about.
+     * </pre>
+     *
+     * <code>string subject = 3;</code>
+     * @param value The subject to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSubject(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      subject_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The VM that an indirect probe is about.
+     * </pre>
+     *
+     * <code>string subject = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSubject() {
+      subject_ = getDefaultInstance().getSubject();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The VM that an indirect probe is about.
+     * </pre>
+     *
+     * <code>string subject = 3;</code>
+     * @param value The bytes for subject to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSubjectBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      subject_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<io.briarward.wire.proto.MemberStatement> statements_ =
+      java.util.Collections.emptyList();
+    private void ensureStatementsIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        statements_ = new java.util.ArrayList<io.briarward.wire.proto.MemberStatement>(statements_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.briarward.wire.proto.MemberStatement, io.briarward.wire.proto.MemberStatement.Builder, io.briarward.wire.proto.MemberStatementOrBuilder> statementsBuilder_;
+
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public java.util.List<io.briarward.wire.proto.MemberStatement> getStatementsList() {
+      if (statementsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(statements_);
+      } else {
+        return statementsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public int getStatementsCount() {
+      if (statementsBuilder_ == null) {
+        return statements_.size();
+      } else {
+        return statementsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public io.briarward.wire.proto.MemberStatement getStatements(int index) {
+      if (statementsBuilder_ == null) {
+        return statements_.get(index);
+      } else {
+        return statementsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public Builder setStatements(
+        int index, io.briarward.wire.proto.MemberStatement value) {
+      if (statementsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStatementsIsMutable();
+        statements_.set(index, value);
+        onChanged();
+      } else {
+        statementsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public Builder setStatements(
+        int index, io.briarward.wire.proto.MemberStatement.Builder builderForValue) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        statementsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public Builder addStatements(io.briarward.wire.proto.MemberStatement value) {
+      if (statementsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStatementsIsMutable();
+        statements_.add(value);
+        onChanged();
+      } else {
+        statementsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public Builder addStatements(
+        int index, io.briarward.wire.proto.MemberStatement value) {
+      if (statementsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStatementsIsMutable();
+        statements_.add(index, value);
+        onChanged();
+      } else {
+        statementsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public Builder addStatements(
+        io.briarward.wire.proto.MemberStatement.Builder builderForValue) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.add(builderForValue.build());
+        onChanged();
+      } else {
+        statementsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public Builder addStatements(
+        int index, io.briarward.wire.proto.MemberStatement.Builder builderForValue) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        statementsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public Builder addAllStatements(
+        java.lang.Iterable<? extends io.briarward.wire.proto.MemberStatement> values) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, statements_);
+        onChanged();
+      } else {
+        statementsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public Builder clearStatements() {
+      if (statementsBuilder_ == null) {
+        statements_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        statementsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public Builder removeStatements(int index) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.remove(index);
+        onChanged();
+      } else {
+        statementsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public io.briarward.wire.proto.MemberStatement.Builder getStatementsBuilder(
+        int index) {
+      return internalGetStatementsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public io.briarward.wire.proto.MemberStatementOrBuilder getStatementsOrBuilder(
+        int index) {
+      if (statementsBuilder_ == null) {
+        return statements_.get(index);  } else {
+        return statementsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public java.util.List<? extends io.briarward.wire.proto.MemberStatementOrBuilder> 
+         getStatementsOrBuilderList() {
+      if (statementsBuilder_ != null) {
+        return statementsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(statements_);
+      }
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public io.briarward.wire.proto.MemberStatement.Builder addStatementsBuilder() {
+      return internalGetStatementsFieldBuilder().addBuilder(
+          io.briarward.wire.proto.MemberStatement.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public io.briarward.wire.proto.MemberStatement.Builder addStatementsBuilder(
+        int index) {
+      return internalGetStatementsFieldBuilder().addBuilder(
+          index, io.briarward.wire.proto.MemberStatement.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .briarward.MemberStatement statements = 4;</code>
+     */
+    public java.util.List<io.briarward.wire.proto.MemberStatement.Builder> 
+         getStatementsBuilderList() {
+      return internalGetStatementsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.briarward.wire.proto.MemberStatement, io.briarward.wire.proto.MemberStatement.Builder, io.briarward.wire.proto.MemberStatementOrBuilder> 
+        internalGetStatementsFieldBuilder() {
+      if (statementsBuilder_ == null) {
+        statementsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.briarward.wire.proto.MemberStatement, io.briarward.wire.proto.MemberStatement.Builder, io.briarward.wire.proto.MemberStatementOrBuilder>(
+                statements_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        statements_ = null;
+      }
+      return statementsBuilder_;
+    }
+
+    private io.briarward.wire.proto.ConfigurationDigest digest_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.briarward.wire.proto.ConfigurationDigest, io.briarward.wire.proto.ConfigurationDigest.Builder, io.briarward.wire.proto.ConfigurationDigestOrBuilder> digestBuilder_;
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 5;</code>
+     * @return Whether the digest field is set.
+     */
+    public boolean hasDigest() {
+      return ((bitField0_ & 0x00000010) != 0);
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 5;</code>
+     * @return The digest.
+     */
+    public io.briarward.wire.proto.ConfigurationDigest getDigest() {
+      if (digestBuilder_ == null) {
+        return digest_ == null ? io.briarward.wire.proto.ConfigurationDigest.getDefaultInstance() : digest_;
+      } else {
+        return digestBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 5;</code>
+     */
+    public Builder setDigest(io.briarward.wire.proto.ConfigurationDigest value) {
+      if (digestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        digest_ = value;
+      } else {
+        digestBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 5;</code>
+     */
+    public Builder setDigest(
+        io.briarward.wire.proto.ConfigurationDigest.Builder builderForValue) {
+      if (digestBuilder_ == null) {
+        digest_ = builderForValue.build();
+      } else {
+        digestBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 5;</code>
+     */
+    public Builder mergeDigest(io.briarward.wire.proto.ConfigurationDigest value) {
+      if (digestBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0) &&
+          digest_ != null &&
+          digest_ != io.briarward.wire.proto.ConfigurationDigest.getDefaultInstance()) {
+          getDigestBuilder().mergeFrom(value);
+        } else {
+          digest_ = value;
+        }
+      } else {
+        digestBuilder_.mergeFrom(value);
+      }
+      if (digest_ != null) {
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 5;</code>
+     */
+    public Builder clearDigest() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      digest_ = null;
+      if (digestBuilder_ != null) {
+        digestBuilder_.dispose();
+        digestBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 5;</code>
+     */
+    public io.briarward.wire.proto.ConfigurationDigest.Builder getDigestBuilder() {
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return internalGetDigestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 5;</code>
+     */
+    public io.briarward.wire.proto.ConfigurationDigestOrBuilder getDigestOrBuilder() {
+      if (digestBuilder_ != null) {
+        return digestBuilder_.getMessageOrBuilder();
+      } else {
+        return digest_ == null ?
+            io.briarward.wire.proto.ConfigurationDigest.getDefaultInstance() : digest_;
+      }
+    }
+    /**
+     * <code>.briarward.ConfigurationDigest digest = 5;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.briarward.wire.proto.ConfigurationDigest, io.briarward.wire.proto.ConfigurationDigest.Builder, io.briarward.wire.proto.ConfigurationDigestOrBuilder> 
+        internalGetDigestFieldBuilder() {
+      if (digestBuilder_ == null) {
+        digestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.briarward.wire.proto.ConfigurationDigest, io.briarward.wire.proto.ConfigurationDigest.Builder, io.briarward.wire.proto.ConfigurationDigestOrBuilder>(
+                getDigest(),
+                getParentForChildren(),
+                isClean());
+        digest_ = null;
+      }
+      return digestBuilder_;
+    }
 
     // @@protoc_insertion_point(builder_scope:briarward.MembershipMessage)
   }
--- a/wire/src/main/java/io/briarward/wire/proto/MembershipMessageOrBuilder.java
+++ b/wire/src/main/java/io/briarward/wire/proto/MembershipMessageOrBuilder.java
@@ -9,4 +9,80 @@
 public interface MembershipMessageOrBuilder extends
     // @@protoc_insertion_point(interface_extends:briarward.MembershipMessage)
     com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>.briarward.MembershipMessage.Kind kind = 1;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  int getKindValue();
+  /**
+   * <code>.briarward.MembershipMessage.Kind kind = 1;</code>
+   * @return The kind.
+   */
+  io.briarward.wire.proto.MembershipMessage.Kind getKind();
+
+  /**
+   * <code>uint64 sequence = 2;</code>
+   * @return The sequence.
+   */
+  long getSequence();
+
+  /**
+   * <pre>
+   * The VM that an indirect probe is about.
+   * </pre>
+   *
+   * <code>string subject = 3;</code>
+   * @return The subject.
+   */
+  java.lang.String getSubject();
+  /**
+   * <pre>
+   * The VM that an indirect probe is about.
+   * </pre>
+   *
+   * <code>string subject = 3;</code>
+   * @return The bytes for subject.
+   */
+  com.google.protobuf.ByteString
+      getSubjectBytes();
+
+  /**
+   * <code>repeated .briarward.MemberStatement statements = 4;</code>
+   */
+  java.util.List<io.briarward.wire.proto.MemberStatement> 
+      getStatementsList();
+  /**
+   * <code>repeated .briarward.MemberStatement statements = 4;</code>
+   */
+  io.briarward.wire.proto.MemberStatement getStatements(int index);
+  /**
+   * <code>repeated .briarward.MemberStatement statements = 4;</code>
+   */
+  int getStatementsCount();
+  /**
+   * <code>repeated .briarward.MemberStatement statements = 4;</code>
+   */
+  java.util.List<? extends io.briarward.wire.proto.MemberStatementOrBuilder> 
+      getStatementsOrBuilderList();
+  /**
+   * <code>repeated .briarward.MemberStatement statements = 4;</code>
+   */
+  io.briarward.wire.proto.MemberStatementOrBuilder getStatementsOrBuilder(
+      int index);
+
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 5;</code>
+   * @return Whether the digest field is set.
+   */
+  boolean hasDigest();
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 5;</code>
+   * @return The digest.
+   */
+  io.briarward.wire.proto.ConfigurationDigest getDigest();
+  /**
+   * <code>.briarward.ConfigurationDigest digest = 5;</code>
+   */
+  io.briarward.wire.proto.ConfigurationDigestOrBuilder getDigestOrBuilder();
 }
