--- a/node/src/main/java/io/briarward/node/configuration/ConfigurationMessageCodec.java
+++ b/node/src/main/java/io/briarward/node/configuration/ConfigurationMessageCodec.java
@@ -20,10 +20,10 @@
         io.briarward.wire.proto.ConfigurationMessage.newBuilder()
             .setKind(
                 io.briarward.wire.proto.ConfigurationMessage.Kind.valueOf(message.kind().name()))
-            .setDigest(MembershipCodec.encode(message.digest()))
+            .setDigest(MembershipCodec.encodeDigest(message.digest()))
             .setAfterVersionPlusOne(message.afterVersion() + 1);
     message.deltas().forEach(delta -> builder.addDeltas(DeltaCodec.print(delta)));
-    message.whole().ifPresent(whole -> builder.setWhole(encode(whole)));
+    message.whole().ifPresent(whole -> builder.setWhole(encodeWhole(whole)));
     return builder.build();
   }
 
@@ -35,15 +35,15 @@
   public static ConfigurationMessage decode(io.briarward.wire.proto.ConfigurationMessage message) {
     return new ConfigurationMessage(
         ConfigurationMessage.Kind.valueOf(message.getKind().name()),
-        MembershipCodec.decode(message.getDigest()),
+        MembershipCodec.decodeDigest(message.getDigest()),
         message.getAfterVersionPlusOne() - 1,
         message.getDeltasList().stream()
             .map(DeltaCodec::parse)
             .collect(ImmutableList.toImmutableList()),
-        message.hasWhole() ? Optional.of(decode(message.getWhole())) : Optional.empty());
+        message.hasWhole() ? Optional.of(decodeWhole(message.getWhole())) : Optional.empty());
   }
 
-  private static WholeConfiguration encode(ConfigurationMessage.Whole whole) {
+  private static WholeConfiguration encodeWhole(ConfigurationMessage.Whole whole) {
     return WholeConfiguration.newBuilder()
         .setVersion(whole.version())
         .setJson(whole.json())
@@ -51,7 +51,7 @@
         .build();
   }
 
-  private static ConfigurationMessage.Whole decode(WholeConfiguration whole) {
+  private static ConfigurationMessage.Whole decodeWhole(WholeConfiguration whole) {
     return new ConfigurationMessage.Whole(whole.getVersion(), whole.getJson(), whole.getChecksum());
   }
 }
--- a/node/src/main/java/io/briarward/node/configuration/package-info.java
+++ b/node/src/main/java/io/briarward/node/configuration/package-info.java
@@ -1,7 +1,6 @@
 /**
- * Carries versions of the configuration between the nodes and the table service.
+ * The configuration that this node serves from and its way from and to the table service.
  *
- * <p>Start with {@link io.briarward.node.configuration.ConfigurationMessageCodec}, which translates
- * between messages and their protobuf form.
+ * <p>Start with {@link io.briarward.node.configuration.ConfigurationHolder}.
  */
 package io.briarward.node.configuration;
--- a/node/src/main/java/io/briarward/node/membership/MembershipCodec.java
+++ b/node/src/main/java/io/briarward/node/membership/MembershipCodec.java
@@ -23,8 +23,8 @@
             .setKind(io.briarward.wire.proto.MembershipMessage.Kind.valueOf(message.kind().name()))
             .setSequence(message.sequence())
             .setSubject(message.subject())
-            .setDigest(encode(message.digest()));
-    message.updates().forEach(update -> builder.addStatements(encode(update)));
+            .setDigest(encodeDigest(message.digest()));
+    message.updates().forEach(update -> builder.addStatements(encodeUpdate(update)));
     return builder.build();
   }
 
@@ -39,13 +39,13 @@
         message.getSequence(),
         message.getSubject(),
         message.getStatementsList().stream()
-            .map(MembershipCodec::decode)
+            .map(MembershipCodec::decodeUpdate)
             .collect(ImmutableList.toImmutableList()),
-        decode(message.getDigest()));
+        decodeDigest(message.getDigest()));
   }
 
   /** Encodes a digest. */
-  public static ConfigurationDigest encode(Digest digest) {
+  public static ConfigurationDigest encodeDigest(Digest digest) {
     ConfigurationDigest.Builder builder =
         ConfigurationDigest.newBuilder()
             .setVersionPlusOne(digest.version() + 1)
@@ -55,7 +55,7 @@
   }
 
   /** Decodes a digest. */
-  public static Digest decode(ConfigurationDigest digest) {
+  public static Digest decodeDigest(ConfigurationDigest digest) {
     Optional<Long> ageMillis =
         digest.hasEvidenceAgeMillis()
             ? Optional.of(digest.getEvidenceAgeMillis())
@@ -63,7 +63,7 @@
     return new Digest(digest.getVersionPlusOne() - 1, ageMillis, digest.getSettled());
   }
 
-  private static MemberStatement encode(MemberUpdate update) {
+  private static MemberStatement encodeUpdate(MemberUpdate update) {
     return MemberStatement.newBuilder()
         .setVmId(update.vmId())
         .setState(MemberStatement.State.valueOf(update.state().name()))
@@ -71,7 +71,7 @@
         .build();
   }
 
-  private static MemberUpdate decode(MemberStatement statement) {
+  private static MemberUpdate decodeUpdate(MemberStatement statement) {
     return new MemberUpdate(
         statement.getVmId(),
         MemberState.valueOf(statement.getState().name()),
