--- /dev/null
+++ b/operator/src/main/java/io/briarward/operator/PartnerBuilder.java
@@ -0,0 +1,25 @@
+package io.briarward.operator;
+
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import io.briarward.core.configuration.Partner;
+
+/** Collects the fields of a partner. Not thread-safe. */
+public final class PartnerBuilder {
+  private final String id;
+  private double reclaimableShare;
+
+  PartnerBuilder(String id) {
+    this.id = id;
+  }
+
+  /** Sets the largest share of the work that may run on reclaimable upstreams; 0 by default. */
+  @CanIgnoreReturnValue
+  public PartnerBuilder reclaimableShare(double share) {
+    this.reclaimableShare = share;
+    return this;
+  }
+
+  Partner build() {
+    return new Partner(id, reclaimableShare);
+  }
+}
--- /dev/null
+++ b/operator/src/main/java/io/briarward/operator/RolloutPolicyBuilder.java
@@ -0,0 +1,51 @@
+package io.briarward.operator;
+
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import io.briarward.core.configuration.RolloutPolicy;
+
+/** Collects the fields of a rollout policy. Not thread-safe. */
+public final class RolloutPolicyBuilder {
+  private static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
+
+  private final String id;
+  private String service = "";
+  private int maxStalenessVersions = 1;
+  private long timeoutMillis = DEFAULT_TIMEOUT_MILLIS;
+  private double extraAttemptShare;
+
+  RolloutPolicyBuilder(String id) {
+    this.id = id;
+  }
+
+  /** Sets the model service. */
+  @CanIgnoreReturnValue
+  public RolloutPolicyBuilder service(String serviceId) {
+    this.service = serviceId;
+    return this;
+  }
+
+  /** Sets how many weight versions a delivered sample may lag behind; 1 by default. */
+  @CanIgnoreReturnValue
+  public RolloutPolicyBuilder maxStalenessVersions(int versions) {
+    this.maxStalenessVersions = versions;
+    return this;
+  }
+
+  /** Sets the due time of a rollout that states none; 60,000 ms by default. */
+  @CanIgnoreReturnValue
+  public RolloutPolicyBuilder timeoutMillis(long timeout) {
+    this.timeoutMillis = timeout;
+    return this;
+  }
+
+  /** Sets the largest share of samples that may be started a second time; 0 by default. */
+  @CanIgnoreReturnValue
+  public RolloutPolicyBuilder extraAttemptShare(double share) {
+    this.extraAttemptShare = share;
+    return this;
+  }
+
+  RolloutPolicy build() {
+    return new RolloutPolicy(id, service, maxStalenessVersions, timeoutMillis, extraAttemptShare);
+  }
+}
