--- a/standins/src/main/java/io/briarward/standins/engine/CompletionWriter.java
+++ b/standins/src/main/java/io/briarward/standins/engine/CompletionWriter.java
@@ -24,6 +24,10 @@
 
   /** Sends what was generated, and the end of the answer when the completion is whole. */
   void write(Emission emission) {
+    if (generation.finished() && call.answerLost()) {
+      call.breakOff();
+      return;
+    }
     if (stream.isPresent()) {
       writeChunk(stream.get(), emission);
       return;
--- a/standins/src/main/java/io/briarward/standins/engine/ContinuousBatch.java
+++ b/standins/src/main/java/io/briarward/standins/engine/ContinuousBatch.java
@@ -1,12 +1,11 @@
 package io.briarward.standins.engine;
 
+import com.google.common.collect.EvictingQueue;
 import com.google.common.collect.ImmutableList;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Queue;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -21,12 +20,14 @@
   private static final Comparator<Generation> BY_PRIORITY =
       Comparator.comparingInt(generation -> generation.request().priority());
 
+  private static final int MAX_IMPORTED = 256;
+
   private final EngineSettings settings;
   private final PrefixCache cache;
   private final Consumer<PrefixCache.Use> onCacheUse;
   private final List<Generation> waiting = new ArrayList<>();
   private final List<Generation> running = new ArrayList<>();
-  private final Queue<String> importedKv = new ArrayDeque<>();
+  private final EvictingQueue<String> importedKv = EvictingQueue.create(MAX_IMPORTED);
 
   ContinuousBatch(EngineSettings settings, Consumer<PrefixCache.Use> onCacheUse) {
     this.settings = settings;
@@ -90,7 +91,7 @@
     return settings.stepBaseMicros() + settings.stepPerSequenceMicros() * running.size();
   }
 
-  /** Returns the running completion with the request id. */
+  /** Returns the running completions. */
   ImmutableList<Generation> running() {
     return ImmutableList.copyOf(running);
   }
--- a/standins/src/main/java/io/briarward/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/io/briarward/standins/engine/EngineStandIn.java
@@ -10,6 +10,7 @@
 import io.briarward.standins.http.FencingCheck;
 import io.briarward.standins.http.History;
 import io.briarward.standins.http.Json;
+import io.briarward.standins.http.RunCounter;
 import io.briarward.standins.http.StandIn;
 import io.briarward.standins.http.Timer;
 import io.vertx.core.Vertx;
@@ -36,7 +37,7 @@
   private final RequestLog log = new RequestLog();
   private final History<LoadReport> loadReports;
   private final Map<Generation, CompletionWriter> writers = new HashMap<>();
-  private final Map<String, Integer> startsByRequest = new HashMap<>();
+  private final RunCounter runs = RunCounter.create();
   private final List<String> adapters = new ArrayList<>();
   private String role = "";
   private String model = "";
@@ -93,11 +94,10 @@
 
   @Override
   public ObjectNode state() {
-    long repeated = startsByRequest.values().stream().filter(count -> count > 1).count();
     ObjectNode state = Json.object();
     state.put("service", settings.service()).put("instance", settings.instance());
     state.put("started", started).put("completed", completed).put("cancelled", cancelled);
-    state.put("generatedTokens", generatedTokens).put("requestsRunTwice", repeated);
+    state.put("generatedTokens", generatedTokens).put("requestsRunTwice", runs.requestsRunTwice());
     state.put("running", batch.running().size()).put("queued", batch.waitingCount());
     state.put("weightVersion", weights.weightVersion());
     state.put("loadingVersion", weights.loadingVersion());
@@ -138,7 +138,7 @@
     String id = call.header(REQUEST_ID).orElseGet(this::nextRequestId);
     Generation generation = new Generation(CompletionRequest.parse(id, call.json()));
     started++;
-    startsByRequest.merge(id, 1, Integer::sum);
+    runs.record(id);
     writers.put(generation, new CompletionWriter(call, generation));
     call.onClose(() -> cancel(each -> each == generation));
     batch.add(generation);
--- a/standins/src/main/java/io/briarward/standins/engine/OrderRequest.java
+++ b/standins/src/main/java/io/briarward/standins/engine/OrderRequest.java
@@ -17,9 +17,13 @@
     Kind kind, long version, String name, long fencingNumber, Optional<Address> source) {
   /** What an engine can be ordered to do. */
   enum Kind {
+    /** Loads a weight version. */
     LOAD_WEIGHTS,
+    /** Loads an adapter beside the model. */
     LOAD_ADAPTER,
+    /** Loads another model. */
     LOAD_MODEL,
+    /** Changes between prefill and decode. */
     SET_ROLE
   }
 
--- a/standins/src/main/java/io/briarward/standins/http/Call.java
+++ b/standins/src/main/java/io/briarward/standins/http/Call.java
@@ -69,6 +69,11 @@
     return Json.parse(body.toString());
   }
 
+  /** Returns whether the answer is to be lost after the operation took effect. */
+  public boolean answerLost() {
+    return answerLost;
+  }
+
   /** Sends the answer, unless the fault that loses answers hits this call. */
   public void answer(Answer answer) {
     if (answerLost) {
--- a/standins/src/main/java/io/briarward/standins/plain/PlainStandIn.java
+++ b/standins/src/main/java/io/briarward/standins/plain/PlainStandIn.java
@@ -7,12 +7,11 @@
 import io.briarward.standins.http.Faults;
 import io.briarward.standins.http.Json;
 import io.briarward.standins.http.Options;
+import io.briarward.standins.http.RunCounter;
 import io.briarward.standins.http.StandIn;
 import io.briarward.standins.http.Timer;
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayDeque;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Queue;
 
 /** Answers any request after some work, a limited number at once, and counts executions. */
@@ -26,7 +25,7 @@
   private final Faults faults;
   private final Settings settings;
   private final Queue<Call> waiting = new ArrayDeque<>();
-  private final Map<String, Integer> executionsByRequest = new HashMap<>();
+  private final RunCounter runs = RunCounter.create();
   private int running;
   private long executions;
 
@@ -80,13 +79,12 @@
 
   @Override
   public ObjectNode state() {
-    long repeated = executionsByRequest.values().stream().filter(count -> count > 1).count();
     return Json.object()
         .put("service", settings.service())
         .put("instance", settings.instance())
         .put("executions", executions)
         .put("running", running)
-        .put("requestsRunTwice", repeated);
+        .put("requestsRunTwice", runs.requestsRunTwice());
   }
 
   private ObjectNode load() {
@@ -102,9 +100,7 @@
     running++;
     executions++;
     long execution = executions;
-    call.header(IDEMPOTENCY_KEY)
-        .or(() -> call.header(REQUEST_ID))
-        .ifPresent(id -> executionsByRequest.merge(id, 1, Integer::sum));
+    call.header(IDEMPOTENCY_KEY).or(() -> call.header(REQUEST_ID)).ifPresent(runs::record);
     double factor = faults.valueOr(Fault.SLOWDOWN, 1);
     long workMillis = (long) (settings.workMillis() * factor);
     timer.scheduleMillis(workMillis, () -> finish(call, execution));
--- /dev/null
+++ b/standins/src/test/java/io/briarward/standins/engine/PrefixCacheTest.java
@@ -0,0 +1,36 @@
+package io.briarward.standins.engine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class PrefixCacheTest {
+  private static final int LIMIT_TOKENS = 4;
+
+  private final PrefixCache cache = new PrefixCache(LIMIT_TOKENS);
+
+  @Test
+  void secondUseOfPromptIsCached() {
+    cache.use("abcdefgh");
+
+    assertThat(cache.use("abcdefgh").cachedTokens()).isEqualTo(2);
+  }
+
+  @Test
+  void promptUsedLongestAgoIsEvicted() {
+    cache.use("first__.");
+    cache.use("second_.");
+    cache.use("first__.");
+
+    PrefixCache.Use third = cache.use("third__.");
+
+    assertThat(third.evicted()).containsExactly(PrefixCache.prefixHash("second_."));
+  }
+
+  @Test
+  void promptsThatShareTheirFirstCharactersShareTheirHash() {
+    String prefix = "p".repeat(256);
+
+    assertThat(PrefixCache.prefixHash(prefix + "a")).isEqualTo(PrefixCache.prefixHash(prefix));
+  }
+}
