Add the demonstration's driver: one training step, live requests and their checks

It compares what callers got with what the engines and plain services ran and with the bill. The nodes do not serve rollouts yet, so it was not run whole.

--- /dev/null
+++ b/cli/src/main/java/io/briarward/cli/DemoCommand.java
@@ -0,0 +1,24 @@
+package io.briarward.cli;
+
+import io.briarward.experiments.demo.Demo;
+import io.briarward.experiments.demo.DemoSettings;
+
+/** Drives the processes that {@code bin/demo} started. */
+final class DemoCommand implements Command {
+  private final DemoSettings settings = new DemoSettings();
+
+  @Override
+  public String summary() {
+    return "runs a training step and live requests against started processes and checks them";
+  }
+
+  @Override
+  public Object options() {
+    return settings;
+  }
+
+  @Override
+  public int run() throws Exception {
+    return Demo.run(settings, System.out) ? ExitCodes.OK : ExitCodes.FAILED;
+  }
+}
--- a/cli/src/main/java/io/briarward/cli/Main.java
+++ b/cli/src/main/java/io/briarward/cli/Main.java
@@ -12,6 +12,7 @@
       ImmutableSortedMap.<String, Supplier<Command>>naturalOrder()
           .put("apply", ApplyCommand::new)
           .put("check", CheckCommand::new)
+          .put("demo", DemoCommand::new)
           .put("errors", ErrorsCommand::new)
           .put("experiment", ExperimentCommand::new)
           .put("get", GetCommand::new)
--- /dev/null
+++ b/experiments/src/main/java/io/briarward/experiments/demo/UsageCheck.java
@@ -0,0 +1,87 @@
+package io.briarward.experiments.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableSortedMap;
+import io.briarward.experiments.demo.HttpCalls.Request;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/** Compares what was billed with what was delivered. */
+final class UsageCheck {
+  private static final long POLL_MILLIS = 250;
+  private static final String ROLLOUT = "rollout";
+
+  private final HttpCalls http;
+  private final DemoSettings settings;
+
+  /**
+   * Amounts of one organisation.
+   *
+   * @param liveRequests the live requests answered in their due time
+   * @param liveTokens the tokens generated for them
+   * @param rolloutTokens the tokens of delivered samples
+   */
+  record Amounts(long liveRequests, long liveTokens, long rolloutTokens) {
+    static final Amounts ZERO = new Amounts(0, 0, 0);
+
+    Amounts plus(Amounts other) {
+      return new Amounts(
+          liveRequests + other.liveRequests,
+          liveTokens + other.liveTokens,
+          rolloutTokens + other.rolloutTokens);
+    }
+  }
+
+  UsageCheck(HttpCalls http, DemoSettings settings) {
+    this.http = http;
+    this.settings = settings;
+  }
+
+  /** Returns what is to be billed to each organisation. */
+  static ImmutableSortedMap<String, Amounts> delivered(
+      List<LiveCallers.Outcome> live, String trainer, long rolloutTokens) {
+    Map<String, Amounts> byOrganisation = new TreeMap<>();
+    byOrganisation.put(trainer, new Amounts(0, 0, rolloutTokens));
+    for (LiveCallers.Outcome outcome : live) {
+      if (outcome.verdict() == LiveCallers.Verdict.CORRECT) {
+        Amounts one = new Amounts(1, outcome.tokens(), 0);
+        byOrganisation.merge(outcome.organisation(), one, Amounts::plus);
+      }
+    }
+    return ImmutableSortedMap.copyOf(byOrganisation);
+  }
+
+  /** Returns what was billed, once it equals what was delivered or when waiting was no use. */
+  ImmutableSortedMap<String, Amounts> awaitBilled(ImmutableSortedMap<String, Amounts> delivered)
+      throws InterruptedException {
+    long deadlineNanos =
+        System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.reportTimeoutMillis());
+    ImmutableSortedMap<String, Amounts> billed = billed();
+    while (!billed.equals(delivered) && System.nanoTime() < deadlineNanos) {
+      Thread.sleep(POLL_MILLIS);
+      billed = billed();
+    }
+    return billed;
+  }
+
+  private ImmutableSortedMap<String, Amounts> billed() {
+    Map<String, Amounts> byOrganisation = new TreeMap<>();
+    JsonNode answer = http.json(Request.get(settings.reports(), "/v1/reports"));
+    for (JsonNode report : answer.path("reports")) {
+      String organisation = report.path("organisation").asText();
+      for (JsonNode usage : report.at("/figures/usage")) {
+        byOrganisation.merge(organisation, amounts(usage), Amounts::plus);
+      }
+    }
+    return ImmutableSortedMap.copyOf(byOrganisation);
+  }
+
+  private static Amounts amounts(JsonNode usage) {
+    long tokens = usage.path("completionTokens").asLong();
+    return usage.path("kind").asText().equals(ROLLOUT)
+        ? new Amounts(0, 0, tokens)
+        : new Amounts(usage.path("requests").asLong(), tokens, 0);
+  }
+}
--- a/operator/src/main/java/io/briarward/operator/examples/TubeMill.java
+++ b/operator/src/main/java/io/briarward/operator/examples/TubeMill.java
@@ -19,6 +19,9 @@
   /** The secret of the trainer's key. */
   public static final String TRAINER_SECRET = "tube-mill-trainer-secret";
 
+  /** The organisation that trains. */
+  public static final String TRAINER = "winding-research";
+
   /** The organisations that call live, in the order of the configuration; the first are large. */
   public static final ImmutableList<String> CALLERS =
       ImmutableList.of(
@@ -30,7 +33,6 @@
           "sigatoka-mill",
           "kitamon-guest");
 
-  private static final String TRAINER = "winding-research";
   private static final String HOST = "127.0.0.1";
   private static final int FIRST_SAMPLER_PORT = 21_101;
   private static final int FIRST_DESK_PORT = 21_201;
--- a/standins/src/main/java/io/briarward/standins/StandIns.java
+++ b/standins/src/main/java/io/briarward/standins/StandIns.java
@@ -34,7 +34,7 @@
  * Starts stand-ins by name.
  *
  * <p>Options that every stand-in takes: {@code seed}, the seed of the draws that decide which
- * operations a fault hits, and {@code secrets}, texts separated by commas whose appearance in a
+ * operations a fault hits, and {@code secrets}, texts separated by semicolons whose appearance in a
  * request is counted. Example:
  *
  * <pre>{@code
--- a/standins/src/main/java/io/briarward/standins/http/Options.java
+++ b/standins/src/main/java/io/briarward/standins/http/Options.java
@@ -26,13 +26,13 @@
     return value == null ? fallback : value;
   }
 
-  /** Takes a list of texts separated by commas. */
+  /** Takes a list of texts separated by semicolons. */
   public ImmutableList<String> list(String name) {
     return ImmutableList.copyOf(
-        Splitter.on(',').omitEmptyStrings().trimResults().split(text(name, "")));
+        Splitter.on(';').omitEmptyStrings().trimResults().split(text(name, "")));
   }
 
-  /** Takes a map written as {@code a:1,b:2}. */
+  /** Takes a map written as {@code a:1;b:2}. */
   public ImmutableMap<String, String> map(String name) {
     ImmutableMap.Builder<String, String> entries = ImmutableMap.builder();
     for (String entry : list(name)) {
--- a/standins/src/test/java/io/briarward/standins/VirtualTimeTest.java
+++ b/standins/src/test/java/io/briarward/standins/VirtualTimeTest.java
@@ -143,7 +143,8 @@
   void delayedOperationTakesEffectAfterTheDelay() throws Exception {
     TestClient table = start(StandIns.Name.TABLE, ImmutableMap.of());
     table.fault("delayMillis", 100);
-    final var answer = CompletableFuture.supplyAsync(() -> statusUnchecked(table, "/v1/tables/t/rows"));
+    final var answer =
+        CompletableFuture.supplyAsync(() -> statusUnchecked(table, "/v1/tables/t/rows"));
     awaitNumber(table, "requests", 1);
 
     assertThat(table.get("/control/state").path("reads").asInt()).isEqualTo(0);
