Admit by fair queueing in the order of due times, and divide limits among nodes

First come, first served lets one organisation's flood and expired requests take the capacity. A counter in the store per request exceeds its write rate. Limits are divided by a home node per limit, which grants leased shares by demand.

--- /dev/null
+++ b/core/src/main/java/io/briarward/core/admission/Limit.java
@@ -0,0 +1,17 @@
+package io.briarward.core.admission;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * A limit that holds over all nodes.
+ *
+ * @param id unique among limits, such as an organisation's id
+ * @param total the limit
+ */
+public record Limit(String id, Share total) {
+  /** Checks the fields. */
+  public Limit {
+    checkNotNull(id, "id");
+    checkNotNull(total, "total");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/admission/OutgoingReport.java
@@ -0,0 +1,17 @@
+package io.briarward.core.admission;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * A report to be sent to another node.
+ *
+ * @param home the id of the node that it is for
+ * @param report the report
+ */
+public record OutgoingReport(String home, ShareReport report) {
+  /** Checks the fields. */
+  public OutgoingReport {
+    checkNotNull(home, "home");
+    checkNotNull(report, "report");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/admission/ShareGrant.java
@@ -0,0 +1,18 @@
+package io.briarward.core.admission;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * The answer of a limit's home to a report.
+ *
+ * @param limitId the id of the limit
+ * @param sequence the sequence of the report that it answers
+ * @param share what the node may use besides its floor, in place of what it held
+ */
+public record ShareGrant(String limitId, long sequence, Share share) {
+  /** Checks the fields. */
+  public ShareGrant {
+    checkNotNull(limitId, "limitId");
+    checkNotNull(share, "share");
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/admission/AdmissionControlTest.java
@@ -0,0 +1,125 @@
+package io.briarward.core.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.admission.AdmissionControl.Outcome;
+import io.briarward.core.configuration.Organisation;
+import io.briarward.core.errors.ErrorKind;
+import io.briarward.core.errors.Failure;
+import io.briarward.core.errors.RunState;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class AdmissionControlTest {
+  private static final String SERVICE = "order-desk";
+
+  private final AdmissionControl control = AdmissionControl.create();
+  private long lastId;
+
+  @BeforeEach
+  void addOrganisations() {
+    control.replaceOrganisations(
+        ImmutableList.of(
+            new Organisation("mill", "vatuwaqa", 1, 1_000, 100),
+            new Organisation("port", "kitamon", 1, 1_000, 100),
+            new Organisation("small", "kitamon", 1, 1, 1)),
+        1,
+        0);
+    control.setCapacity(SERVICE, 2);
+  }
+
+  @Test
+  void admitsWhileThereIsRoom() {
+    assertThat(offer("mill", 10_000, 0)).isInstanceOf(AdmissionResult.Admitted.class);
+  }
+
+  @Test
+  void queuesWhenFull() {
+    fill();
+    assertThat(offer("mill", 10_000, 0)).isInstanceOf(AdmissionResult.Queued.class);
+  }
+
+  @Test
+  void admitsWaitingRequestWhenPlaceBecomesFree() {
+    fill();
+    offer("port", 10_000, 0);
+    control.onFinished(1, Outcome.IN_TIME, 100);
+    assertThat(control.poll(100).admitted()).containsExactly(3L);
+  }
+
+  @Test
+  void servesEarliestDueTimeFirst() {
+    fill();
+    offer("mill", 10_000, 0);
+    offer("mill", 5_000, 0);
+    control.onFinished(1, Outcome.IN_TIME, 100);
+    assertThat(control.poll(100).admitted()).containsExactly(4L);
+  }
+
+  @Test
+  void refusesWaitingRequestThatCanNoLongerBeAnswered() {
+    fill();
+    offer("mill", 1_000, 0);
+    assertThat(control.poll(1_001).refused()).hasSize(1);
+  }
+
+  @Test
+  void refusesAtOnceWhenDueTimeCannotBeMet() {
+    fill();
+    control.onFinished(1, Outcome.IN_TIME, 1_000);
+    offer("mill", 20_000, 1_000);
+    assertThat(refusal(offer("mill", 1_500, 1_000)).kind()).isEqualTo(ErrorKind.OVERLOADED);
+  }
+
+  @Test
+  void refusesOverLimitWithTimeToComeBack() {
+    offer("small", 10_000, 0);
+    Failure failure = refusal(offer("small", 500, 0));
+    assertThat(failure.kind()).isEqualTo(ErrorKind.LIMIT_EXCEEDED);
+    assertThat(failure.retryAfterMillis()).hasValue(1_000L);
+  }
+
+  @Test
+  void refusalStatesThatNothingRan() {
+    offer("small", 10_000, 0);
+    assertThat(refusal(offer("small", 500, 0)).runState()).isEqualTo(RunState.NOT_RUN);
+  }
+
+  @Test
+  void cancelledRequestIsNotAdmitted() {
+    fill();
+    offer("mill", 10_000, 0);
+    control.onCancelled(3);
+    control.onFinished(1, Outcome.IN_TIME, 100);
+    assertThat(control.poll(100).admitted()).isEmpty();
+  }
+
+  @Test
+  void fullQueueRefusesLongestBacklog() {
+    fill();
+    offer("port", 100_000, 0);
+    for (int i = 0; i < AdmissionControl.MAX_WAITING; i++) {
+      offer("mill", 100_000, 0);
+    }
+    assertThat(control.outstanding(SERVICE)).isEqualTo(2 + AdmissionControl.MAX_WAITING);
+    control.onFinished(1, Outcome.FAILED, 0);
+    assertThat(control.poll(0).admitted()).containsExactly(3L);
+  }
+
+  private void fill() {
+    offer("mill", 10_000, 0);
+    offer("mill", 10_000, 0);
+  }
+
+  private AdmissionResult offer(String organisation, long dueAtMillis, long nowMillis) {
+    lastId++;
+    return control.offer(
+        new AdmissionRequest(lastId, SERVICE, organisation, Priority.LIVE, 1, dueAtMillis),
+        nowMillis);
+  }
+
+  private static Failure refusal(AdmissionResult result) {
+    return ((AdmissionResult.Refused) result).failure();
+  }
+}
