--- a/core/src/main/java/io/briarward/core/admission/ShareHolding.java
+++ b/core/src/main/java/io/briarward/core/admission/ShareHolding.java
@@ -3,16 +3,23 @@
 /** A node's share of one limit. Not thread-safe. */
 final class ShareHolding {
   /** Reports of the same demand are repeated this often, so that the lease never ends. */
-  static final long REFRESH_MILLIS = 10_000;
+  private static final long REFRESH_MILLIS = 5_000;
 
-  /** A node that needs more reports at most this often. */
-  static final long MIN_INTERVAL_MILLIS = 250;
+  /** A node that holds less or much more than it needs reports this often. */
+  private static final long MISFIT_REFRESH_MILLIS = 1_000;
 
-  /** Demand that changes by less is not reported before the refresh. */
-  private static final double CHANGE_SHARE = 0.2;
+  /** The shortest time between two reports. */
+  private static final long MIN_INTERVAL_MILLIS = 250;
+
+  /** Demand above the share is reported at once when it has grown by this part. */
+  private static final double GROWTH_SHARE = 0.2;
+
+  /** Part of the share is given back when demand has fallen by this part. */
+  private static final double FALL_SHARE = 0.5;
 
   private final Limit limit;
   private Share held = Share.ZERO;
+  private Share reportedHeld = Share.ZERO;
   private Share reportedDemand = Share.ZERO;
   private String reportedHome = "";
   private long sequence;
@@ -43,22 +50,35 @@
 
   boolean reportDue(String home, Share demand, long nowMillis) {
     long sinceMillis = nowMillis - reportedAtMillis;
-    boolean active = !demand.equals(Share.ZERO) || !held(nowMillis).equals(Share.ZERO);
-    if (!active || sinceMillis < MIN_INTERVAL_MILLIS) {
+    if (sinceMillis < MIN_INTERVAL_MILLIS) {
       return false;
     }
-    boolean changed =
-        differs(demand.requestsPerSecond(), reportedDemand.requestsPerSecond())
-            || differs(demand.concurrent(), reportedDemand.concurrent());
-    return changed || sinceMillis >= REFRESH_MILLIS || !home.equals(reportedHome);
+    boolean active = !demand.equals(Share.ZERO) || !held(nowMillis).equals(Share.ZERO);
+    boolean unmet = !covers(held(nowMillis), demand);
+    boolean grown = unmet && !covers(reportedDemand.times(1 + GROWTH_SHARE), demand);
+    boolean fallen = !covers(demand, reportedDemand.times(1 - FALL_SHARE));
+    long refreshMillis = unmet || fallen ? MISFIT_REFRESH_MILLIS : REFRESH_MILLIS;
+    boolean news = grown || sinceMillis >= refreshMillis || !home.equals(reportedHome);
+    return releaseUnconfirmed() || (active && news);
+  }
+
+  /** Returns whether the home must still learn that a smaller share is used from now on. */
+  private boolean releaseUnconfirmed() {
+    return !covers(held, reportedHeld);
+  }
+
+  private static boolean covers(Share share, Share needed) {
+    return share.requestsPerSecond() >= needed.requestsPerSecond()
+        && share.concurrent() >= needed.concurrent();
   }
 
   ShareReport report(String home, Share demand, long sequence, long nowMillis) {
     this.sequence = sequence;
     reportedHome = home;
     reportedDemand = demand;
+    reportedHeld = held(nowMillis);
     reportedAtMillis = nowMillis;
-    return new ShareReport(limit, sequence, demand, held(nowMillis));
+    return new ShareReport(limit, sequence, demand, reportedHeld);
   }
 
   /** Takes a grant that answers the last report; its lease counts from the report. */
@@ -71,8 +91,4 @@
     leaseEndsAtMillis = reportedAtMillis + ShareNegotiator.LEASE_MILLIS;
     return true;
   }
-
-  private static boolean differs(double a, double b) {
-    return Math.abs(a - b) > CHANGE_SHARE * Math.max(a, b);
-  }
 }
--- a/core/src/main/java/io/briarward/core/admission/ShareLedger.java
+++ b/core/src/main/java/io/briarward/core/admission/ShareLedger.java
@@ -12,6 +12,12 @@
   /** How long the division of contended limits is reused. */
   private static final long LEVEL_MILLIS = 200;
 
+  /** How much more than its demand a node gets while others do not need it. */
+  private static final double HEADROOM_SHARE = 0.25;
+
+  /** Headroom of small demands, in requests and in requests per second. */
+  private static final double MIN_HEADROOM = 1;
+
   private final Map<String, Entry> entries = new HashMap<>();
   private Share level = Share.ZERO;
   private Share spare = Share.ZERO;
@@ -52,19 +58,24 @@
   private double rate(Entry entry, Share quota, boolean mayGrow) {
     double available = available(entry, quota.requestsPerSecond(), Share::requestsPerSecond);
     double fair =
-        Math.min(entry.demand.requestsPerSecond(), level.requestsPerSecond())
-            + spare.requestsPerSecond();
+        fair(
+            entry.demand.requestsPerSecond(), level.requestsPerSecond(), spare.requestsPerSecond());
     return bounded(fair, entry.held.requestsPerSecond(), available, mayGrow);
   }
 
   /** Grants whole requests, since a node cannot run a part of one. */
   private double concurrent(Entry entry, Share quota, boolean mayGrow) {
     double available = available(entry, quota.concurrent(), Share::concurrent);
-    double fair = Math.min(entry.demand.concurrent(), level.concurrent()) + spare.concurrent();
+    double fair = fair(entry.demand.concurrent(), level.concurrent(), spare.concurrent());
     double atLeastOne = entry.demand.concurrent() >= 1 ? Math.max(1, fair) : fair;
     return Math.floor(bounded(atLeastOne, entry.held.concurrent(), available, mayGrow));
   }
 
+  private static double fair(double demand, double level, double spare) {
+    double headroom = demand == 0 ? 0 : Math.max(MIN_HEADROOM, HEADROOM_SHARE * demand);
+    return Math.min(demand, level) + Math.min(spare, headroom);
+  }
+
   private static double bounded(double fair, double held, double available, boolean mayGrow) {
     double wanted = mayGrow ? fair : Math.min(fair, held);
     return Math.max(0, Math.min(wanted, available));
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/retry/RetryPolicy.java
@@ -0,0 +1,101 @@
+package io.briarward.core.retry;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.briarward.core.retry.RetryDecision.Reason;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides whether a failed attempt is repeated and whether a slow one is hedged.
+ *
+ * <p>A request of which nothing was sent may always be repeated; one that may have run, only if it
+ * is idempotent. Both need time before the due time and a token of the service's budget. Immutable
+ * and thread-safe.
+ *
+ * @param maxAttempts how often a request is attempted in all, at least 1
+ * @param baseDelayMillis the longest delay before the second attempt; it doubles with each further
+ *     one
+ * @param maxDelayMillis the longest delay before any attempt
+ */
+public record RetryPolicy(int maxAttempts, long baseDelayMillis, long maxDelayMillis) {
+
+  /** The policy of a node. */
+  public static final RetryPolicy DEFAULT = new RetryPolicy(3, 25, 1_000);
+
+  /** Checks the fields. */
+  public RetryPolicy {
+    checkArgument(maxAttempts >= 1, "maxAttempts is %s, expected >= 1", maxAttempts);
+    checkArgument(baseDelayMillis >= 0, "baseDelayMillis is %s, expected >= 0", baseDelayMillis);
+    checkArgument(
+        maxDelayMillis >= baseDelayMillis,
+        "maxDelayMillis is %s, expected >= %s",
+        maxDelayMillis,
+        baseDelayMillis);
+  }
+
+  /**
+   * What is known when an attempt has failed.
+   *
+   * @param log the attempts, with the failed one recorded
+   * @param answerStarted whether any part of an answer was passed to the caller
+   * @param dueAtMillis when the answer is due
+   * @param expectedMillis how long an attempt is expected to take, 0 when unknown
+   */
+  public record FailedAttempt(
+      AttemptLog log, boolean answerStarted, long dueAtMillis, long expectedMillis) {
+    /** Checks the fields. */
+    public FailedAttempt {
+      checkNotNull(log, "log");
+      checkArgument(expectedMillis >= 0, "expectedMillis is %s, expected >= 0", expectedMillis);
+    }
+  }
+
+  /** Decides on a failed attempt; a decision to retry has taken a token of the budget. */
+  public RetryDecision onFailure(
+      FailedAttempt attempt, RetryBudget budget, RandomGenerator random, long nowMillis) {
+    if (attempt.answerStarted()) {
+      return new RetryDecision.GiveUp(Reason.ANSWER_STARTED);
+    }
+    if (!attempt.log().maySend()) {
+      return new RetryDecision.GiveUp(Reason.MAY_HAVE_RUN);
+    }
+    if (attempt.log().attempts() >= maxAttempts) {
+      return new RetryDecision.GiveUp(Reason.ATTEMPTS);
+    }
+    long delayMillis = delayMillis(attempt.log().attempts(), random);
+    if (nowMillis + delayMillis + attempt.expectedMillis() >= attempt.dueAtMillis()) {
+      return new RetryDecision.GiveUp(Reason.DUE_TIME);
+    }
+    return budget.tryTake()
+        ? new RetryDecision.Retry(delayMillis)
+        : new RetryDecision.GiveUp(Reason.BUDGET);
+  }
+
+  /**
+   * Returns whether to send a second attempt beside one that is slow, having taken a token.
+   *
+   * @param hedgeAfterMillis the time after which an attempt counts as slow
+   */
+  public boolean shouldHedge(
+      FailedAttempt attempt,
+      RetryBudget budget,
+      long startedAtMillis,
+      long hedgeAfterMillis,
+      long nowMillis) {
+    boolean slow = nowMillis - startedAtMillis >= hedgeAfterMillis;
+    boolean inTime = nowMillis + attempt.expectedMillis() < attempt.dueAtMillis();
+    boolean allowed =
+        attempt.log().idempotent()
+            && !attempt.answerStarted()
+            && attempt.log().attempts() < maxAttempts;
+    return slow && inTime && allowed && budget.tryTake();
+  }
+
+  /** Returns a delay drawn evenly from zero to a bound that doubles with each attempt. */
+  private long delayMillis(int attempts, RandomGenerator random) {
+    int doublings = Math.min(Math.max(0, attempts - 1), 30);
+    long boundMillis = Math.min(maxDelayMillis, baseDelayMillis << doublings);
+    return boundMillis == 0 ? 0 : random.nextLong(boundMillis + 1);
+  }
+}
