Record and deliver groups exactly once

Cause: a complete group must reach the trainer once, fresh, whatever dies. Change: two sequences of rows without gaps per rollout, outcomes and deliveries, each row inserted if absent by a writer that has read all rows before it; a delivery also requires the announced weights unchanged. Ruled out: one row per group (12 x 1,024 rows in a step against a few outcomes), and a mark per group beside the delivery (a second write).

--- /dev/null
+++ b/core/src/main/java/io/briarward/core/rollout/Delivery.java
@@ -0,0 +1,31 @@
+package io.briarward.core.rollout;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+
+/**
+ * The groups that a trainer is given under one cursor, as the table holds them.
+ *
+ * @param groups the groups in order
+ * @param deliveredAtMillis when the delivery was fixed, in milliseconds since the epoch
+ */
+public record Delivery(ImmutableList<Place> groups, long deliveredAtMillis) {
+  /** Checks the fields. */
+  public Delivery {
+    checkArgument(!groups.isEmpty(), "groups is empty");
+  }
+
+  /**
+   * Where a delivered group lies and what it cost.
+   *
+   * @param index the group's index in the rollout
+   * @param id the group's id
+   * @param oldestVersion the oldest weight version that produced any of its tokens
+   * @param tokens the number of its generated tokens, which are billed once
+   * @param object the key of the object that holds it
+   * @param position its place in the object, counted from 0
+   */
+  public record Place(
+      int index, String id, long oldestVersion, long tokens, String object, int position) {}
+}
--- a/core/src/main/java/io/briarward/core/rollout/RolloutCodec.java
+++ b/core/src/main/java/io/briarward/core/rollout/RolloutCodec.java
@@ -14,6 +14,7 @@
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
 import io.briarward.core.errors.FailureException;
+import io.briarward.core.weights.WeightAnnouncement;
 import java.io.IOException;
 import java.util.stream.Collectors;
 
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/rollout/RolloutView.java
@@ -0,0 +1,245 @@
+package io.briarward.core.rollout;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.errors.ErrorKind;
+import io.briarward.core.errors.Failure;
+import io.briarward.core.platform.Row;
+import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.Transaction;
+import io.briarward.core.weights.AnnouncedVersion;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * What one node has read of a rollout, and the transactions that may follow from it.
+ *
+ * <p>Outcomes and deliveries are two sequences of rows without gaps. Each new row is inserted only
+ * if absent by a writer that has read all rows before it, so the deliveries up to any cursor are
+ * the same for every node and no group is in two of them. A delivery also requires that the
+ * announced weights are unchanged: a group is fresh at the moment its delivery is fixed.
+ *
+ * <p>Any view may lag; a transaction that rests on an old view conflicts. Not thread-safe.
+ */
+public final class RolloutView {
+  private static final int MAX_GROUPS_PER_DELIVERY = 256;
+  private static final long MAX_TOKENS_PER_DELIVERY = 500_000;
+
+  private final RolloutKey key;
+  private final List<Outcome> outcomes = new ArrayList<>();
+  private final List<Delivery> deliveries = new ArrayList<>();
+  private final Map<Integer, Delivery.Place> recorded = new HashMap<>();
+  private final Set<Integer> delivered = new HashSet<>();
+  private RolloutHeader header;
+  private long headerVersion;
+  private AnnouncedVersion announced = AnnouncedVersion.fromRow(Optional.empty());
+
+  private RolloutView(RolloutKey key, Row headerRow) {
+    this.key = key;
+    learnHeader(headerRow);
+  }
+
+  /** Returns a view that has read only the header. */
+  public static RolloutView create(RolloutKey key, Row headerRow) {
+    return new RolloutView(checkNotNull(key, "key"), headerRow);
+  }
+
+  /** Learns the header's present row. */
+  public void learnHeader(Row headerRow) {
+    header = RolloutHeader.fromRow(headerRow);
+    headerVersion = headerRow.version();
+  }
+
+  /** Learns the present row of the announced weights; an absent row is version 0. */
+  public void learnAnnounced(Optional<Row> weightsRow) {
+    announced = AnnouncedVersion.fromRow(weightsRow);
+  }
+
+  /** Learns outcomes in order; those known already are skipped. */
+  public void learnOutcomes(List<Row> rows) {
+    for (Row row : rows) {
+      if (isNext(row, outcomes.size())) {
+        addOutcome(RolloutCodec.fromTree(row.value(), Outcome.class));
+      }
+    }
+  }
+
+  /** Learns deliveries in order; those known already are skipped. */
+  public void learnDeliveries(List<Row> rows) {
+    for (Row row : rows) {
+      if (isNext(row, deliveries.size())) {
+        addDelivery(RolloutCodec.fromTree(row.value(), Delivery.class));
+      }
+    }
+  }
+
+  /** Returns the header. */
+  public RolloutHeader header() {
+    return header;
+  }
+
+  /** Returns the announced weight version. */
+  public long announcedVersion() {
+    return announced.version();
+  }
+
+  /** Returns the key of the last known outcome, to scan after; empty when none is known. */
+  public String lastOutcomeKey() {
+    return outcomes.isEmpty() ? "" : key.outcome(outcomes.size()).key();
+  }
+
+  /** Returns the key of the last known delivery, to scan after; empty when none is known. */
+  public String lastDeliveryKey() {
+    return deliveries.isEmpty() ? "" : key.delivery(deliveries.size()).key();
+  }
+
+  /** Returns the deliveries known so far, in order. */
+  public ImmutableList<Delivery> deliveries() {
+    return ImmutableList.copyOf(deliveries);
+  }
+
+  /** Returns whether an outcome with the given object is recorded. */
+  public boolean isRecorded(String object) {
+    return outcomes.stream().anyMatch(outcome -> outcome.object().equals(object));
+  }
+
+  /** Returns the transaction that records {@code outcome} after all known ones. */
+  public Transaction record(Outcome outcome) {
+    RowKey next = key.outcome(outcomes.size() + 1L);
+    return Transaction.builder()
+        .requireVersion(key.header(), headerVersion)
+        .requireAbsent(next)
+        .put(next, RolloutCodec.toTree(outcome))
+        .build();
+  }
+
+  /** Tells a planner what this view knows: the announced version, recorded and delivered groups. */
+  public void inform(RolloutPlanner planner) {
+    planner.announced(announced.version());
+    recorded.values().forEach(place -> planner.recorded(place.index(), place.oldestVersion()));
+    delivered.forEach(planner::delivered);
+  }
+
+  /**
+   * Returns what to do for a trainer that has received the deliveries up to {@code cursor}.
+   *
+   * @param nowMillis the time
+   */
+  public DeliveryStep next(long cursor, long nowMillis) {
+    checkArgument(cursor >= 0, "cursor is %s, expected >= 0", cursor);
+    if (header.cancelled()) {
+      return refuse(ErrorKind.CANCELLED, "the rollout was cancelled");
+    }
+    if (cursor > deliveries.size()) {
+      return refuse(ErrorKind.MALFORMED_REQUEST, "after is " + cursor + ", which was never given");
+    }
+    if (cursor < deliveries.size()) {
+      return serve(cursor + 1, deliveries.get((int) cursor));
+    }
+    if (delivered.size() == header.groups()) {
+      return new DeliveryStep.Finished();
+    }
+    ImmutableList<Delivery.Place> fresh = deliverable();
+    if (!fresh.isEmpty()) {
+      return commit(new Delivery(fresh, nowMillis));
+    }
+    return nowMillis < header.dueAtMillis()
+        ? new DeliveryStep.Wait()
+        : refuse(ErrorKind.DEADLINE_EXCEEDED, "the due time passed with groups missing");
+  }
+
+  private ImmutableList<Delivery.Place> deliverable() {
+    ImmutableList<Delivery.Place> candidates =
+        recorded.values().stream()
+            .filter(place -> !delivered.contains(place.index()))
+            .filter(this::isFresh)
+            .sorted(
+                Comparator.comparingLong(Delivery.Place::oldestVersion)
+                    .thenComparingInt(Delivery.Place::index))
+            .limit(MAX_GROUPS_PER_DELIVERY)
+            .collect(ImmutableList.toImmutableList());
+    ImmutableList.Builder<Delivery.Place> chosen = ImmutableList.builder();
+    long tokens = 0;
+    for (Delivery.Place place : candidates) {
+      if (tokens > 0 && tokens + place.tokens() > MAX_TOKENS_PER_DELIVERY) {
+        break;
+      }
+      tokens += place.tokens();
+      chosen.add(place);
+    }
+    return chosen.build();
+  }
+
+  private DeliveryStep commit(Delivery delivery) {
+    long sequence = deliveries.size() + 1L;
+    RowKey row = key.delivery(sequence);
+    Transaction transaction =
+        Transaction.builder()
+            .requireVersion(key.header(), headerVersion)
+            .requireVersion(AnnouncedVersion.key(header.service()), announced.rowVersion())
+            .requireAbsent(row)
+            .put(row, RolloutCodec.toTree(delivery))
+            .build();
+    boolean done = delivered.size() + delivery.groups().size() == header.groups();
+    return new DeliveryStep.Commit(
+        transaction, new DeliveryStep.Serve(sequence, done, delivery.groups(), ImmutableList.of()));
+  }
+
+  private DeliveryStep serve(long sequence, Delivery delivery) {
+    boolean last = sequence == deliveries.size();
+    ImmutableList<Delivery.Place> fresh =
+        delivery.groups().stream().filter(this::isFresh).collect(ImmutableList.toImmutableList());
+    ImmutableList<String> expired =
+        delivery.groups().stream()
+            .filter(place -> !isFresh(place))
+            .map(Delivery.Place::id)
+            .collect(ImmutableList.toImmutableList());
+    boolean done = last && delivered.size() == header.groups();
+    return new DeliveryStep.Serve(sequence, done, fresh, expired);
+  }
+
+  private boolean isFresh(Delivery.Place place) {
+    return header.bound().isFresh(place.oldestVersion(), announced.version());
+  }
+
+  private void addOutcome(Outcome outcome) {
+    outcomes.add(outcome);
+    for (int position = 0; position < outcome.groups().size(); position++) {
+      Outcome.Group group = outcome.groups().get(position);
+      Delivery.Place place =
+          new Delivery.Place(
+              group.index(),
+              group.id(),
+              group.oldestVersion(),
+              group.tokens(),
+              outcome.object(),
+              position);
+      recorded.merge(group.index(), place, RolloutView::younger);
+    }
+  }
+
+  private static Delivery.Place younger(Delivery.Place first, Delivery.Place second) {
+    return second.oldestVersion() > first.oldestVersion() ? second : first;
+  }
+
+  private void addDelivery(Delivery delivery) {
+    deliveries.add(delivery);
+    delivery.groups().forEach(place -> delivered.add(place.index()));
+  }
+
+  private static boolean isNext(Row row, int known) {
+    return RolloutKey.sequence(row) == known + 1L;
+  }
+
+  private static DeliveryStep refuse(ErrorKind kind, String detail) {
+    return new DeliveryStep.Refused(Failure.unknown(kind, detail));
+  }
+}
--- a/core/src/main/java/io/briarward/core/rollout/WeightAnnouncement.java
+++ b/core/src/main/java/io/briarward/core/weights/WeightAnnouncement.java
@@ -1,4 +1,4 @@
-package io.briarward.core.rollout;
+package io.briarward.core.weights;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
@@ -11,7 +11,7 @@
 public record WeightAnnouncement(String service, long version) {
   /** Checks the fields. */
   public WeightAnnouncement {
-    RolloutSpec.checkId(service, "service");
+    checkArgument(service != null && !service.isEmpty(), "service is missing");
     checkArgument(version >= 0, "version is %s, expected >= 0", version);
   }
 }
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/rollout/FaultyTable.java
@@ -0,0 +1,44 @@
+package io.briarward.core.rollout;
+
+import io.briarward.core.platform.CommitResult;
+import io.briarward.core.platform.Row;
+import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.TableState;
+import io.briarward.core.platform.Transaction;
+import java.util.List;
+import java.util.Optional;
+
+/** A table that refuses operations or loses the answers of those that took effect. */
+final class FaultyTable {
+  /** What happens to the next operation. */
+  enum Fault {
+    NONE,
+    REFUSED,
+    ANSWER_LOST
+  }
+
+  private final TableState state = TableState.create();
+  private int commits;
+
+  /** Returns the result, or empty when the caller learns nothing. */
+  Optional<CommitResult> commit(Transaction transaction, Fault fault) {
+    if (fault == Fault.REFUSED) {
+      return Optional.empty();
+    }
+    commits++;
+    CommitResult result = state.commit(transaction);
+    return fault == Fault.ANSWER_LOST ? Optional.empty() : Optional.of(result);
+  }
+
+  Optional<Row> read(RowKey key) {
+    return state.read(key);
+  }
+
+  List<Row> scan(String table, String prefix, String after) {
+    return state.scan(table, prefix, after, 1_000);
+  }
+
+  int commits() {
+    return commits;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/rollout/SimulatedTrainerConnection.java
@@ -0,0 +1,82 @@
+package io.briarward.core.rollout;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.platform.CommitResult;
+import io.briarward.core.weights.AnnouncedVersion;
+import java.util.Optional;
+
+/** A node that answers a trainer, one operation per step. */
+final class SimulatedTrainerConnection {
+  private final RolloutSimulation world;
+  private final RolloutView view;
+  private long cursor;
+  private int phase;
+  private long announcedAtRead;
+  private Optional<DeliveryStep.Commit> prepared = Optional.empty();
+
+  SimulatedTrainerConnection(RolloutSimulation world, long cursor) {
+    this.world = world;
+    this.view = world.newView();
+    this.cursor = cursor;
+  }
+
+  void step(FaultyTable.Fault fault, boolean answerLost) {
+    phase = (phase + 1) % 5;
+    String prefix = world.key().prefix();
+    FaultyTable table = world.table();
+    boolean reads = fault == FaultyTable.Fault.NONE;
+    if (phase == 1 && reads) {
+      view.learnOutcomes(table.scan(RolloutKey.OUTCOMES, prefix, view.lastOutcomeKey()));
+    } else if (phase == 2 && reads) {
+      view.learnDeliveries(table.scan(RolloutKey.DELIVERIES, prefix, view.lastDeliveryKey()));
+    } else if (phase == 3) {
+      readAnnouncedAndDecide(fault, answerLost);
+    } else if (phase == 4) {
+      commit(fault, answerLost);
+    }
+  }
+
+  private void readAnnouncedAndDecide(FaultyTable.Fault fault, boolean answerLost) {
+    if (fault != FaultyTable.Fault.NONE) {
+      return;
+    }
+    view.learnAnnounced(world.table().read(AnnouncedVersion.key(RolloutSimulation.SERVICE)));
+    announcedAtRead = world.announced();
+    DeliveryStep step = view.next(cursor, world.nowMillis());
+    if (step instanceof DeliveryStep.Serve serve) {
+      answer(serve, announcedAtRead, answerLost);
+    } else if (step instanceof DeliveryStep.Commit commit) {
+      prepared = Optional.of(commit);
+    } else if (step instanceof DeliveryStep.Finished) {
+      world.finish();
+    }
+  }
+
+  private void commit(FaultyTable.Fault fault, boolean answerLost) {
+    if (prepared.isEmpty()) {
+      return;
+    }
+    DeliveryStep.Commit commit = prepared.get();
+    prepared = Optional.empty();
+    Optional<CommitResult> result = world.table().commit(commit.transaction(), fault);
+    if (result.isPresent() && result.get().committed()) {
+      answer(commit.serve(), world.announced(), answerLost);
+    }
+  }
+
+  private void answer(DeliveryStep.Serve serve, long announced, boolean answerLost) {
+    for (Delivery.Place place : serve.fresh()) {
+      ImmutableList<GroupResult> stored =
+          RolloutCodec.parseGroups(world.objects().get(place.object()));
+      world.deliver(serve.cursor(), stored.get(place.position()), announced);
+    }
+    serve.expired().forEach(group -> world.expire(serve.cursor(), group));
+    if (!answerLost) {
+      cursor = serve.cursor();
+    }
+  }
+
+  long cursor() {
+    return cursor;
+  }
+}
