Plan weight swaps of a data centre

Cause: a version must reach every sampler within 13 s under the store's rate while half of the samplers keep serving. Change: SwapPlanner orders swaps from the weight store or from samplers that report the version, within a fetch budget and a serving share; a swap counts as done by the sampler's report only. Ruled out: one planner for all data centres; a node would hold 12,000 samplers and send as many orders. The delivery property now runs 24 groups and checks that a cursor stands for the same groups in every answer: with 6 groups a delivery row written without 'insert if absent' passed unseen.

--- /dev/null
+++ b/core/src/main/java/io/briarward/core/weights/SwapSettings.java
@@ -0,0 +1,79 @@
+package io.briarward.core.weights;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * The limits of a swap in one data centre.
+ *
+ * @param minServingShare the share of the live samplers that keeps serving, 0 to below 1; at least
+ *     one sampler swaps at a time whatever the share
+ * @param fetchesPerSecond the data centre's share of the weight store's rate, above 0
+ * @param transfersPerSource how many samplers one sampler passes its weights on to at once; 0 when
+ *     engines cannot pass on
+ * @param swapTimeoutMillis when an unconfirmed swap counts as failed
+ * @param confirmGraceMillis how old a report's news of a swap may be
+ * @param retryDelayMillis how long a sampler rests after a failed swap
+ * @param reportTimeoutMillis a sampler without a report for so long is not live
+ */
+public record SwapSettings(
+    double minServingShare,
+    double fetchesPerSecond,
+    int transfersPerSource,
+    long swapTimeoutMillis,
+    long confirmGraceMillis,
+    long retryDelayMillis,
+    long reportTimeoutMillis) {
+  private static final double DEFAULT_MIN_SERVING_SHARE = 0.5;
+  private static final int DEFAULT_TRANSFERS_PER_SOURCE = 2;
+  private static final long DEFAULT_SWAP_TIMEOUT_MILLIS = 6_000;
+  private static final long DEFAULT_CONFIRM_GRACE_MILLIS = 1_500;
+  private static final long DEFAULT_RETRY_DELAY_MILLIS = 500;
+  private static final long DEFAULT_REPORT_TIMEOUT_MILLIS = 10_000;
+
+  /** Checks the fields. */
+  public SwapSettings {
+    checkArgument(
+        minServingShare >= 0 && minServingShare < 1,
+        "minServingShare is %s, expected 0 to below 1",
+        minServingShare);
+    checkArgument(fetchesPerSecond > 0, "fetchesPerSecond is %s, expected > 0", fetchesPerSecond);
+    checkArgument(
+        transfersPerSource >= 0, "transfersPerSource is %s, expected >= 0", transfersPerSource);
+    checkArgument(
+        swapTimeoutMillis > 0, "swapTimeoutMillis is %s, expected > 0", swapTimeoutMillis);
+    checkArgument(
+        confirmGraceMillis >= 0, "confirmGraceMillis is %s, expected >= 0", confirmGraceMillis);
+    checkArgument(retryDelayMillis >= 0, "retryDelayMillis is %s, expected >= 0", retryDelayMillis);
+    checkArgument(
+        reportTimeoutMillis > 0, "reportTimeoutMillis is %s, expected > 0", reportTimeoutMillis);
+  }
+
+  /** Returns default limits with the given share of the weight store's rate. */
+  public static SwapSettings of(double fetchesPerSecond) {
+    return new SwapSettings(
+        DEFAULT_MIN_SERVING_SHARE,
+        fetchesPerSecond,
+        DEFAULT_TRANSFERS_PER_SOURCE,
+        DEFAULT_SWAP_TIMEOUT_MILLIS,
+        DEFAULT_CONFIRM_GRACE_MILLIS,
+        DEFAULT_RETRY_DELAY_MILLIS,
+        DEFAULT_REPORT_TIMEOUT_MILLIS);
+  }
+
+  /** Returns these limits for engines that pass on to so many at once. */
+  public SwapSettings withTransfersPerSource(int transfers) {
+    return new SwapSettings(
+        minServingShare,
+        fetchesPerSecond,
+        transfers,
+        swapTimeoutMillis,
+        confirmGraceMillis,
+        retryDelayMillis,
+        reportTimeoutMillis);
+  }
+
+  /** Returns how many of {@code live} samplers may swap at once. */
+  int maxSwapping(int live) {
+    return Math.max(1, (int) Math.floor(live * (1 - minServingShare)));
+  }
+}
--- a/core/src/test/java/io/briarward/core/rollout/RolloutProperties.java
+++ b/core/src/test/java/io/briarward/core/rollout/RolloutProperties.java
@@ -11,7 +11,7 @@
 class RolloutProperties {
   @Provide
   Arbitrary<List<Integer>> schedules() {
-    return Arbitraries.integers().between(0, 16 * 64 - 1).list().ofMinSize(100).ofMaxSize(600);
+    return Arbitraries.integers().between(0, 16 * 64 - 1).list().ofMinSize(200).ofMaxSize(1_000);
   }
 
   /** Kills, two owners, lost answers, outages, reconnects with old cursors and swaps. */
--- a/core/src/test/java/io/briarward/core/rollout/RolloutSimulation.java
+++ b/core/src/test/java/io/briarward/core/rollout/RolloutSimulation.java
@@ -17,7 +17,7 @@
 /** Two owners, two trainer connections and a table with faults, run step by step and checked. */
 final class RolloutSimulation {
   static final String SERVICE = "s";
-  static final int GROUPS = 6;
+  static final int GROUPS = 24;
   static final int SAMPLES = 2;
   static final int BOUND = 1;
 
@@ -30,6 +30,7 @@
   private final RolloutKey key = new RolloutKey("o", "r");
   private final RolloutSpec spec = newSpec();
   private final Map<String, Long> cursorByGroup = new HashMap<>();
+  private final Map<Long, Set<String>> groupsByCursor = new HashMap<>();
   private final Map<String, GroupResult> delivered = new HashMap<>();
   private final SimulatedOwner[] owners = new SimulatedOwner[2];
   private final SimulatedTrainerConnection[] connections = new SimulatedTrainerConnection[2];
@@ -121,6 +122,14 @@
     announced++;
   }
 
+  /** Checks that a cursor stands for the same groups in every answer. */
+  void answer(long cursor, Set<String> groups) {
+    Set<String> before = groupsByCursor.putIfAbsent(cursor, groups);
+    assertWithMessage("groups of cursor %s", cursor)
+        .that(before == null || before.equals(groups))
+        .isTrue();
+  }
+
   void deliver(long cursor, GroupResult group, long announcedVersion) {
     Set<String> ids = new HashSet<>();
     for (Sample sample : group.samples()) {
--- a/core/src/test/java/io/briarward/core/rollout/SimulatedTrainerConnection.java
+++ b/core/src/test/java/io/briarward/core/rollout/SimulatedTrainerConnection.java
@@ -3,7 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.weights.AnnouncedVersion;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 /** A node that answers a trainer, one operation per step. */
 final class SimulatedTrainerConnection {
@@ -71,6 +73,9 @@
       world.deliver(serve.cursor(), stored.get(place.position()), announced);
     }
     serve.expired().forEach(group -> world.expire(serve.cursor(), group));
+    Set<String> groups = new HashSet<>(serve.expired());
+    serve.fresh().forEach(place -> groups.add(place.id()));
+    world.answer(serve.cursor(), groups);
     if (!answerLost) {
       cursor = serve.cursor();
     }
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/weights/SwapPlannerTest.java
@@ -0,0 +1,85 @@
+package io.briarward.core.weights;
+
+import static com.google.common.collect.Iterables.getOnlyElement;
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+
+class SwapPlannerTest {
+  private static final ImmutableSet<String> IDS = ImmutableSet.of("a", "b", "c", "d");
+
+  private static SwapPlanner planner(double fetchesPerSecond) {
+    SwapPlanner planner = SwapPlanner.create(SwapSettings.of(fetchesPerSecond), 0);
+    planner.members(IDS);
+    IDS.forEach(id -> report(planner, id, 1, 0));
+    planner.target(2);
+    return planner;
+  }
+
+  private static void report(SwapPlanner planner, String id, long version, long nowMillis) {
+    planner.report(new SamplerReport(id, version, OptionalLong.empty(), 0, nowMillis));
+  }
+
+  @Test
+  void firstFetchComesFromTheStoreAndIsRateLimited() {
+    SwapPlanner planner = planner(1);
+
+    assertThat(getOnlyElement(planner.poll(0, 7)).source()).isEmpty();
+    assertThat(planner.poll(100, 7)).isEmpty();
+    assertThat(planner.poll(1_000, 7)).hasSize(1);
+  }
+
+  @Test
+  void confirmedSamplerPassesOn() {
+    SwapPlanner planner = planner(0.1);
+    SwapOrder first = getOnlyElement(planner.poll(0, 7));
+    report(planner, first.sampler(), 2, 500);
+
+    ImmutableList<SwapOrder> next = planner.poll(500, 7);
+
+    assertThat(next).hasSize(2);
+    assertThat(next.get(0).source()).hasValue(first.sampler());
+    assertThat(next.get(0).fencingNumber()).isEqualTo(7);
+  }
+
+  @Test
+  void halfOfTheLiveSamplersKeepServing() {
+    assertThat(planner(1_000).poll(0, 7)).hasSize(1);
+    SwapPlanner planner = planner(1_000);
+    planner.poll(0, 7);
+    planner.poll(10, 7);
+
+    assertThat(planner.poll(20, 7)).isEmpty();
+    assertThat(planner.swapping()).hasSize(2);
+  }
+
+  @Test
+  void acceptedOrderIsNotYetDone() {
+    SwapPlanner planner = planner(1_000);
+    planner.poll(0, 7);
+
+    assertThat(planner.isComplete(10)).isFalse();
+  }
+
+  @Test
+  void swapThatCameToNothingIsRetried() {
+    SwapPlanner planner = planner(1);
+    String sampler = getOnlyElement(planner.poll(0, 7)).sampler();
+    IDS.stream().filter(id -> !id.equals(sampler)).forEach(id -> report(planner, id, 2, 2_000));
+    report(planner, sampler, 1, 2_000);
+    assertThat(planner.poll(2_000, 7)).isEmpty();
+
+    assertThat(getOnlyElement(planner.poll(3_000, 7)).sampler()).isEqualTo(sampler);
+  }
+
+  @Test
+  void oldestWeightsSwapFirst() {
+    SwapPlanner planner = planner(1);
+    report(planner, "c", 0, 1);
+
+    assertThat(getOnlyElement(planner.poll(1, 7)).sampler()).isEqualTo("c");
+  }
+}
