--- a/core/src/main/java/io/briarward/core/rollout/DeliveryStep.java
+++ b/core/src/main/java/io/briarward/core/rollout/DeliveryStep.java
@@ -11,12 +11,17 @@
    *
    * @param cursor the cursor of the answer
    * @param done whether this is the last delivery of a finished rollout
-   * @param fresh the groups whose samples go out
-   * @param expired the ids of groups that aged beyond the bound since
+   * @param groups the groups in order
    */
-  record Serve(
-      long cursor, boolean done, ImmutableList<Delivery.Place> fresh, ImmutableList<String> expired)
-      implements DeliveryStep {}
+  record Serve(long cursor, boolean done, ImmutableList<Entry> groups) implements DeliveryStep {}
+
+  /**
+   * A group of an answer.
+   *
+   * @param place where it lies
+   * @param fresh whether its samples go out; otherwise it aged beyond the bound since it was fixed
+   */
+  record Entry(Delivery.Place place, boolean fresh) {}
 
   /**
    * Fixes the next delivery, then answers with it.
@@ -25,9 +30,10 @@
    * commit conflicts or its answer is lost, the view is read again and asked for a new step.
    *
    * @param transaction holds only while nothing that the decision rests on has changed
+   * @param delivery what the transaction writes
    * @param serve the answer after the commit
    */
-  record Commit(Transaction transaction, Serve serve) implements DeliveryStep {}
+  record Commit(Transaction transaction, Delivery delivery, Serve serve) implements DeliveryStep {}
 
   /** Nothing new: waits for groups. */
   record Wait() implements DeliveryStep {}
--- a/core/src/main/java/io/briarward/core/rollout/RolloutPlanner.java
+++ b/core/src/main/java/io/briarward/core/rollout/RolloutPlanner.java
@@ -181,6 +181,16 @@
     return ImmutableList.of();
   }
 
+  /** Learns that no sampler could take an attempt; the sample waits for another turn. */
+  public void notStarted(String attemptId, long nowMillis) {
+    Optional<Attempt> found = attempt(attemptId);
+    found.ifPresent(
+        attempt -> {
+          remove(attempt);
+          attempt.sample().postpone(nowMillis + RETRY_BASE_MILLIS);
+        });
+  }
+
   /** Returns the groups that became complete since the last call. */
   public ImmutableList<CompletedGroup> takeCompleted() {
     ImmutableList<CompletedGroup> taken = ImmutableList.copyOf(completed);
--- a/core/src/main/java/io/briarward/core/rollout/RolloutView.java
+++ b/core/src/main/java/io/briarward/core/rollout/RolloutView.java
@@ -52,15 +52,20 @@
     return new RolloutView(checkNotNull(key, "key"), headerRow);
   }
 
-  /** Learns the header's present row. */
+  /** Learns the header's row unless a newer one is known. */
   public void learnHeader(Row headerRow) {
-    header = RolloutHeader.fromRow(headerRow);
-    headerVersion = headerRow.version();
+    if (headerRow.version() > headerVersion) {
+      header = RolloutHeader.fromRow(headerRow);
+      headerVersion = headerRow.version();
+    }
   }
 
-  /** Learns the present row of the announced weights; an absent row is version 0. */
+  /** Learns the row of the announced weights unless a newer one is known. */
   public void learnAnnounced(Optional<Row> weightsRow) {
-    announced = AnnouncedVersion.fromRow(weightsRow);
+    AnnouncedVersion read = AnnouncedVersion.fromRow(weightsRow);
+    if (read.rowVersion() > announced.rowVersion()) {
+      announced = read;
+    }
   }
 
   /** Learns outcomes in order; those known already are skipped. */
@@ -81,6 +86,11 @@
     }
   }
 
+  /** Returns what names the rollout. */
+  public RolloutKey key() {
+    return key;
+  }
+
   /** Returns the header. */
   public RolloutHeader header() {
     return header;
@@ -101,9 +111,10 @@
     return deliveries.isEmpty() ? "" : key.delivery(deliveries.size()).key();
   }
 
-  /** Returns the deliveries known so far, in order. */
-  public ImmutableList<Delivery> deliveries() {
-    return ImmutableList.copyOf(deliveries);
+  /** Returns the delivery under a cursor, if it is known. */
+  public Optional<Delivery> delivery(long cursor) {
+    boolean known = cursor >= 1 && cursor <= deliveries.size();
+    return known ? Optional.of(deliveries.get((int) cursor - 1)) : Optional.empty();
   }
 
   /** Returns whether an outcome with the given object is recorded. */
@@ -131,9 +142,10 @@
   /**
    * Returns what to do for a trainer that has received the deliveries up to {@code cursor}.
    *
+   * @param node the id of the node that asks, recorded with a delivery that it fixes
    * @param nowMillis the time
    */
-  public DeliveryStep next(long cursor, long nowMillis) {
+  public DeliveryStep next(long cursor, String node, long nowMillis) {
     checkArgument(cursor >= 0, "cursor is %s, expected >= 0", cursor);
     if (header.cancelled()) {
       return refuse(ErrorKind.CANCELLED, "the rollout was cancelled");
@@ -149,7 +161,7 @@
     }
     ImmutableList<Delivery.Place> fresh = deliverable();
     if (!fresh.isEmpty()) {
-      return commit(new Delivery(fresh, nowMillis));
+      return commit(new Delivery(fresh, node, nowMillis));
     }
     return nowMillis < header.dueAtMillis()
         ? new DeliveryStep.Wait()
@@ -190,20 +202,19 @@
             .build();
     boolean done = delivered.size() + delivery.groups().size() == header.groups();
     return new DeliveryStep.Commit(
-        transaction, new DeliveryStep.Serve(sequence, done, delivery.groups(), ImmutableList.of()));
+        transaction, delivery, new DeliveryStep.Serve(sequence, done, entries(delivery)));
   }
 
   private DeliveryStep serve(long sequence, Delivery delivery) {
     boolean last = sequence == deliveries.size();
-    ImmutableList<Delivery.Place> fresh =
-        delivery.groups().stream().filter(this::isFresh).collect(ImmutableList.toImmutableList());
-    ImmutableList<String> expired =
-        delivery.groups().stream()
-            .filter(place -> !isFresh(place))
-            .map(Delivery.Place::id)
-            .collect(ImmutableList.toImmutableList());
     boolean done = last && delivered.size() == header.groups();
-    return new DeliveryStep.Serve(sequence, done, fresh, expired);
+    return new DeliveryStep.Serve(sequence, done, entries(delivery));
+  }
+
+  private ImmutableList<DeliveryStep.Entry> entries(Delivery delivery) {
+    return delivery.groups().stream()
+        .map(place -> new DeliveryStep.Entry(place, isFresh(place)))
+        .collect(ImmutableList.toImmutableList());
   }
 
   private boolean isFresh(Delivery.Place place) {
--- a/core/src/main/java/io/briarward/core/rollout/SampleProgress.java
+++ b/core/src/main/java/io/briarward/core/rollout/SampleProgress.java
@@ -75,6 +75,10 @@
     notBeforeMillis = nowMillis + delayMillis;
   }
 
+  void postpone(long untilMillis) {
+    notBeforeMillis = untilMillis;
+  }
+
   int failures() {
     return failures;
   }
--- a/core/src/main/java/io/briarward/core/rollout/ShardLease.java
+++ b/core/src/main/java/io/briarward/core/rollout/ShardLease.java
@@ -19,10 +19,10 @@
  */
 public record ShardLease(String owner, long expiresAtMillis) {
   /** How long a lease lasts without renewal. */
-  public static final long DURATION_MILLIS = 15_000;
+  public static final long DURATION_MILLIS = 30_000;
 
   /** How often the owner renews it. */
-  public static final long RENEWAL_MILLIS = 5_000;
+  public static final long RENEWAL_MILLIS = 10_000;
 
   static final ShardLease OPEN = new ShardLease("", 0);
 
@@ -37,9 +37,15 @@
     return RolloutCodec.fromTree(row.value(), ShardLease.class);
   }
 
-  /** Returns the transaction that takes an open or lapsed shard, or empty while it is leased. */
+  /**
+   * Returns the transaction that takes a shard, or empty while another node holds it.
+   *
+   * <p>A shard that {@code node} holds already may be taken again, since the answer to the first
+   * take may have been lost.
+   */
   public static Optional<Transaction> take(Row row, String node, long nowMillis) {
-    boolean leased = fromRow(row).expiresAtMillis() > nowMillis;
+    ShardLease lease = fromRow(row);
+    boolean leased = lease.expiresAtMillis() > nowMillis && !lease.owner().equals(node);
     return leased ? Optional.empty() : Optional.of(write(row, node, nowMillis));
   }
 
@@ -55,6 +61,15 @@
     return Transaction.builder().requireVersion(key, row.version()).delete(key).build();
   }
 
+  /** Returns the transaction that gives the lease up, so that any node may take over at once. */
+  public static Transaction release(Row row) {
+    RowKey key = RowKey.of(RolloutKey.SHARDS, row.key());
+    return Transaction.builder()
+        .requireVersion(key, row.version())
+        .put(key, RolloutCodec.toTree(OPEN))
+        .build();
+  }
+
   private static Transaction write(Row row, String node, long nowMillis) {
     RowKey key = RowKey.of(RolloutKey.SHARDS, row.key());
     ShardLease next = new ShardLease(node, nowMillis + DURATION_MILLIS);
--- a/core/src/test/java/io/briarward/core/rollout/SimulatedTrainerConnection.java
+++ b/core/src/test/java/io/briarward/core/rollout/SimulatedTrainerConnection.java
@@ -1,6 +1,5 @@
 package io.briarward.core.rollout;
 
-import com.google.common.collect.ImmutableList;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.weights.AnnouncedVersion;
 import java.util.HashSet;
@@ -44,7 +43,7 @@
     }
     view.learnAnnounced(world.table().read(AnnouncedVersion.key(RolloutSimulation.SERVICE)));
     announcedAtRead = world.announced();
-    DeliveryStep step = view.next(cursor, world.nowMillis());
+    DeliveryStep step = view.next(cursor, "node", world.nowMillis());
     if (step instanceof DeliveryStep.Serve serve) {
       answer(serve, announcedAtRead, answerLost);
     } else if (step instanceof DeliveryStep.Commit commit) {
@@ -67,20 +66,25 @@
   }
 
   private void answer(DeliveryStep.Serve serve, long announced, boolean answerLost) {
-    for (Delivery.Place place : serve.fresh()) {
-      ImmutableList<GroupResult> stored =
-          RolloutCodec.parseGroups(world.objects().get(place.object()));
-      world.deliver(serve.cursor(), stored.get(place.position()), announced);
+    Set<String> groups = new HashSet<>();
+    for (DeliveryStep.Entry entry : serve.groups()) {
+      groups.add(entry.place().id());
+      if (entry.fresh()) {
+        world.deliver(serve.cursor(), stored(entry.place()), announced);
+      } else {
+        world.expire(serve.cursor(), entry.place().id());
+      }
     }
-    serve.expired().forEach(group -> world.expire(serve.cursor(), group));
-    Set<String> groups = new HashSet<>(serve.expired());
-    serve.fresh().forEach(place -> groups.add(place.id()));
     world.answer(serve.cursor(), groups);
     if (!answerLost) {
       cursor = serve.cursor();
     }
   }
 
+  private GroupResult stored(Delivery.Place place) {
+    return RolloutCodec.parseGroups(world.objects().get(place.object())).get(place.position());
+  }
+
   long cursor() {
     return cursor;
   }
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/rollout/TrainerAuthentication.java
@@ -0,0 +1,48 @@
+package io.briarward.node.rollout;
+
+import io.briarward.core.configuration.ApiKey;
+import io.briarward.core.forwarding.HeaderRules;
+import io.briarward.node.configuration.ConfigurationHolder;
+import io.briarward.node.configuration.VersionedConfiguration;
+import io.briarward.node.live.Caller;
+import io.briarward.node.live.ServingTables;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.Optional;
+
+/** Finds whom a trainer's request runs for. Confined to the event loop. */
+final class TrainerAuthentication {
+  private final ConfigurationHolder configuration;
+  private ServingTables tables;
+
+  TrainerAuthentication(ConfigurationHolder configuration) {
+    this.configuration = configuration;
+    this.tables = ServingTables.of(configuration.current());
+  }
+
+  /** Returns the tables of the configuration in force. */
+  ServingTables tables() {
+    VersionedConfiguration current = configuration.current();
+    if (current.version() != tables.version()) {
+      tables = ServingTables.of(current);
+    }
+    return tables;
+  }
+
+  /**
+   * Returns the caller.
+   *
+   * @throws io.briarward.core.errors.FailureException when the key is missing, unknown or lacks the
+   *     scope
+   */
+  Caller authenticate(HttpServerRequest request) {
+    Optional<String> secret =
+        Optional.ofNullable(request.getHeader("Authorization")).flatMap(HeaderRules::bearerSecret);
+    ApiKey key = tables().requireKey(secret, ApiKey.Scope.TRAIN);
+    return new Caller(key.organisation(), Optional.of(key), secret);
+  }
+
+  /** Returns whether the caller's key is still granted. */
+  boolean isGranted(Caller caller) {
+    return caller.key().filter(tables()::grants).isPresent();
+  }
+}
