Compare a node with direct calls in one run

bin/bench alternates direct and routed rounds and prints latencies, processor time and resident memory.

--- /dev/null
+++ b/cli/src/main/java/io/briarward/cli/BenchCommand.java
@@ -0,0 +1,25 @@
+package io.briarward.cli;
+
+import io.briarward.experiments.bench.Bench;
+import io.briarward.experiments.bench.BenchSettings;
+
+/** Compares a node with direct calls. */
+final class BenchCommand implements Command {
+  private final BenchSettings settings = new BenchSettings();
+
+  @Override
+  public String summary() {
+    return "compares requests through a node with direct calls";
+  }
+
+  @Override
+  public Object options() {
+    return settings;
+  }
+
+  @Override
+  public int run() throws Exception {
+    Bench.run(settings, System.out);
+    return ExitCodes.OK;
+  }
+}
--- a/cli/src/main/java/io/briarward/cli/Main.java
+++ b/cli/src/main/java/io/briarward/cli/Main.java
@@ -11,6 +11,7 @@
   private static final ImmutableSortedMap<String, Supplier<Command>> COMMANDS =
       ImmutableSortedMap.<String, Supplier<Command>>naturalOrder()
           .put("apply", ApplyCommand::new)
+          .put("bench", BenchCommand::new)
           .put("check", CheckCommand::new)
           .put("demo", DemoCommand::new)
           .put("errors", ErrorsCommand::new)
