--- a/core/src/main/java/io/briarward/core/admission/ShareHolding.java
+++ b/core/src/main/java/io/briarward/core/admission/ShareHolding.java
@@ -5,7 +5,7 @@
   /** Reports of the same demand are repeated this often, so that the lease never ends. */
   private static final long REFRESH_MILLIS = 5_000;
 
-  /** A node that holds less or much more than it needs reports this often. */
+  /** A node without an answer, or with much less or more than it needs, reports this often. */
   private static final long MISFIT_REFRESH_MILLIS = 1_000;
 
   /** The shortest time between two reports. */
@@ -22,6 +22,7 @@
   private Share reportedHeld = Share.ZERO;
   private Share reportedDemand = Share.ZERO;
   private String reportedHome = "";
+  private boolean unanswered;
   private long sequence;
   private long reportedAtMillis = Long.MIN_VALUE / 2;
   private long leaseEndsAtMillis = Long.MIN_VALUE / 2;
@@ -57,7 +58,7 @@
     boolean unmet = !covers(held(nowMillis), demand);
     boolean grown = unmet && !covers(reportedDemand.times(1 + GROWTH_SHARE), demand);
     boolean fallen = !covers(demand, reportedDemand.times(1 - FALL_SHARE));
-    long refreshMillis = unmet || fallen ? MISFIT_REFRESH_MILLIS : REFRESH_MILLIS;
+    long refreshMillis = unanswered || unmet || fallen ? MISFIT_REFRESH_MILLIS : REFRESH_MILLIS;
     boolean news = grown || sinceMillis >= refreshMillis || !home.equals(reportedHome);
     return releaseUnconfirmed() || (active && news);
   }
@@ -78,6 +79,7 @@
     reportedDemand = demand;
     reportedHeld = held(nowMillis);
     reportedAtMillis = nowMillis;
+    unanswered = true;
     return new ShareReport(limit, sequence, demand, reportedHeld);
   }
 
@@ -88,6 +90,7 @@
       return false;
     }
     held = grant.share();
+    unanswered = false;
     leaseEndsAtMillis = reportedAtMillis + ShareNegotiator.LEASE_MILLIS;
     return true;
   }
--- a/core/src/main/java/io/briarward/core/retry/AttemptLog.java
+++ b/core/src/main/java/io/briarward/core/retry/AttemptLog.java
@@ -10,16 +10,15 @@
 /**
  * The attempts made for one request, and so what may be stated about it.
  *
- * <p>Call {@link #onSending} before a connection is asked for: a request that was handed to one may
- * run even if the connection breaks at once. Then call exactly one of {@link #onNothingSent},
- * {@link #onBrokenOff} and {@link #onAnswered}. Confined to one event loop.
+ * <p>Call {@link #onAttempt} before an upstream is contacted, and {@link #onSending} before the
+ * first byte is handed to a connection: a request that was handed over may run even if the
+ * connection breaks at once. Confined to one event loop.
  */
 public final class AttemptLog {
   private final boolean idempotent;
   private int attempts;
-  private int unsettled;
-  private int maybeRan;
-  private boolean ran;
+  private boolean sent;
+  private boolean answered;
 
   private AttemptLog(boolean idempotent) {
     this.idempotent = idempotent;
@@ -42,11 +41,16 @@
   /**
    * Returns whether a byte may be sent to an upstream now.
    *
-   * <p>It guards against every caller's mistake: a request that is not idempotent is never sent
-   * while an earlier attempt may have run.
+   * <p>A request that is not idempotent is sent once: nothing proves that bytes handed to a
+   * connection did not run.
    */
   public boolean maySend() {
-    return idempotent || (maybeRan == 0 && unsettled == 0 && !ran);
+    return idempotent || !sent;
+  }
+
+  /** Records that an attempt starts, of which nothing is sent yet. */
+  public void onAttempt() {
+    attempts++;
   }
 
   /**
@@ -56,30 +60,13 @@
    */
   public void onSending() {
     checkState(maySend(), "the request may have run and is not idempotent");
-    attempts++;
-    unsettled++;
-  }
-
-  /** Records that the attempt in progress broke off after bytes were sent. */
-  public void onBrokenOff() {
-    settle();
-    maybeRan++;
-  }
-
-  /** Records that the connection proved that no byte of the attempt in progress was sent. */
-  public void onNothingSent() {
-    settle();
+    sent = true;
   }
 
-  /** Records that the upstream answered the attempt in progress, whatever the answer. */
+  /** Records that an upstream gave a whole answer. */
   public void onAnswered() {
-    settle();
-    ran = true;
-  }
-
-  private void settle() {
-    checkState(unsettled > 0, "no attempt is in progress");
-    unsettled--;
+    checkState(sent, "nothing was sent");
+    answered = true;
   }
 
   /** Returns how many attempts were started. */
@@ -89,11 +76,10 @@
 
   /** Returns what may be stated about the request. */
   public RunState runState() {
-    if (ran) {
+    if (answered) {
       return RunState.RAN;
     }
-    boolean nothingSent = maybeRan == 0 && unsettled == 0;
-    return nothingSent ? RunState.NOT_RUN : RunState.UNKNOWN;
+    return sent ? RunState.UNKNOWN : RunState.NOT_RUN;
   }
 
   /** Returns a failure that states truthfully whether the request ran. */
--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -9,9 +9,10 @@
 import io.briarward.node.configuration.ConfigurationStore;
 import io.briarward.node.http.HttpAnswers;
 import io.briarward.node.live.ActiveRequests;
-import io.briarward.node.live.LeastInFlightSelector;
 import io.briarward.node.live.LiveContext;
 import io.briarward.node.live.LiveProxy;
+import io.briarward.node.live.RetryBudgets;
+import io.briarward.node.live.RoutedSelector;
 import io.briarward.node.live.UpstreamRequests;
 import io.briarward.node.operate.OperatorApi;
 import io.briarward.node.peer.NettyPeerNetwork;
@@ -23,6 +24,7 @@
 import io.briarward.node.platform.HttpUpstreamOrders;
 import io.briarward.node.platform.HttpVmList;
 import io.briarward.node.platform.JsonHttpClient;
+import io.briarward.node.serving.Serving;
 import io.briarward.node.settings.NodeSettings;
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.telemetry.Tracing;
@@ -68,12 +70,15 @@
   private Node(NodeContext context) {
     this.context = context;
     this.active = ActiveRequests.create();
+    Serving serving = Serving.start(context);
     UpstreamRequests upstreams = UpstreamRequests.create(context.vertx());
     LiveContext liveContext =
         new LiveContext(
             context.scheduler(),
             upstreams,
-            LeastInFlightSelector.create(context.settings().dataCentre()),
+            RoutedSelector.create(serving.router(), context::nowMillis),
+            serving.gate(),
+            RetryBudgets.create(),
             usage -> Completable.complete(),
             active,
             context.metrics(),
@@ -89,6 +94,7 @@
     parts.push(context.tracing());
     parts.push(upstreams);
     parts.push(live);
+    parts.push(serving);
   }
 
   /** Starts a node and returns it once it listens. */
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/admission/AdmissionGate.java
@@ -0,0 +1,146 @@
+package io.briarward.node.admission;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.briarward.core.admission.AdmissionControl;
+import io.briarward.core.admission.AdmissionControl.Outcome;
+import io.briarward.core.admission.AdmissionDecisions;
+import io.briarward.core.admission.AdmissionRequest;
+import io.briarward.core.admission.Priority;
+import io.briarward.core.errors.Failure;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Lets requests start when admission control admits them.
+ *
+ * <p>Confined to the event loop of its scheduler. Example:
+ *
+ * <pre>{@code
+ * gate.enter(service, organisation, Priority.LIVE, weight, dueAtMillis)
+ *     .subscribe(admission -> run(admission), error -> refuse(error));
+ * }</pre>
+ */
+public final class AdmissionGate implements AutoCloseable {
+  private final AdmissionControl control;
+  private final Scheduler scheduler;
+  private final Map<Long, SingleEmitter<Admission>> waiting = new HashMap<>();
+  private Disposable timer = Disposable.disposed();
+  private long timerAtMillis = Long.MAX_VALUE;
+  private long lastId;
+
+  private AdmissionGate(AdmissionControl control, Scheduler scheduler) {
+    this.control = checkNotNull(control, "control");
+    this.scheduler = checkNotNull(scheduler, "scheduler");
+  }
+
+  /** Returns a gate that asks the given control. */
+  public static AdmissionGate create(AdmissionControl control, Scheduler scheduler) {
+    return new AdmissionGate(control, scheduler);
+  }
+
+  /** A request that runs, until it is ended. */
+  public final class Admission {
+    private final long id;
+
+    private Admission(long id) {
+      this.id = id;
+    }
+
+    /** Gives the place to others; only the first call counts. */
+    public void end(Outcome outcome) {
+      control.onFinished(id, outcome, nowMillis());
+      settle();
+    }
+  }
+
+  /**
+   * Waits for a place.
+   *
+   * @param dueAtMillis when the answer is due, on the scheduler's clock
+   * @return signals a {@link io.briarward.core.errors.FailureException} when the request is
+   *     refused; disposing it gives up waiting
+   */
+  public Single<Admission> enter(
+      String service, String organisation, Priority priority, double weight, long dueAtMillis) {
+    return Single.create(
+        emitter -> {
+          lastId++;
+          AdmissionRequest request =
+              new AdmissionRequest(lastId, service, organisation, priority, weight, dueAtMillis);
+          offer(request, emitter);
+        });
+  }
+
+  /** Applies changed shares and capacities to the requests that wait. */
+  public void settle() {
+    AdmissionDecisions decisions = control.poll(nowMillis());
+    decisions.refused().forEach(refused -> refuse(refused.id(), refused.failure()));
+    decisions.admitted().forEach(this::admit);
+    scheduleNext();
+  }
+
+  @Override
+  public void close() {
+    timer.dispose();
+  }
+
+  private void offer(AdmissionRequest request, SingleEmitter<Admission> emitter) {
+    long id = request.id();
+    waiting.put(id, emitter);
+    emitter.setCancellable(() -> cancel(id));
+    control
+        .offer(request, nowMillis())
+        .match(() -> admit(id), this::scheduleNext, failure -> refuse(id, failure));
+  }
+
+  private boolean admit(long id) {
+    SingleEmitter<Admission> emitter = waiting.remove(id);
+    boolean abandoned = emitter == null || emitter.isDisposed();
+    if (abandoned) {
+      new Admission(id).end(Outcome.FAILED);
+    } else {
+      emitter.onSuccess(new Admission(id));
+    }
+    return !abandoned;
+  }
+
+  private boolean refuse(long id, Failure failure) {
+    SingleEmitter<Admission> emitter = waiting.remove(id);
+    return emitter != null && emitter.tryOnError(failure.toException());
+  }
+
+  private void cancel(long id) {
+    if (waiting.remove(id) != null) {
+      control.onCancelled(id);
+    }
+  }
+
+  /** Sets the timer to the next deadline, unless it goes off earlier already. */
+  private boolean scheduleNext() {
+    OptionalLong deadlineMillis = control.nextDeadlineMillis(nowMillis());
+    if (deadlineMillis.isEmpty() || deadlineMillis.getAsLong() >= timerAtMillis) {
+      return false;
+    }
+    timer.dispose();
+    timerAtMillis = deadlineMillis.getAsLong();
+    long delayMillis = Math.max(1, timerAtMillis - nowMillis());
+    timer = scheduler.scheduleDirect(this::onTimer, delayMillis, TimeUnit.MILLISECONDS);
+    return true;
+  }
+
+  private void onTimer() {
+    timerAtMillis = Long.MAX_VALUE;
+    settle();
+  }
+
+  private long nowMillis() {
+    return scheduler.now(TimeUnit.MILLISECONDS);
+  }
+}
--- a/node/src/main/java/io/briarward/node/live/LiveContext.java
+++ b/node/src/main/java/io/briarward/node/live/LiveContext.java
@@ -1,5 +1,6 @@
 package io.briarward.node.live;
 
+import io.briarward.node.admission.AdmissionGate;
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.telemetry.Tracing;
 import io.reactivex.rxjava3.core.Scheduler;
@@ -14,6 +15,8 @@
     Scheduler scheduler,
     UpstreamRequests upstreams,
     UpstreamSelector selector,
+    AdmissionGate gate,
+    RetryBudgets retryBudgets,
     UsageRecorder usage,
     ActiveRequests active,
     Metrics metrics,
--- a/node/src/main/java/io/briarward/node/live/LiveExchange.java
+++ b/node/src/main/java/io/briarward/node/live/LiveExchange.java
@@ -1,13 +1,20 @@
 package io.briarward.node.live;
 
 import com.google.common.collect.ImmutableSet;
+import io.briarward.core.admission.AdmissionControl.Outcome;
+import io.briarward.core.admission.Priority;
 import io.briarward.core.configuration.ApiKey;
 import io.briarward.core.configuration.Service;
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
 import io.briarward.core.errors.RunState;
 import io.briarward.core.forwarding.HeaderRules;
+import io.briarward.core.retry.AttemptLog;
+import io.briarward.core.retry.RetryDecision;
+import io.briarward.core.retry.RetryPolicy;
+import io.briarward.node.admission.AdmissionGate;
 import io.briarward.node.http.HttpAnswers;
+import io.briarward.node.live.UpstreamSelector.Ending;
 import io.briarward.node.telemetry.Tracing;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.StatusCode;
@@ -18,6 +25,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -28,7 +36,6 @@
  * part of an answer was passed on already, a broken connection.
  */
 final class LiveExchange {
-  private static final int MAX_ATTEMPTS = 3;
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
   private final LiveContext context;
@@ -39,9 +46,10 @@
   private final AnswerObserver observer;
   private Disposable deadline = Disposable.disposed();
   private Optional<UpstreamSelector.Slot> slot = Optional.empty();
+  private final AttemptLog attempts;
+  private Disposable next = Disposable.disposed();
+  private Optional<AdmissionGate.Admission> admission = Optional.empty();
   private Optional<HttpClientRequest> upstreamRequest = Optional.empty();
-  private int attempts;
-  private boolean sent;
   private boolean finished;
 
   LiveExchange(
@@ -55,9 +63,11 @@
     this.request = request;
     this.span = span;
     this.observer = observer;
+    // A body that streams cannot be sent twice.
+    this.attempts = AttemptLog.create(request.idempotent() && request.body().isPresent());
   }
 
-  /** Starts the first attempt. */
+  /** Waits for admission and starts the first attempt. */
   void start() {
     context.active().add(this);
     context.metrics().inFlight(context.active().count());
@@ -66,7 +76,31 @@
         context.scheduler().scheduleDirect(this::onDeadline, waitMillis, TimeUnit.MILLISECONDS);
     downstream.response().closeHandler(unused -> onCallerGone());
     downstream.response().exceptionHandler(unused -> onCallerGone());
-    attempt();
+    context.retryBudgets().of(request.service().id()).onRequest();
+    next =
+        context
+            .gate()
+            .enter(
+                request.service().id(),
+                request.caller().organisation(),
+                Priority.LIVE,
+                request.route().weight(),
+                request.deadlineMillis())
+            .subscribe(this::onAdmitted, error -> fail(HttpAnswers.failureOf(error)));
+  }
+
+  private void onAdmitted(AdmissionGate.Admission admitted) {
+    admission = Optional.of(admitted);
+    if (finished) {
+      endAdmission(Outcome.FAILED);
+    } else {
+      attempt();
+    }
+  }
+
+  private void endAdmission(Outcome outcome) {
+    admission.ifPresent(admitted -> admitted.end(outcome));
+    admission = Optional.empty();
   }
 
   void cutOffUnlessGranted(ServingTables tables) {
@@ -84,14 +118,17 @@
   }
 
   private void attempt() {
-    attempts++;
+    attempts.onAttempt();
     Optional<UpstreamSelector.Slot> chosen =
         context
             .selector()
             .select(
                 new UpstreamSelector.Selection(
                     request.service(),
-                    request.caller().organisation(),
+                    request.partner().id(),
+                    request.partner().reclaimableShare(),
+                    request.prompt(),
+                    request.deadlineMillis(),
                     ImmutableSet.copyOf(failedUpstreams)));
     if (chosen.isEmpty()) {
       fail(retryLater(ErrorKind.NO_UPSTREAM, "no upstream of " + request.service().id()));
@@ -114,7 +151,7 @@
     Span hop = context.tracing().startClientSpan("upstream", span);
     hop.setAttribute("upstream.id", slot.orElseThrow().upstream().id());
     copyHeaders(upstream, hop);
-    sent = true;
+    attempts.onSending();
     upstream
         .response()
         .onComplete(unused -> hop.end())
@@ -144,7 +181,7 @@
   }
 
   private void onConnectFailed(Throwable cause) {
-    releaseSlot(false);
+    releaseSlot(Ending.FAILED);
     if (!finished) {
       retryOrFail(Failure.notRun(ErrorKind.UPSTREAM_FAILED, "upstream refused the connection"));
     }
@@ -154,11 +191,12 @@
     if (finished || upstreamRequest.filter(current -> current == upstream).isEmpty()) {
       return;
     }
-    releaseSlot(false);
+    boolean bodyTooLarge = HttpAnswers.failureOf(cause).kind() == ErrorKind.BODY_TOO_LARGE;
+    releaseSlot(bodyTooLarge ? Ending.ABANDONED : Ending.FAILED);
     upstream.reset();
     upstreamRequest = Optional.empty();
     Failure failure =
-        HttpAnswers.failureOf(cause).kind() == ErrorKind.BODY_TOO_LARGE
+        bodyTooLarge
             ? Failure.unknown(ErrorKind.BODY_TOO_LARGE, cause.getMessage())
             : Failure.unknown(ErrorKind.UPSTREAM_FAILED, "the upstream broke off");
     retryOrFail(failure);
@@ -166,18 +204,34 @@
 
   /** Tries again only where a second run is allowed and can still be of use. */
   private void retryOrFail(Failure failure) {
-    boolean mayRunAgain = !sent || (request.idempotent() && request.body().isPresent());
-    boolean useful =
-        attempts < MAX_ATTEMPTS
-            && !downstream.response().headWritten()
-            && context.nowMillis() < request.deadlineMillis()
-            && failure.kind() != ErrorKind.BODY_TOO_LARGE;
-    if (mayRunAgain && useful) {
-      context.metrics().retried(request.service().id());
-      attempt();
-    } else {
-      fail(new Failure(failure.kind(), failure.detail(), runState(), failure.retryAfterMillis()));
+    if (failure.kind() == ErrorKind.BODY_TOO_LARGE) {
+      giveUp(failure);
+      return;
     }
+    RetryPolicy.FailedAttempt failed =
+        new RetryPolicy.FailedAttempt(
+            attempts, downstream.response().headWritten(), request.deadlineMillis(), 0);
+    RetryDecision decision =
+        RetryPolicy.DEFAULT.onFailure(
+            failed,
+            context.retryBudgets().of(request.service().id()),
+            ThreadLocalRandom.current(),
+            context.nowMillis());
+    boolean unused = decision.match(this::retryAfterDelay, reason -> giveUp(failure));
+  }
+
+  private boolean retryAfterDelay(RetryDecision.Retry retry) {
+    context.metrics().retried(request.service().id());
+    next =
+        context
+            .scheduler()
+            .scheduleDirect(this::attempt, retry.delayMillis(), TimeUnit.MILLISECONDS);
+    return true;
+  }
+
+  private boolean giveUp(Failure failure) {
+    fail(new Failure(failure.kind(), failure.detail(), runState(), failure.retryAfterMillis()));
+    return false;
   }
 
   private void onResponse(HttpClientRequest upstream, HttpClientResponse response) {
@@ -210,7 +264,8 @@
     if (finished) {
       return;
     }
-    releaseSlot(true);
+    releaseSlot(Ending.ANSWERED);
+    attempts.onAnswered();
     UsageRecorder.Usage usage =
         new UsageRecorder.Usage(
             request.caller().organisation(),
@@ -253,7 +308,7 @@
   }
 
   private RunState runState() {
-    return sent ? RunState.UNKNOWN : RunState.NOT_RUN;
+    return attempts.runState();
   }
 
   private void fail(Failure failure) {
@@ -274,7 +329,9 @@
   private void finish(String outcome) {
     finished = true;
     deadline.dispose();
-    releaseSlot(outcome.equals("ok"));
+    next.dispose();
+    releaseSlot(Ending.ABANDONED);
+    endAdmission(outcome.equals("ok") ? Outcome.IN_TIME : Outcome.FAILED);
     context.active().remove(this);
     context.metrics().inFlight(context.active().count());
     double seconds = (context.nowMillis() - request.startMillis()) / 1e3;
@@ -286,16 +343,16 @@
         request.caller(),
         request.service().id(),
         outcome,
-        attempts);
+        attempts.attempts());
   }
 
-  private void releaseSlot(boolean succeeded) {
+  private void releaseSlot(Ending ending) {
     slot.ifPresent(
         taken -> {
-          if (!succeeded) {
+          if (ending == Ending.FAILED) {
             failedUpstreams.add(taken.upstream().id());
           }
-          taken.release(succeeded);
+          taken.release(ending);
         });
     slot = Optional.empty();
   }
--- a/node/src/main/java/io/briarward/node/live/LiveRequest.java
+++ b/node/src/main/java/io/briarward/node/live/LiveRequest.java
@@ -1,5 +1,6 @@
 package io.briarward.node.live;
 
+import io.briarward.core.configuration.Partner;
 import io.briarward.core.configuration.Route;
 import io.briarward.core.configuration.Service;
 import io.vertx.core.buffer.Buffer;
@@ -9,6 +10,7 @@
  * A request that was read, matched to a route and authenticated.
  *
  * @param id the id given to it by this node
+ * @param partner the partner that the caller's organisation belongs to
  * @param deadlineMillis its due time on the node's clock
  * @param idempotent whether it may run more than once
  * @param body the whole body when it was read ahead, empty when it streams
@@ -18,6 +20,7 @@
     Route route,
     Service service,
     Caller caller,
+    Partner partner,
     long startMillis,
     long deadlineMillis,
     boolean idempotent,
@@ -25,6 +28,19 @@
 
   LiveRequest withBody(Buffer whole) {
     return new LiveRequest(
-        id, route, service, caller, startMillis, deadlineMillis, idempotent, Optional.of(whole));
+        id,
+        route,
+        service,
+        caller,
+        partner,
+        startMillis,
+        deadlineMillis,
+        idempotent,
+        Optional.of(whole));
+  }
+
+  /** Returns the prompt of a request to a model, if its body was read ahead. */
+  Optional<Prompt> prompt() {
+    return service.kind() == Service.Kind.MODEL ? body.flatMap(Prompt::read) : Optional.empty();
   }
 }
--- a/node/src/main/java/io/briarward/node/live/LiveRequestReader.java
+++ b/node/src/main/java/io/briarward/node/live/LiveRequestReader.java
@@ -4,6 +4,8 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.primitives.Longs;
 import io.briarward.core.configuration.ApiKey;
+import io.briarward.core.configuration.Configuration;
+import io.briarward.core.configuration.Partner;
 import io.briarward.core.configuration.Route;
 import io.briarward.core.configuration.Service;
 import io.briarward.core.errors.ErrorKind;
@@ -50,12 +52,25 @@
         route,
         service,
         caller,
+        partner(tables, caller),
         nowMillis,
         nowMillis + timeoutMillis(request, route),
         idempotent,
         Optional.empty());
   }
 
+  private static Partner partner(ServingTables tables, Caller caller) {
+    Configuration configuration = tables.configuration();
+    return configuration
+        .organisation(caller.organisation())
+        .flatMap(organisation -> partner(configuration, organisation.partner()))
+        .orElseThrow(() -> refused(ErrorKind.NOT_READY, "organisation is gone"));
+  }
+
+  private static Optional<Partner> partner(Configuration configuration, String id) {
+    return configuration.partners().stream().filter(partner -> partner.id().equals(id)).findFirst();
+  }
+
   private void checkFraming(HttpServerRequest request) {
     if (request.method().equals(HttpMethod.CONNECT)) {
       throw refused(ErrorKind.MALFORMED_REQUEST, "CONNECT is not accepted");
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/live/RoutedSelector.java
@@ -0,0 +1,71 @@
+package io.briarward.node.live;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.briarward.core.configuration.Upstream;
+import io.briarward.core.routing.RouteRequest;
+import io.briarward.core.routing.RouteResult;
+import io.briarward.core.routing.Router;
+import io.briarward.core.routing.UpstreamChoice;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+/** Chooses upstreams by the router. Confined to the event loop. */
+public final class RoutedSelector implements UpstreamSelector {
+  private final Router router;
+  private final LongSupplier nowMillis;
+
+  private RoutedSelector(Router router, LongSupplier nowMillis) {
+    this.router = checkNotNull(router, "router");
+    this.nowMillis = checkNotNull(nowMillis, "nowMillis");
+  }
+
+  /** Returns a selector that reads the time from the given clock. */
+  public static RoutedSelector create(Router router, LongSupplier nowMillis) {
+    return new RoutedSelector(router, nowMillis);
+  }
+
+  @Override
+  public Optional<Slot> select(Selection selection) {
+    RouteRequest.Builder request =
+        RouteRequest.builder(selection.service().id(), selection.partner())
+            .reclaimableShare(selection.reclaimableShare())
+            .dueAtMillis(selection.dueAtMillis())
+            .excluded(selection.excluded());
+    selection
+        .prompt()
+        .ifPresent(prompt -> request.prefixHash(prompt.prefixHash()).promptTokens(prompt.tokens()));
+    return router.choose(request.build(), nowMillis.getAsLong()).match(this::take, this::none);
+  }
+
+  private Optional<Slot> take(RouteResult.Chosen chosen) {
+    return Optional.of(new RoutedSlot(chosen.choice()));
+  }
+
+  private Optional<Slot> none(RouteResult.Refused refused) {
+    return Optional.empty();
+  }
+
+  private final class RoutedSlot implements Slot {
+    private final UpstreamChoice choice;
+
+    RoutedSlot(UpstreamChoice choice) {
+      this.choice = choice;
+    }
+
+    @Override
+    public Upstream upstream() {
+      return choice.upstream();
+    }
+
+    @Override
+    public void release(Ending ending) {
+      switch (ending) {
+        case ANSWERED -> router.onFinished(choice, nowMillis.getAsLong());
+        case FAILED -> router.onFailed(choice, nowMillis.getAsLong());
+        case ABANDONED -> router.onReleased(choice, nowMillis.getAsLong());
+        default -> throw new AssertionError(ending);
+      }
+    }
+  }
+}
--- a/node/src/main/java/io/briarward/node/live/UpstreamSelector.java
+++ b/node/src/main/java/io/briarward/node/live/UpstreamSelector.java
@@ -14,9 +14,19 @@
   /**
    * What an attempt needs.
    *
+   * @param partner the id of the partner whose work it is
+   * @param reclaimableShare the largest share of the partner's work on reclaimable upstreams
+   * @param prompt the prompt, when the request has one that was read
+   * @param dueAtMillis when the answer is due, on the node's clock
    * @param excluded the ids of upstreams that failed this request already
    */
-  record Selection(Service service, String organisation, ImmutableSet<String> excluded) {}
+  record Selection(
+      Service service,
+      String partner,
+      double reclaimableShare,
+      Optional<Prompt> prompt,
+      long dueAtMillis,
+      ImmutableSet<String> excluded) {}
 
   /** An upstream with the attempt counted in its load until the slot is released. */
   interface Slot {
@@ -24,6 +34,16 @@
     Upstream upstream();
 
     /** Ends the attempt; only the first call counts. */
-    void release(boolean succeeded);
+    void release(Ending ending);
+  }
+
+  /** How an attempt ended. */
+  enum Ending {
+    /** The upstream gave a whole answer. */
+    ANSWERED,
+    /** The upstream refused the connection, broke off or answered wrongly. */
+    FAILED,
+    /** The attempt was given up for a reason that is not the upstream's. */
+    ABANDONED
   }
 }
--- a/wire/src/main/java/io/briarward/wire/proto/Admission.java
+++ b/wire/src/main/java/io/briarward/wire/proto/Admission.java
@@ -31,6 +31,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_briarward_AdmissionMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_briarward_LimitAmount_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_briarward_LimitAmount_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_briarward_LimitReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_briarward_LimitReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_briarward_LimitGrant_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_briarward_LimitGrant_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_briarward_ServiceLoad_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_briarward_ServiceLoad_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -40,9 +60,23 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\017admission.proto\022\tbriarward\"\022\n\020Admissio" +
-      "nMessageB\033\n\027io.briarward.wire.protoP\001b\006p" +
-      "roto3"
+      "\n\017admission.proto\022\tbriarward\"\236\001\n\020Admissi" +
+      "onMessage\022\'\n\007reports\030\001 \003(\0132\026.briarward.L" +
+      "imitReport\022%\n\006grants\030\002 \003(\0132\025.briarward.L" +
+      "imitGrant\022\023\n\013data_centre\030\003 \001(\t\022%\n\005loads\030" +
+      "\004 \003(\0132\026.briarward.ServiceLoad\">\n\013LimitAm" +
+      "ount\022\033\n\023requests_per_second\030\001 \001(\002\022\022\n\ncon" +
+      "current\030\002 \001(\002\"\246\001\n\013LimitReport\022\020\n\010limit_i" +
+      "d\030\001 \001(\t\022\020\n\010sequence\030\002 \001(\004\022%\n\005total\030\003 \001(\013" +
+      "2\026.briarward.LimitAmount\022&\n\006demand\030\004 \001(\013" +
+      "2\026.briarward.LimitAmount\022$\n\004held\030\005 \001(\0132\026" +
+      ".briarward.LimitAmount\"W\n\nLimitGrant\022\020\n\010" +
+      "limit_id\030\001 \001(\t\022\020\n\010sequence\030\002 \001(\004\022%\n\005shar" +
+      "e\030\003 \001(\0132\026.briarward.LimitAmount\"^\n\013Servi" +
+      "ceLoad\022\017\n\007service\030\001 \001(\t\022\023\n\013outstanding\030\002" +
+      " \001(\002\022\r\n\005slots\030\003 \001(\002\022\032\n\022min_weight_versio" +
+      "n\030\004 \001(\004B\033\n\027io.briarward.wire.protoP\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -53,7 +87,31 @@
     internal_static_briarward_AdmissionMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_briarward_AdmissionMessage_descriptor,
-        new java.lang.String[] { });
+        new java.lang.String[] { "Reports", "Grants", "DataCentre", "Loads", });
+    internal_static_briarward_LimitAmount_descriptor =
+      getDescriptor().getMessageType(1);
+    internal_static_briarward_LimitAmount_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_briarward_LimitAmount_descriptor,
+        new java.lang.String[] { "RequestsPerSecond", "Concurrent", });
+    internal_static_briarward_LimitReport_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_briarward_LimitReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_briarward_LimitReport_descriptor,
+        new java.lang.String[] { "LimitId", "Sequence", "Total", "Demand", "Held", });
+    internal_static_briarward_LimitGrant_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_briarward_LimitGrant_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_briarward_LimitGrant_descriptor,
+        new java.lang.String[] { "LimitId", "Sequence", "Share", });
+    internal_static_briarward_ServiceLoad_descriptor =
+      getDescriptor().getMessageType(4);
+    internal_static_briarward_ServiceLoad_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_briarward_ServiceLoad_descriptor,
+        new java.lang.String[] { "Service", "Outstanding", "Slots", "MinWeightVersion", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/io/briarward/wire/proto/AdmissionMessage.java
+++ b/wire/src/main/java/io/briarward/wire/proto/AdmissionMessage.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Shares of limits that hold over all VMs.
+ * Shares of limits that hold over all VMs, and the load of data centres.
  * </pre>
  *
  * Protobuf type {@code briarward.AdmissionMessage}
@@ -32,6 +32,10 @@
     super(builder);
   }
   private AdmissionMessage() {
+    reports_ = java.util.Collections.emptyList();
+    grants_ = java.util.Collections.emptyList();
+    dataCentre_ = "";
+    loads_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -52,6 +56,196 @@
             io.briarward.wire.proto.AdmissionMessage.class, io.briarward.wire.proto.AdmissionMessage.Builder.class);
   }
 
+  public static final int REPORTS_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private java.util.List<io.briarward.wire.proto.LimitReport> reports_;
+  /**
+   * <pre>
+   * Sent to the home of the limits, which answers with grants.
+   * </pre>
+   *
+   * <code>repeated .briarward.LimitReport reports = 1;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.briarward.wire.proto.LimitReport> getReportsList() {
+    return reports_;
+  }
+  /**
+   * <pre>
+   * Sent to the home of the limits, which answers with grants.
+   * </pre>
+   *
+   * <code>repeated .briarward.LimitReport reports = 1;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.briarward.wire.proto.LimitReportOrBuilder> 
+      getReportsOrBuilderList() {
+    return reports_;
+  }
+  /**
+   * <pre>
+   * Sent to the home of the limits, which answers with grants.
+   * </pre>
+   *
+   * <code>repeated .briarward.LimitReport reports = 1;</code>
+   */
+  @java.lang.Override
+  public int getReportsCount() {
+    return reports_.size();
+  }
+  /**
+   * <pre>
+   * Sent to the home of the limits, which answers with grants.
+   * </pre>
+   *
+   * <code>repeated .briarward.LimitReport reports = 1;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.LimitReport getReports(int index) {
+    return reports_.get(index);
+  }
+  /**
+   * <pre>
+   * Sent to the home of the limits, which answers with grants.
+   * </pre>
+   *
+   * <code>repeated .briarward.LimitReport reports = 1;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.LimitReportOrBuilder getReportsOrBuilder(
+      int index) {
+    return reports_.get(index);
+  }
+
+  public static final int GRANTS_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private java.util.List<io.briarward.wire.proto.LimitGrant> grants_;
+  /**
+   * <code>repeated .briarward.LimitGrant grants = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.briarward.wire.proto.LimitGrant> getGrantsList() {
+    return grants_;
+  }
+  /**
+   * <code>repeated .briarward.LimitGrant grants = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.briarward.wire.proto.LimitGrantOrBuilder> 
+      getGrantsOrBuilderList() {
+    return grants_;
+  }
+  /**
+   * <code>repeated .briarward.LimitGrant grants = 2;</code>
+   */
+  @java.lang.Override
+  public int getGrantsCount() {
+    return grants_.size();
+  }
+  /**
+   * <code>repeated .briarward.LimitGrant grants = 2;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.LimitGrant getGrants(int index) {
+    return grants_.get(index);
+  }
+  /**
+   * <code>repeated .briarward.LimitGrant grants = 2;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.LimitGrantOrBuilder getGrantsOrBuilder(
+      int index) {
+    return grants_.get(index);
+  }
+
+  public static final int DATA_CENTRE_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object dataCentre_ = "";
+  /**
+   * <pre>
+   * The sender's data centre, and its aggregate load by service.
+   * </pre>
+   *
+   * <code>string data_centre = 3;</code>
+   * @return The dataCentre.
+   */
+  @java.lang.Override
+  public java.lang.String getDataCentre() {
+    java.lang.Object ref = dataCentre_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      dataCentre_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The sender's data centre, and its aggregate load by service.
+   * </pre>
+   *
+   * <code>string data_centre = 3;</code>
+   * @return The bytes for dataCentre.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDataCentreBytes() {
+    java.lang.Object ref = dataCentre_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      dataCentre_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int LOADS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<io.briarward.wire.proto.ServiceLoad> loads_;
+  /**
+   * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.briarward.wire.proto.ServiceLoad> getLoadsList() {
+    return loads_;
+  }
+  /**
+   * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.briarward.wire.proto.ServiceLoadOrBuilder> 
+      getLoadsOrBuilderList() {
+    return loads_;
+  }
+  /**
+   * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+   */
+  @java.lang.Override
+  public int getLoadsCount() {
+    return loads_.size();
+  }
+  /**
+   * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.ServiceLoad getLoads(int index) {
+    return loads_.get(index);
+  }
+  /**
+   * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.ServiceLoadOrBuilder getLoadsOrBuilder(
+      int index) {
+    return loads_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -66,14 +260,61 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    for (int i = 0; i < reports_.size(); i++) {
+      output.writeMessage(1, reports_.get(i));
+    }
+    for (int i = 0; i < grants_.size(); i++) {
+      output.writeMessage(2, grants_.get(i));
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, dataCentre_);
+    }
+    for (int i = 0; i < loads_.size(); i++) {
+      output.writeMessage(4, loads_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
+  private int computeSerializedSize_0() {
+    int size = 0;
+
+        {
+          final int count = reports_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(reports_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = grants_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(grants_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, dataCentre_);
+    }
+
+        {
+          final int count = loads_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(loads_.get(i));
+          }
+          size += 1 * count;
+        }
+    return size;
+  }
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
     if (size != -1) return size;
 
     size = 0;
+    size += computeSerializedSize_0();
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -89,6 +330,14 @@
     }
     io.briarward.wire.proto.AdmissionMessage other = (io.briarward.wire.proto.AdmissionMessage) obj;
 
+    if (!getReportsList()
+        .equals(other.getReportsList())) return false;
+    if (!getGrantsList()
+        .equals(other.getGrantsList())) return false;
+    if (!getDataCentre()
+        .equals(other.getDataCentre())) return false;
+    if (!getLoadsList()
+        .equals(other.getLoadsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -100,6 +349,20 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    if (getReportsCount() > 0) {
+      hash = (37 * hash) + REPORTS_FIELD_NUMBER;
+      hash = (53 * hash) + getReportsList().hashCode();
+    }
+    if (getGrantsCount() > 0) {
+      hash = (37 * hash) + GRANTS_FIELD_NUMBER;
+      hash = (53 * hash) + getGrantsList().hashCode();
+    }
+    hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
+    hash = (53 * hash) + getDataCentre().hashCode();
+    if (getLoadsCount() > 0) {
+      hash = (37 * hash) + LOADS_FIELD_NUMBER;
+      hash = (53 * hash) + getLoadsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -199,7 +462,7 @@
   }
   /**
    * <pre>
-   * Shares of limits that hold over all VMs.
+   * Shares of limits that hold over all VMs, and the load of data centres.
    * </pre>
    *
    * Protobuf type {@code briarward.AdmissionMessage}
@@ -234,6 +497,29 @@
     @java.lang.Override
     public Builder clear() {
       super.clear();
+      bitField0_ = 0;
+      if (reportsBuilder_ == null) {
+        reports_ = java.util.Collections.emptyList();
+      } else {
+        reports_ = null;
+        reportsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000001);
+      if (grantsBuilder_ == null) {
+        grants_ = java.util.Collections.emptyList();
+      } else {
+        grants_ = null;
+        grantsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000002);
+      dataCentre_ = "";
+      if (loadsBuilder_ == null) {
+        loads_ = java.util.Collections.emptyList();
+      } else {
+        loads_ = null;
+        loadsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
       return this;
     }
 
@@ -260,10 +546,49 @@
     @java.lang.Override
     public io.briarward.wire.proto.AdmissionMessage buildPartial() {
       io.briarward.wire.proto.AdmissionMessage result = new io.briarward.wire.proto.AdmissionMessage(this);
+      buildPartialRepeatedFields(result);
+      if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(io.briarward.wire.proto.AdmissionMessage result) {
+      if (reportsBuilder_ == null) {
+        if (((bitField0_ & 0x00000001) != 0)) {
+          reports_ = java.util.Collections.unmodifiableList(reports_);
+          bitField0_ = (bitField0_ & ~0x00000001);
+        }
+        result.reports_ = reports_;
+      } else {
+        result.reports_ = reportsBuilder_.build();
+      }
+      if (grantsBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0)) {
+          grants_ = java.util.Collections.unmodifiableList(grants_);
+          bitField0_ = (bitField0_ & ~0x00000002);
+        }
+        result.grants_ = grants_;
+      } else {
+        result.grants_ = grantsBuilder_.build();
+      }
+      if (loadsBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          loads_ = java.util.Collections.unmodifiableList(loads_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.loads_ = loads_;
+      } else {
+        result.loads_ = loadsBuilder_.build();
+      }
+    }
+
+    private void buildPartial0(io.briarward.wire.proto.AdmissionMessage result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.dataCentre_ = dataCentre_;
+      }
+    }
+
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof io.briarward.wire.proto.AdmissionMessage) {
@@ -276,6 +601,89 @@
 
     public Builder mergeFrom(io.briarward.wire.proto.AdmissionMessage other) {
       if (other == io.briarward.wire.proto.AdmissionMessage.getDefaultInstance()) return this;
+      if (reportsBuilder_ == null) {
+        if (!other.reports_.isEmpty()) {
+          if (reports_.isEmpty()) {
+            reports_ = other.reports_;
+            bitField0_ = (bitField0_ & ~0x00000001);
+          } else {
+            ensureReportsIsMutable();
+            reports_.addAll(other.reports_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.reports_.isEmpty()) {
+          if (reportsBuilder_.isEmpty()) {
+            reportsBuilder_.dispose();
+            reportsBuilder_ = null;
+            reports_ = other.reports_;
+            bitField0_ = (bitField0_ & ~0x00000001);
+            reportsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetReportsFieldBuilder() : null;
+          } else {
+            reportsBuilder_.addAllMessages(other.reports_);
+          }
+        }
+      }
+      if (grantsBuilder_ == null) {
+        if (!other.grants_.isEmpty()) {
+          if (grants_.isEmpty()) {
+            grants_ = other.grants_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+          } else {
+            ensureGrantsIsMutable();
+            grants_.addAll(other.grants_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.grants_.isEmpty()) {
+          if (grantsBuilder_.isEmpty()) {
+            grantsBuilder_.dispose();
+            grantsBuilder_ = null;
+            grants_ = other.grants_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+            grantsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetGrantsFieldBuilder() : null;
+          } else {
+            grantsBuilder_.addAllMessages(other.grants_);
+          }
+        }
+      }
+      if (!other.getDataCentre().isEmpty()) {
+        dataCentre_ = other.dataCentre_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      if (loadsBuilder_ == null) {
+        if (!other.loads_.isEmpty()) {
+          if (loads_.isEmpty()) {
+            loads_ = other.loads_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureLoadsIsMutable();
+            loads_.addAll(other.loads_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.loads_.isEmpty()) {
+          if (loadsBuilder_.isEmpty()) {
+            loadsBuilder_.dispose();
+            loadsBuilder_ = null;
+            loads_ = other.loads_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            loadsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLoadsFieldBuilder() : null;
+          } else {
+            loadsBuilder_.addAllMessages(other.loads_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -300,6 +708,50 @@
             case 0:
               done = true;
               break;
+            case 10: {
+              io.briarward.wire.proto.LimitReport m =
+                  input.readMessage(
+                      io.briarward.wire.proto.LimitReport.parser(),
+                      extensionRegistry);
+              if (reportsBuilder_ == null) {
+                ensureReportsIsMutable();
+                reports_.add(m);
+              } else {
+                reportsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 10
+            case 18: {
+              io.briarward.wire.proto.LimitGrant m =
+                  input.readMessage(
+                      io.briarward.wire.proto.LimitGrant.parser(),
+                      extensionRegistry);
+              if (grantsBuilder_ == null) {
+                ensureGrantsIsMutable();
+                grants_.add(m);
+              } else {
+                grantsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 18
+            case 26: {
+              dataCentre_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
+            case 34: {
+              io.briarward.wire.proto.ServiceLoad m =
+                  input.readMessage(
+                      io.briarward.wire.proto.ServiceLoad.parser(),
+                      extensionRegistry);
+              if (loadsBuilder_ == null) {
+                ensureLoadsIsMutable();
+                loads_.add(m);
+              } else {
+                loadsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -315,6 +767,873 @@
       } // finally
       return this;
     }
+    private int bitField0_;
+
+    private java.util.List<io.briarward.wire.proto.LimitReport> reports_ =
+      java.util.Collections.emptyList();
+    private void ensureReportsIsMutable() {
+      if (!((bitField0_ & 0x00000001) != 0)) {
+        reports_ = new java.util.ArrayList<io.briarward.wire.proto.LimitReport>(reports_);
+        bitField0_ |= 0x00000001;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.briarward.wire.proto.LimitReport, io.briarward.wire.proto.LimitReport.Builder, io.briarward.wire.proto.LimitReportOrBuilder> reportsBuilder_;
+
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public java.util.List<io.briarward.wire.proto.LimitReport> getReportsList() {
+      if (reportsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(reports_);
+      } else {
+        return reportsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public int getReportsCount() {
+      if (reportsBuilder_ == null) {
+        return reports_.size();
+      } else {
+        return reportsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public io.briarward.wire.proto.LimitReport getReports(int index) {
+      if (reportsBuilder_ == null) {
+        return reports_.get(index);
+      } else {
+        return reportsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public Builder setReports(
+        int index, io.briarward.wire.proto.LimitReport value) {
+      if (reportsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureReportsIsMutable();
+        reports_.set(index, value);
+        onChanged();
+      } else {
+        reportsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public Builder setReports(
+        int index, io.briarward.wire.proto.LimitReport.Builder builderForValue) {
+      if (reportsBuilder_ == null) {
+        ensureReportsIsMutable();
+        reports_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        reportsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public Builder addReports(io.briarward.wire.proto.LimitReport value) {
+      if (reportsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureReportsIsMutable();
+        reports_.add(value);
+        onChanged();
+      } else {
+        reportsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public Builder addReports(
+        int index, io.briarward.wire.proto.LimitReport value) {
+      if (reportsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureReportsIsMutable();
+        reports_.add(index, value);
+        onChanged();
+      } else {
+        reportsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public Builder addReports(
+        io.briarward.wire.proto.LimitReport.Builder builderForValue) {
+      if (reportsBuilder_ == null) {
+        ensureReportsIsMutable();
+        reports_.add(builderForValue.build());
+        onChanged();
+      } else {
+        reportsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public Builder addReports(
+        int index, io.briarward.wire.proto.LimitReport.Builder builderForValue) {
+      if (reportsBuilder_ == null) {
+        ensureReportsIsMutable();
+        reports_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        reportsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public Builder addAllReports(
+        java.lang.Iterable<? extends io.briarward.wire.proto.LimitReport> values) {
+      if (reportsBuilder_ == null) {
+        ensureReportsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, reports_);
+        onChanged();
+      } else {
+        reportsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public Builder clearReports() {
+      if (reportsBuilder_ == null) {
+        reports_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+      } else {
+        reportsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public Builder removeReports(int index) {
+      if (reportsBuilder_ == null) {
+        ensureReportsIsMutable();
+        reports_.remove(index);
+        onChanged();
+      } else {
+        reportsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public io.briarward.wire.proto.LimitReport.Builder getReportsBuilder(
+        int index) {
+      return internalGetReportsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public io.briarward.wire.proto.LimitReportOrBuilder getReportsOrBuilder(
+        int index) {
+      if (reportsBuilder_ == null) {
+        return reports_.get(index);  } else {
+        return reportsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public java.util.List<? extends io.briarward.wire.proto.LimitReportOrBuilder> 
+         getReportsOrBuilderList() {
+      if (reportsBuilder_ != null) {
+        return reportsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(reports_);
+      }
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public io.briarward.wire.proto.LimitReport.Builder addReportsBuilder() {
+      return internalGetReportsFieldBuilder().addBuilder(
+          io.briarward.wire.proto.LimitReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public io.briarward.wire.proto.LimitReport.Builder addReportsBuilder(
+        int index) {
+      return internalGetReportsFieldBuilder().addBuilder(
+          index, io.briarward.wire.proto.LimitReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Sent to the home of the limits, which answers with grants.
+     * </pre>
+     *
+     * <code>repeated .briarward.LimitReport reports = 1;</code>
+     */
+    public java.util.List<io.briarward.wire.proto.LimitReport.Builder> 
+         getReportsBuilderList() {
+      return internalGetReportsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.briarward.wire.proto.LimitReport, io.briarward.wire.proto.LimitReport.Builder, io.briarward.wire.proto.LimitReportOrBuilder> 
+        internalGetReportsFieldBuilder() {
+      if (reportsBuilder_ == null) {
+        reportsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.briarward.wire.proto.LimitReport, io.briarward.wire.proto.LimitReport.Builder, io.briarward.wire.proto.LimitReportOrBuilder>(
+                reports_,
+                ((bitField0_ & 0x00000001) != 0),
+                getParentForChildren(),
+                isClean());
+        reports_ = null;
+      }
+      return reportsBuilder_;
+    }
+
+    private java.util.List<io.briarward.wire.proto.LimitGrant> grants_ =
+      java.util.Collections.emptyList();
+    private void ensureGrantsIsMutable() {
+      if (!((bitField0_ & 0x00000002) != 0)) {
+        grants_ = new java.util.ArrayList<io.briarward.wire.proto.LimitGrant>(grants_);
+        bitField0_ |= 0x00000002;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.briarward.wire.proto.LimitGrant, io.briarward.wire.proto.LimitGrant.Builder, io.briarward.wire.proto.LimitGrantOrBuilder> grantsBuilder_;
+
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public java.util.List<io.briarward.wire.proto.LimitGrant> getGrantsList() {
+      if (grantsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(grants_);
+      } else {
+        return grantsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public int getGrantsCount() {
+      if (grantsBuilder_ == null) {
+        return grants_.size();
+      } else {
+        return grantsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public io.briarward.wire.proto.LimitGrant getGrants(int index) {
+      if (grantsBuilder_ == null) {
+        return grants_.get(index);
+      } else {
+        return grantsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public Builder setGrants(
+        int index, io.briarward.wire.proto.LimitGrant value) {
+      if (grantsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureGrantsIsMutable();
+        grants_.set(index, value);
+        onChanged();
+      } else {
+        grantsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public Builder setGrants(
+        int index, io.briarward.wire.proto.LimitGrant.Builder builderForValue) {
+      if (grantsBuilder_ == null) {
+        ensureGrantsIsMutable();
+        grants_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        grantsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public Builder addGrants(io.briarward.wire.proto.LimitGrant value) {
+      if (grantsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureGrantsIsMutable();
+        grants_.add(value);
+        onChanged();
+      } else {
+        grantsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public Builder addGrants(
+        int index, io.briarward.wire.proto.LimitGrant value) {
+      if (grantsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureGrantsIsMutable();
+        grants_.add(index, value);
+        onChanged();
+      } else {
+        grantsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public Builder addGrants(
+        io.briarward.wire.proto.LimitGrant.Builder builderForValue) {
+      if (grantsBuilder_ == null) {
+        ensureGrantsIsMutable();
+        grants_.add(builderForValue.build());
+        onChanged();
+      } else {
+        grantsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public Builder addGrants(
+        int index, io.briarward.wire.proto.LimitGrant.Builder builderForValue) {
+      if (grantsBuilder_ == null) {
+        ensureGrantsIsMutable();
+        grants_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        grantsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public Builder addAllGrants(
+        java.lang.Iterable<? extends io.briarward.wire.proto.LimitGrant> values) {
+      if (grantsBuilder_ == null) {
+        ensureGrantsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, grants_);
+        onChanged();
+      } else {
+        grantsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public Builder clearGrants() {
+      if (grantsBuilder_ == null) {
+        grants_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+      } else {
+        grantsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public Builder removeGrants(int index) {
+      if (grantsBuilder_ == null) {
+        ensureGrantsIsMutable();
+        grants_.remove(index);
+        onChanged();
+      } else {
+        grantsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public io.briarward.wire.proto.LimitGrant.Builder getGrantsBuilder(
+        int index) {
+      return internalGetGrantsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public io.briarward.wire.proto.LimitGrantOrBuilder getGrantsOrBuilder(
+        int index) {
+      if (grantsBuilder_ == null) {
+        return grants_.get(index);  } else {
+        return grantsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public java.util.List<? extends io.briarward.wire.proto.LimitGrantOrBuilder> 
+         getGrantsOrBuilderList() {
+      if (grantsBuilder_ != null) {
+        return grantsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(grants_);
+      }
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public io.briarward.wire.proto.LimitGrant.Builder addGrantsBuilder() {
+      return internalGetGrantsFieldBuilder().addBuilder(
+          io.briarward.wire.proto.LimitGrant.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public io.briarward.wire.proto.LimitGrant.Builder addGrantsBuilder(
+        int index) {
+      return internalGetGrantsFieldBuilder().addBuilder(
+          index, io.briarward.wire.proto.LimitGrant.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .briarward.LimitGrant grants = 2;</code>
+     */
+    public java.util.List<io.briarward.wire.proto.LimitGrant.Builder> 
+         getGrantsBuilderList() {
+      return internalGetGrantsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.briarward.wire.proto.LimitGrant, io.briarward.wire.proto.LimitGrant.Builder, io.briarward.wire.proto.LimitGrantOrBuilder> 
+        internalGetGrantsFieldBuilder() {
+      if (grantsBuilder_ == null) {
+        grantsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.briarward.wire.proto.LimitGrant, io.briarward.wire.proto.LimitGrant.Builder, io.briarward.wire.proto.LimitGrantOrBuilder>(
+                grants_,
+                ((bitField0_ & 0x00000002) != 0),
+                getParentForChildren(),
+                isClean());
+        grants_ = null;
+      }
+      return grantsBuilder_;
+    }
+
+    private java.lang.Object dataCentre_ = "";
+    /**
+     * <pre>
+     * The sender's data centre, and its aggregate load by service.
+     * </pre>
+     *
+     * <code>string data_centre = 3;</code>
+     * @return The dataCentre.
+     */
+    public java.lang.String getDataCentre() {
+      java.lang.Object ref = dataCentre_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        dataCentre_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The sender's data centre, and its aggregate load by service.
+     * </pre>
+     *
+     * <code>string data_centre = 3;</code>
+     * @return The bytes for dataCentre.
+     */
+    public com.google.protobuf.ByteString
+        getDataCentreBytes() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        dataCentre_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The sender's data centre, and its aggregate load by service.
+     * </pre>
+     *
+     * <code>string data_centre = 3;</code>
+     * @param value The dataCentre to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentre(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      dataCentre_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's data centre, and its aggregate load by service.
+     * </pre>
+     *
+     * <code>string data_centre = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDataCentre() {
+      dataCentre_ = getDefaultInstance().getDataCentre();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's data centre, and its aggregate load by service.
+     * </pre>
+     *
+     * <code>string data_centre = 3;</code>
+     * @param value The bytes for dataCentre to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentreBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      dataCentre_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<io.briarward.wire.proto.ServiceLoad> loads_ =
+      java.util.Collections.emptyList();
+    private void ensureLoadsIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        loads_ = new java.util.ArrayList<io.briarward.wire.proto.ServiceLoad>(loads_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.briarward.wire.proto.ServiceLoad, io.briarward.wire.proto.ServiceLoad.Builder, io.briarward.wire.proto.ServiceLoadOrBuilder> loadsBuilder_;
+
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public java.util.List<io.briarward.wire.proto.ServiceLoad> getLoadsList() {
+      if (loadsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(loads_);
+      } else {
+        return loadsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public int getLoadsCount() {
+      if (loadsBuilder_ == null) {
+        return loads_.size();
+      } else {
+        return loadsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public io.briarward.wire.proto.ServiceLoad getLoads(int index) {
+      if (loadsBuilder_ == null) {
+        return loads_.get(index);
+      } else {
+        return loadsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public Builder setLoads(
+        int index, io.briarward.wire.proto.ServiceLoad value) {
+      if (loadsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLoadsIsMutable();
+        loads_.set(index, value);
+        onChanged();
+      } else {
+        loadsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public Builder setLoads(
+        int index, io.briarward.wire.proto.ServiceLoad.Builder builderForValue) {
+      if (loadsBuilder_ == null) {
+        ensureLoadsIsMutable();
+        loads_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        loadsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public Builder addLoads(io.briarward.wire.proto.ServiceLoad value) {
+      if (loadsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLoadsIsMutable();
+        loads_.add(value);
+        onChanged();
+      } else {
+        loadsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public Builder addLoads(
+        int index, io.briarward.wire.proto.ServiceLoad value) {
+      if (loadsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLoadsIsMutable();
+        loads_.add(index, value);
+        onChanged();
+      } else {
+        loadsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public Builder addLoads(
+        io.briarward.wire.proto.ServiceLoad.Builder builderForValue) {
+      if (loadsBuilder_ == null) {
+        ensureLoadsIsMutable();
+        loads_.add(builderForValue.build());
+        onChanged();
+      } else {
+        loadsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public Builder addLoads(
+        int index, io.briarward.wire.proto.ServiceLoad.Builder builderForValue) {
+      if (loadsBuilder_ == null) {
+        ensureLoadsIsMutable();
+        loads_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        loadsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public Builder addAllLoads(
+        java.lang.Iterable<? extends io.briarward.wire.proto.ServiceLoad> values) {
+      if (loadsBuilder_ == null) {
+        ensureLoadsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, loads_);
+        onChanged();
+      } else {
+        loadsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public Builder clearLoads() {
+      if (loadsBuilder_ == null) {
+        loads_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        loadsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public Builder removeLoads(int index) {
+      if (loadsBuilder_ == null) {
+        ensureLoadsIsMutable();
+        loads_.remove(index);
+        onChanged();
+      } else {
+        loadsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public io.briarward.wire.proto.ServiceLoad.Builder getLoadsBuilder(
+        int index) {
+      return internalGetLoadsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public io.briarward.wire.proto.ServiceLoadOrBuilder getLoadsOrBuilder(
+        int index) {
+      if (loadsBuilder_ == null) {
+        return loads_.get(index);  } else {
+        return loadsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public java.util.List<? extends io.briarward.wire.proto.ServiceLoadOrBuilder> 
+         getLoadsOrBuilderList() {
+      if (loadsBuilder_ != null) {
+        return loadsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(loads_);
+      }
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public io.briarward.wire.proto.ServiceLoad.Builder addLoadsBuilder() {
+      return internalGetLoadsFieldBuilder().addBuilder(
+          io.briarward.wire.proto.ServiceLoad.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public io.briarward.wire.proto.ServiceLoad.Builder addLoadsBuilder(
+        int index) {
+      return internalGetLoadsFieldBuilder().addBuilder(
+          index, io.briarward.wire.proto.ServiceLoad.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+     */
+    public java.util.List<io.briarward.wire.proto.ServiceLoad.Builder> 
+         getLoadsBuilderList() {
+      return internalGetLoadsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.briarward.wire.proto.ServiceLoad, io.briarward.wire.proto.ServiceLoad.Builder, io.briarward.wire.proto.ServiceLoadOrBuilder> 
+        internalGetLoadsFieldBuilder() {
+      if (loadsBuilder_ == null) {
+        loadsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.briarward.wire.proto.ServiceLoad, io.briarward.wire.proto.ServiceLoad.Builder, io.briarward.wire.proto.ServiceLoadOrBuilder>(
+                loads_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        loads_ = null;
+      }
+      return loadsBuilder_;
+    }
 
     // @@protoc_insertion_point(builder_scope:briarward.AdmissionMessage)
   }
--- a/wire/src/main/java/io/briarward/wire/proto/AdmissionMessageOrBuilder.java
+++ b/wire/src/main/java/io/briarward/wire/proto/AdmissionMessageOrBuilder.java
@@ -9,4 +9,116 @@
 public interface AdmissionMessageOrBuilder extends
     // @@protoc_insertion_point(interface_extends:briarward.AdmissionMessage)
     com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <pre>
+   * Sent to the home of the limits, which answers with grants.
+   * </pre>
+   *
+   * <code>repeated .briarward.LimitReport reports = 1;</code>
+   */
+  java.util.List<io.briarward.wire.proto.LimitReport> 
+      getReportsList();
+  /**
+   * <pre>
+   * Sent to the home of the limits, which answers with grants.
+   * </pre>
+   *
+   * <code>repeated .briarward.LimitReport reports = 1;</code>
+   */
+  io.briarward.wire.proto.LimitReport getReports(int index);
+  /**
+   * <pre>
+   * Sent to the home of the limits, which answers with grants.
+   * </pre>
+   *
+   * <code>repeated .briarward.LimitReport reports = 1;</code>
+   */
+  int getReportsCount();
+  /**
+   * <pre>
+   * Sent to the home of the limits, which answers with grants.
+   * </pre>
+   *
+   * <code>repeated .briarward.LimitReport reports = 1;</code>
+   */
+  java.util.List<? extends io.briarward.wire.proto.LimitReportOrBuilder> 
+      getReportsOrBuilderList();
+  /**
+   * <pre>
+   * Sent to the home of the limits, which answers with grants.
+   * </pre>
+   *
+   * <code>repeated .briarward.LimitReport reports = 1;</code>
+   */
+  io.briarward.wire.proto.LimitReportOrBuilder getReportsOrBuilder(
+      int index);
+
+  /**
+   * <code>repeated .briarward.LimitGrant grants = 2;</code>
+   */
+  java.util.List<io.briarward.wire.proto.LimitGrant> 
+      getGrantsList();
+  /**
+   * <code>repeated .briarward.LimitGrant grants = 2;</code>
+   */
+  io.briarward.wire.proto.LimitGrant getGrants(int index);
+  /**
+   * <code>repeated .briarward.LimitGrant grants = 2;</code>
+   */
+  int getGrantsCount();
+  /**
+   * <code>repeated .briarward.LimitGrant grants = 2;</code>
+   */
+  java.util.List<? extends io.briarward.wire.proto.LimitGrantOrBuilder> 
+      getGrantsOrBuilderList();
+  /**
+   * <code>repeated .briarward.LimitGrant grants = 2;</code>
+   */
+  io.briarward.wire.proto.LimitGrantOrBuilder getGrantsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * The sender's data centre, and its aggregate load by service.
+   * </pre>
+   *
+   * <code>string data_centre = 3;</code>
+   * @return The dataCentre.
+   */
+  java.lang.String getDataCentre();
+  /**
+   * <pre>
+   * The sender's data centre, and its aggregate load by service.
+   * </pre>
+   *
+   * <code>string data_centre = 3;</code>
+   * @return The bytes for dataCentre.
+   */
+  com.google.protobuf.ByteString
+      getDataCentreBytes();
+
+  /**
+   * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+   */
+  java.util.List<io.briarward.wire.proto.ServiceLoad> 
+      getLoadsList();
+  /**
+   * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+   */
+  io.briarward.wire.proto.ServiceLoad getLoads(int index);
+  /**
+   * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+   */
+  int getLoadsCount();
+  /**
+   * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+   */
+  java.util.List<? extends io.briarward.wire.proto.ServiceLoadOrBuilder> 
+      getLoadsOrBuilderList();
+  /**
+   * <code>repeated .briarward.ServiceLoad loads = 4;</code>
+   */
+  io.briarward.wire.proto.ServiceLoadOrBuilder getLoadsOrBuilder(
+      int index);
 }
