--- a/node/src/main/java/io/briarward/node/rollout/OutcomeWriter.java
+++ b/node/src/main/java/io/briarward/node/rollout/OutcomeWriter.java
@@ -63,20 +63,24 @@
   }
 
   private void flush() {
-    int count = Math.min(waiting.size(), MAX_GROUPS_PER_OUTCOME);
-    ImmutableList<RolloutPlanner.CompletedGroup> batch =
-        ImmutableList.copyOf(waiting.subList(0, count));
-    waiting.subList(0, count).clear();
-    waitingSinceMillis = context.nowMillis();
     objects++;
     String object = view.key().groupsObject(objectPrefix + "-" + objects);
     writing =
-        write(object, batch)
+        write(object, takeBatch())
             .subscribe(
                 () -> context.recorded().onNext(view.key()),
                 cause -> Logger.error(cause, "groups of {} not recorded", view.key().rollout()));
   }
 
+  private ImmutableList<RolloutPlanner.CompletedGroup> takeBatch() {
+    int count = Math.min(waiting.size(), MAX_GROUPS_PER_OUTCOME);
+    List<RolloutPlanner.CompletedGroup> first = waiting.subList(0, count);
+    ImmutableList<RolloutPlanner.CompletedGroup> batch = ImmutableList.copyOf(first);
+    first.clear();
+    waitingSinceMillis = context.nowMillis();
+    return batch;
+  }
+
   private Completable write(String object, ImmutableList<RolloutPlanner.CompletedGroup> batch) {
     Outcome outcome = Outcome.of(object, batch);
     return context
--- a/node/src/main/java/io/briarward/node/rollout/RolloutApi.java
+++ b/node/src/main/java/io/briarward/node/rollout/RolloutApi.java
@@ -23,7 +23,7 @@
 import io.briarward.node.platform.PlatformException;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
-import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.disposables.SerialDisposable;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.nio.charset.StandardCharsets;
@@ -187,9 +187,9 @@
   }
 
   private static void answer(HttpServerRequest request, Completable work) {
-    Disposable running =
-        work.subscribe(() -> {}, cause -> HttpAnswers.problem(request, toFailure(cause)));
+    SerialDisposable running = new SerialDisposable();
     request.response().closeHandler(unused -> running.dispose());
+    running.set(work.subscribe(() -> {}, cause -> HttpAnswers.problem(request, toFailure(cause))));
   }
 
   /** An operation that the store did not confirm may still take effect. */
--- a/node/src/main/java/io/briarward/node/rollout/ShardOwners.java
+++ b/node/src/main/java/io/briarward/node/rollout/ShardOwners.java
@@ -125,12 +125,12 @@
         .flatMapCompletable(
             result ->
                 result instanceof CommitResult.Committed committed
-                    ? start(row, transaction, committed)
+                    ? run(row, transaction, committed)
                     : Completable.fromAction(() -> owners.remove(row.key())))
         .doOnError(e -> owners.remove(row.key()));
   }
 
-  private Completable start(Row row, Transaction transaction, CommitResult.Committed committed) {
+  private Completable run(Row row, Transaction transaction, CommitResult.Committed committed) {
     long version = committed.versions().get(RowKey.of(RolloutKey.SHARDS, row.key()));
     Row lease = new Row(row.key(), version, transaction.writes().get(0).value().orElseThrow());
     return ShardOwner.start(context, lease, () -> owners.remove(row.key()))
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/weights/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * Weight swaps on a node: reads what samplers report and, where this node holds the lease, orders
+ * them to load the announced version.
+ *
+ * <p>Start with {@link io.briarward.node.weights.WeightService}. The decisions are made in {@link
+ * io.briarward.core.weights}. Everything here runs on the node's event loop.
+ */
+package io.briarward.node.weights;
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/rollout/MemoryTables.java
@@ -0,0 +1,78 @@
+package io.briarward.node.rollout;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.platform.CommitResult;
+import io.briarward.core.platform.Row;
+import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.TableState;
+import io.briarward.core.platform.Transaction;
+import io.briarward.node.platform.PlatformException;
+import io.briarward.node.platform.TableService;
+import io.reactivex.rxjava3.core.Single;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+/** Tables in memory with outages and lost answers. */
+final class MemoryTables implements TableService {
+  private final TableState state = TableState.create();
+  private BooleanSupplier outage = () -> false;
+  private BooleanSupplier answerLost = () -> false;
+  private long writes;
+  private long reads;
+
+  void failWhile(BooleanSupplier condition) {
+    outage = condition;
+  }
+
+  void loseAnswersWhile(BooleanSupplier condition) {
+    answerLost = condition;
+  }
+
+  long writes() {
+    return writes;
+  }
+
+  long reads() {
+    return reads;
+  }
+
+  @Override
+  public Single<CommitResult> commit(Transaction transaction) {
+    return Single.fromCallable(
+        () -> {
+          check();
+          writes += transaction.writes().size();
+          CommitResult result = state.commit(transaction);
+          if (answerLost.getAsBoolean()) {
+            throw new PlatformException(PlatformException.Effect.UNKNOWN, "answer lost");
+          }
+          return result;
+        });
+  }
+
+  @Override
+  public Single<Optional<Row>> read(RowKey key) {
+    return Single.fromCallable(
+        () -> {
+          check();
+          reads++;
+          return state.read(key);
+        });
+  }
+
+  @Override
+  public Single<ImmutableList<Row>> scan(String table, String prefix, String after, int limit) {
+    return Single.fromCallable(
+        () -> {
+          check();
+          reads++;
+          return state.scan(table, prefix, after, limit);
+        });
+  }
+
+  private void check() {
+    if (outage.getAsBoolean()) {
+      throw new PlatformException(PlatformException.Effect.NONE, "outage");
+    }
+  }
+}
