--- a/experiments/src/main/java/io/briarward/experiments/demo/Demo.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/Demo.java
@@ -63,7 +63,8 @@
     List<Outcome> live = liveOutcomes.join();
 
     EngineRecords records = EngineRecords.read(http, settings.engines());
-    StepCheck stepCheck = new StepCheck(settings, step, records, findings);
+    StepCheck stepCheck =
+        new StepCheck(settings.groups(), settings.samples(), step, records, findings);
     stepCheck.run();
     checkLive(live);
     checkNoSecretsSeen();
--- a/experiments/src/main/java/io/briarward/experiments/demo/DemoSettings.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/DemoSettings.java
@@ -51,7 +51,7 @@
   @Option(name = "--orders", required = true, metaVar = "PORT", usage = "the order interface")
   private int orders;
 
-  @Option(name = "--groups", usage = "groups of the training step")
+  @Option(name = "--groups", usage = "groups of the training step; 0 to leave it out")
   private int groups = 16;
 
   @Option(name = "--samples", usage = "samples of each group")
@@ -63,6 +63,11 @@
   @Option(name = "--report-timeout-millis", usage = "longest wait for the usage reports")
   private long reportTimeoutMillis = 60_000;
 
+  @Option(
+      name = "--report-settle-millis",
+      usage = "how long the figures must stay right, longer than a usage window")
+  private long reportSettleMillis = 6_000;
+
   /**
    * One of the nodes.
    *
@@ -142,6 +147,10 @@
     return reportTimeoutMillis;
   }
 
+  long reportSettleMillis() {
+    return reportSettleMillis;
+  }
+
   private static ImmutableList<Integer> ports(String text) {
     return COMMA
         .splitToStream(text)
--- a/experiments/src/main/java/io/briarward/experiments/demo/EngineRecords.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/EngineRecords.java
@@ -5,6 +5,8 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ListMultimap;
 import io.briarward.experiments.demo.HttpCalls.Request;
+import java.util.ArrayList;
+import java.util.List;
 
 /** What the engines recorded of the completions they ran. */
 final class EngineRecords {
@@ -17,11 +19,18 @@
 
   /** Reads the records of all engines. */
   static EngineRecords read(HttpCalls http, ImmutableList<Integer> ports) {
-    EngineRecords records = new EngineRecords();
+    List<JsonNode> runs = new ArrayList<>();
     for (int port : ports) {
       JsonNode answer = http.json(Request.get(port, "/control/requests"));
-      answer.path("requests").forEach(records::add);
+      answer.path("requests").forEach(runs::add);
     }
+    return of(runs);
+  }
+
+  /** Returns the records of the given runs. */
+  static EngineRecords of(Iterable<JsonNode> runs) {
+    EngineRecords records = new EngineRecords();
+    runs.forEach(records::add);
     return records;
   }
 
--- a/experiments/src/main/java/io/briarward/experiments/demo/StepCheck.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/StepCheck.java
@@ -13,14 +13,20 @@
 
 /** Checks that every group came whole, every sample once, and that versions are the true ones. */
 final class StepCheck {
-  private final DemoSettings settings;
+  private final int groups;
+  private final int samplesPerGroup;
   private final TrainingStep.Result result;
   private final EngineRecords records;
   private final Findings findings;
 
   StepCheck(
-      DemoSettings settings, TrainingStep.Result result, EngineRecords records, Findings findings) {
-    this.settings = settings;
+      int groups,
+      int samplesPerGroup,
+      TrainingStep.Result result,
+      EngineRecords records,
+      Findings findings) {
+    this.groups = groups;
+    this.samplesPerGroup = samplesPerGroup;
     this.result = result;
     this.records = records;
     this.findings = findings;
@@ -33,17 +39,17 @@
       boolean first = byId.put(sample.id(), sample) == null;
       findings.expect(first, "sample %s was delivered twice", sample.id());
     }
-    Set<String> groups = new HashSet<>(result.groups());
+    Set<String> delivered = new HashSet<>(result.groups());
     findings.expect(
-        groups.size() == result.groups().size(),
+        delivered.size() == result.groups().size(),
         "a group was delivered twice: %s",
         result.groups());
-    for (int group = 0; group < settings.groups(); group++) {
+    for (int group = 0; group < groups; group++) {
       String id = TrainingStep.groupId(group);
-      findings.expect(groups.remove(id), "group %s was not delivered", id);
+      findings.expect(delivered.remove(id), "group %s was not delivered", id);
       checkGroup(group, byId);
     }
-    findings.expect(groups.isEmpty(), "groups %s were never asked for", groups);
+    findings.expect(delivered.isEmpty(), "groups %s were never asked for", delivered);
     findings.expect(byId.isEmpty(), "samples %s were never asked for", byId.keySet());
   }
 
@@ -69,7 +75,7 @@
   }
 
   private void checkGroup(int group, Map<String, DeliveredSample> byId) {
-    for (int index = 0; index < settings.samples(); index++) {
+    for (int index = 0; index < samplesPerGroup; index++) {
       String id = TrainingStep.groupId(group) + "/" + index;
       DeliveredSample sample = byId.remove(id);
       findings.expect(sample != null, "sample %s was not delivered", id);
--- a/experiments/src/main/java/io/briarward/experiments/demo/TrainingStep.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/TrainingStep.java
@@ -22,7 +22,8 @@
   private static final long NEXT_VERSION = 2;
   private static final long WAIT_MILLIS = 2_000;
   private static final long RETRY_MILLIS = 250;
-  private static final long TIMEOUT_MILLIS = 90_000;
+  private static final long CALL_TIMEOUT_MILLIS = 30_000;
+  private static final long STEP_TIMEOUT_MILLIS = 90_000;
 
   private final HttpCalls http;
   private final DemoSettings settings;
@@ -79,6 +80,9 @@
 
   /** Runs the step; new weights are announced once the first groups have arrived. */
   Result run() throws InterruptedException {
+    if (settings.groups() == 0) {
+      return new Result(ImmutableList.of(), ImmutableList.of(), Duration.ZERO);
+    }
     final long startedNanos = System.nanoTime();
     announce(1);
     submit();
@@ -87,7 +91,7 @@
     long cursor = 0;
     boolean done = false;
     boolean announced = false;
-    long deadlineNanos = startedNanos + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+    long deadlineNanos = startedNanos + TimeUnit.MILLISECONDS.toNanos(STEP_TIMEOUT_MILLIS);
     while (!done && System.nanoTime() < deadlineNanos) {
       JsonNode answer = fetch(cursor);
       answer.path("groups").forEach(group -> take(group, groups, samples));
@@ -151,7 +155,7 @@
 
   /** Repeats a call that is idempotent while the answer is a refusal that may be retried. */
   private Reply sendUntilAccepted(Request request) throws InterruptedException {
-    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CALL_TIMEOUT_MILLIS);
     Reply reply = new Reply(0, "no answer");
     while (System.nanoTime() < deadlineNanos) {
       reply =
--- a/experiments/src/main/java/io/briarward/experiments/demo/UsageCheck.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/UsageCheck.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.Sets;
 import io.briarward.experiments.demo.HttpCalls.Request;
 import java.util.List;
 import java.util.Map;
@@ -43,7 +44,9 @@
   static ImmutableSortedMap<String, Amounts> delivered(
       List<LiveCallers.Outcome> live, String trainer, long rolloutTokens) {
     Map<String, Amounts> byOrganisation = new TreeMap<>();
-    byOrganisation.put(trainer, new Amounts(0, 0, rolloutTokens));
+    if (rolloutTokens > 0) {
+      byOrganisation.put(trainer, new Amounts(0, 0, rolloutTokens));
+    }
     for (LiveCallers.Outcome outcome : live) {
       if (outcome.verdict() == LiveCallers.Verdict.CORRECT) {
         Amounts one = new Amounts(1, outcome.tokens(), 0);
@@ -53,7 +56,20 @@
     return ImmutableSortedMap.copyOf(byOrganisation);
   }
 
-  /** Returns what was billed, once it equals what was delivered or when waiting was no use. */
+  /** Records each organisation that was billed something else than was delivered. */
+  static void compare(
+      Map<String, Amounts> billed, Map<String, Amounts> delivered, Findings findings) {
+    for (String organisation : Sets.union(billed.keySet(), delivered.keySet())) {
+      Amounts bill = billed.getOrDefault(organisation, Amounts.ZERO);
+      Amounts due = delivered.getOrDefault(organisation, Amounts.ZERO);
+      findings.expect(bill.equals(due), "%s was billed %s for %s", organisation, bill, due);
+    }
+  }
+
+  /**
+   * Returns what was billed, once it has equalled what was delivered for longer than a window, or
+   * when the time allowed for reports is over.
+   */
   ImmutableSortedMap<String, Amounts> awaitBilled(ImmutableSortedMap<String, Amounts> delivered)
       throws InterruptedException {
     long deadlineNanos =
@@ -63,7 +79,10 @@
       Thread.sleep(POLL_MILLIS);
       billed = billed();
     }
-    return billed;
+    if (billed.equals(delivered)) {
+      Thread.sleep(settings.reportSettleMillis());
+    }
+    return billed();
   }
 
   private ImmutableSortedMap<String, Amounts> billed() {
--- /dev/null
+++ b/experiments/src/test/java/io/briarward/experiments/demo/UsageCheckTest.java
@@ -0,0 +1,30 @@
+package io.briarward.experiments.demo;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.briarward.experiments.demo.LiveCallers.Outcome;
+import io.briarward.experiments.demo.LiveCallers.Verdict;
+import io.briarward.experiments.demo.UsageCheck.Amounts;
+import org.junit.jupiter.api.Test;
+
+class UsageCheckTest {
+  @Test
+  void onlyCorrectAnswersAreToBeBilled() {
+    Outcome correct = new Outcome("mill", true, Verdict.CORRECT, 5, "");
+    Outcome refused = new Outcome("mill", true, Verdict.REFUSED, 0, "");
+
+    assertThat(UsageCheck.delivered(ImmutableList.of(correct, refused), "trainer", 7))
+        .containsExactly("mill", new Amounts(1, 5, 0), "trainer", new Amounts(0, 0, 7));
+  }
+
+  @Test
+  void organisationBilledForNothingIsFound() {
+    Findings findings = new Findings();
+
+    UsageCheck.compare(ImmutableMap.of("mill", new Amounts(1, 0, 0)), ImmutableMap.of(), findings);
+
+    assertThat(findings.faults()).hasSize(1);
+  }
+}
