--- a/core/src/main/java/io/briarward/core/distribution/ControlNode.java
+++ b/core/src/main/java/io/briarward/core/distribution/ControlNode.java
@@ -20,7 +20,8 @@
  * <p>Two VMs of each data centre read the head row of the store once a second. Every probe and
  * answer carries the sender's version, so that a node that is behind fetches what it lacks from
  * that peer; a node that took over a new version announces it to a few others at once. Answers also
- * carry how long ago the store was seen to hold nothing newer, see {@link #evidenceAtMillis}.
+ * carry how long ago the store was seen to hold nothing newer; a node whose evidence grows old asks
+ * a reader of its data centre. See {@link #evidenceAtMillis}.
  *
  * <p>Times are milliseconds of a monotonic clock. Not thread-safe: all calls come from one thread.
  */
@@ -30,6 +31,8 @@
   private static final long HEAD_READ_INTERVAL_MILLIS = 1_000;
   private static final long READ_TIMEOUT_MILLIS = 2_000;
   private static final long FETCH_TIMEOUT_MILLIS = 500;
+  private static final long REFRESH_AGE_MILLIS = 1_000;
+  private static final long REFRESH_INTERVAL_MILLIS = 500;
 
   private final String dataCentre;
   private final String vmId;
@@ -40,8 +43,10 @@
   private long highestSeenVersion = Digest.NO_VERSION;
   private OptionalLong readStartedAtMillis = OptionalLong.empty();
   private OptionalLong lastHeadReadMillis = OptionalLong.empty();
+  private OptionalLong lastRefreshMillis = OptionalLong.empty();
+  private int nextReader;
   private OptionalLong fetchStartedAtMillis = OptionalLong.empty();
-  private boolean reader;
+  private ImmutableList<String> readers = ImmutableList.of();
   private boolean settled;
 
   private ControlNode(String vmId, String dataCentre, Membership membership, long startedAtMillis) {
@@ -78,10 +83,11 @@
     if (mayRead(nowMillis) && isDue(lastHeadReadMillis, HEAD_READ_INTERVAL_MILLIS, nowMillis)) {
       chooseReader();
       lastHeadReadMillis = OptionalLong.of(nowMillis);
-      if (reader || replica.held().isEmpty()) {
+      if (readers.contains(vmId) || replica.held().isEmpty()) {
         actions.add(read(StoreRead.head(), nowMillis));
       }
     }
+    refreshEvidence(nowMillis, actions);
     return actions.build();
   }
 
@@ -231,6 +237,21 @@
     return new Digest(replica.version(), ageMillis, settled);
   }
 
+  /** Asks a reader of the same data centre when the evidence that arrived by chance grows old. */
+  private void refreshEvidence(long nowMillis, ImmutableList.Builder<Action> actions) {
+    boolean needed =
+        !readers.contains(vmId)
+            && !readers.isEmpty()
+            && isDue(evidenceAtMillis, REFRESH_AGE_MILLIS, nowMillis)
+            && isDue(lastRefreshMillis, REFRESH_INTERVAL_MILLIS, nowMillis);
+    if (needed) {
+      lastRefreshMillis = OptionalLong.of(nowMillis);
+      nextReader = (nextReader + 1) % readers.size();
+      Outgoing probe = membership.probe(readers.get(nextReader), nowMillis, digest(nowMillis));
+      actions.add(new Action.SendMembership(probe.vmId(), probe.message()));
+    }
+  }
+
   private void acceptEvidence(Digest digest, long sentAtMillis) {
     if (digest.evidenceAgeMillis().isPresent() && digest.version() <= replica.version()) {
       noteEvidence(sentAtMillis - digest.evidenceAgeMillis().get());
@@ -354,8 +375,8 @@
   }
 
   private void chooseReader() {
-    reader =
-        ReaderSelection.isReader(vmId, dataCentre, membership.members(), READERS_PER_DATA_CENTRE);
+    readers =
+        ReaderSelection.readers(vmId, dataCentre, membership.members(), READERS_PER_DATA_CENTRE);
   }
 
   private static boolean isDue(OptionalLong lastMillis, long intervalMillis, long nowMillis) {
--- a/core/src/main/java/io/briarward/core/distribution/ReaderSelection.java
+++ b/core/src/main/java/io/briarward/core/distribution/ReaderSelection.java
@@ -2,10 +2,13 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.hash.Hashing;
 import io.briarward.core.membership.Member;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * Chooses the VMs of a data centre that read the store, by rendezvous hashing.
@@ -17,19 +20,22 @@
   private ReaderSelection() {}
 
   /**
-   * Returns whether a VM is among the first {@code readers} of its data centre.
+   * Returns the readers of a data centre, at most {@code count}.
    *
+   * @param vmId the VM that chooses, which always competes
    * @param others the other members, of which those in the data centre that take work compete
    */
-  static boolean isReader(String vmId, String dataCentre, List<Member> others, int readers) {
-    checkArgument(readers > 0, "readers is %s, expected > 0", readers);
-    long rank = rank(dataCentre, vmId);
-    long ahead =
+  static ImmutableList<String> readers(
+      String vmId, String dataCentre, List<Member> others, int count) {
+    checkArgument(count > 0, "count is %s, expected > 0", count);
+    Stream<String> competing =
         others.stream()
             .filter(member -> member.dataCentre().equals(dataCentre) && member.takesNewWork())
-            .filter(member -> rank(dataCentre, member.vmId()) > rank)
-            .count();
-    return ahead < readers;
+            .map(Member::vmId);
+    return Stream.concat(Stream.of(vmId), competing)
+        .sorted(Comparator.comparingLong((String each) -> rank(dataCentre, each)).reversed())
+        .limit(count)
+        .collect(ImmutableList.toImmutableList());
   }
 
   private static long rank(String dataCentre, String vmId) {
--- a/core/src/main/java/io/briarward/core/membership/Contacts.java
+++ b/core/src/main/java/io/briarward/core/membership/Contacts.java
@@ -42,11 +42,18 @@
     lastAnswers.keySet().retainAll(vmIds);
   }
 
-  void onAnswer(String vmId, long sentAtMillis, Digest digest) {
+  /**
+   * Notes an answer.
+   *
+   * @param drawn whether the VM was drawn evenly from all others, as the sample requires
+   */
+  void onAnswer(String vmId, long sentAtMillis, Digest digest, boolean drawn) {
     long version = digest.settled() ? digest.version() : Digest.NO_VERSION;
     Finished finished = new Finished(sentAtMillis, Optional.of(version));
     lastAnswers.merge(vmId, finished, Contacts::later);
-    addToSample(finished);
+    if (drawn) {
+      addToSample(finished);
+    }
   }
 
   void onFailure(long sentAtMillis) {
--- a/core/src/main/java/io/briarward/core/membership/Membership.java
+++ b/core/src/main/java/io/briarward/core/membership/Membership.java
@@ -41,12 +41,14 @@
     final String target;
     final long sentAtMillis;
     final Optional<Requester> requester;
+    final boolean drawn;
     boolean askedOthers;
 
-    Pending(String target, long sentAtMillis, Optional<Requester> requester) {
+    Pending(String target, long sentAtMillis, Optional<Requester> requester, boolean drawn) {
       this.target = target;
       this.sentAtMillis = sentAtMillis;
       this.requester = requester;
+      this.drawn = drawn;
     }
   }
 
@@ -105,7 +107,8 @@
     judgeSuspects(nowMillis);
     schedule
         .next()
-        .ifPresent(target -> out.add(probe(target, Optional.empty(), nowMillis, digest)));
+        .ifPresent(
+            target -> out.add(startProbe(target, Optional.empty(), true, nowMillis, digest)));
     return out.build();
   }
 
@@ -120,7 +123,7 @@
       case ANSWER -> onAnswer(from, message, out, digest);
       case INDIRECT_PROBE -> {
         Requester requester = new Requester(from, message.sequence());
-        out.add(probe(message.subject(), Optional.of(requester), nowMillis, digest));
+        out.add(startProbe(message.subject(), Optional.of(requester), false, nowMillis, digest));
       }
       case INDIRECT_ANSWER -> onIndirectAnswer(message);
       default -> throw new AssertionError(message.kind());
@@ -139,12 +142,17 @@
     return answers ? OptionalLong.of(probe.sentAtMillis) : OptionalLong.empty();
   }
 
+  /** Returns a probe of a chosen VM, beside those that are drawn evenly from all. */
+  public Outgoing probe(String target, long nowMillis, Digest digest) {
+    return startProbe(target, Optional.empty(), false, nowMillis, digest);
+  }
+
   /** Tells the others that this node takes no new work from now on. */
   public ImmutableList<Outgoing> leave(long nowMillis, Digest digest) {
     ownState = MemberState.LEAVING;
     incarnation++;
     return schedule.pick(GOODBYE_COPIES, vmId).stream()
-        .map(target -> probe(target, Optional.empty(), nowMillis, digest))
+        .map(target -> startProbe(target, Optional.empty(), false, nowMillis, digest))
         .collect(ImmutableList.toImmutableList());
   }
 
@@ -207,7 +215,9 @@
     if (probe.requester.isPresent()) {
       return;
     }
-    contacts.onFailure(probe.sentAtMillis);
+    if (probe.drawn) {
+      contacts.onFailure(probe.sentAtMillis);
+    }
     health.onFailure();
     table.update(probe.target).ifPresent(update -> suspect(update, nowMillis));
   }
@@ -253,7 +263,7 @@
       return;
     }
     health.onAnswer();
-    contacts.onAnswer(from, probe.sentAtMillis, message.digest());
+    contacts.onAnswer(from, probe.sentAtMillis, message.digest(), probe.drawn);
   }
 
   private void onIndirectAnswer(MembershipMessage message) {
@@ -261,7 +271,9 @@
     if (probe != null && probe.target.equals(message.subject())) {
       pending.remove(message.sequence());
       // The VM is alive, but there was no two-way contact with it.
-      contacts.onFailure(probe.sentAtMillis);
+      if (probe.drawn) {
+        contacts.onFailure(probe.sentAtMillis);
+      }
     }
   }
 
@@ -290,10 +302,10 @@
     queue.add(update, TRANSMISSIONS_PER_DOUBLING * doublings);
   }
 
-  private Outgoing probe(
-      String target, Optional<Requester> requester, long nowMillis, Digest digest) {
+  private Outgoing startProbe(
+      String target, Optional<Requester> requester, boolean drawn, long nowMillis, Digest digest) {
     long sequence = ++lastSequence;
-    pending.put(sequence, new Pending(target, nowMillis, requester));
+    pending.put(sequence, new Pending(target, nowMillis, requester, drawn));
     return outgoing(target, MembershipMessage.Kind.PROBE, sequence, "", digest);
   }
 
