Serve from the distributed configuration in place of polling

Cause: each node read the whole configuration from the store each second. Now the control service runs the control state machine: probes and versions between the nodes, two readers in each data centre, compare-and-set for operators. A change is reported as accepted once a majority of the VMs holds it.

--- a/core/src/main/java/io/briarward/core/distribution/ControlNode.java
+++ b/core/src/main/java/io/briarward/core/distribution/ControlNode.java
@@ -169,6 +169,13 @@
     return actions.build();
   }
 
+  /** Probes a sample of the VMs at once, to learn soon whether a majority holds a version. */
+  public ImmutableList<Action> probeSample(long nowMillis) {
+    ImmutableList.Builder<Action> actions = ImmutableList.builder();
+    addAll(actions, membership.probeSample(nowMillis, digest(nowMillis)));
+    return actions.build();
+  }
+
   /** Tells the others that this node takes no new work from now on. */
   public ImmutableList<Action> leave(long nowMillis) {
     ImmutableList.Builder<Action> actions = ImmutableList.builder();
@@ -202,7 +209,7 @@
       return settled;
     }
     boolean sawStore =
-        evidenceAtMillis.isPresent() && evidenceAtMillis.getAsLong() >= startedAtMillis;
+        evidenceAtMillis.isPresent() && evidenceAtMillis.getAsLong() > startedAtMillis;
     return sawStore || (!isBehind() && hasMajority(nowMillis));
   }
 
--- a/core/src/main/java/io/briarward/core/membership/Membership.java
+++ b/core/src/main/java/io/briarward/core/membership/Membership.java
@@ -147,6 +147,18 @@
     return startProbe(target, Optional.empty(), false, nowMillis, digest);
   }
 
+  /** Returns probes of as many VMs as a majority is judged from, drawn evenly from all. */
+  public ImmutableList<Outgoing> probeSample(long nowMillis, Digest digest) {
+    ImmutableList.Builder<Outgoing> out = ImmutableList.builder();
+    for (int i = 0; i < Math.min(settings.sampleSize(), table.size()); i++) {
+      schedule
+          .next()
+          .ifPresent(
+              target -> out.add(startProbe(target, Optional.empty(), true, nowMillis, digest)));
+    }
+    return out.build();
+  }
+
   /** Tells the others that this node takes no new work from now on. */
   public ImmutableList<Outgoing> leave(long nowMillis, Digest digest) {
     ownState = MemberState.LEAVING;
--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -5,8 +5,9 @@
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
 import io.briarward.node.configuration.ConfigurationHolder;
-import io.briarward.node.configuration.ConfigurationPoller;
 import io.briarward.node.configuration.ConfigurationStore;
+import io.briarward.node.configuration.ControlContext;
+import io.briarward.node.configuration.ControlService;
 import io.briarward.node.http.HttpAnswers;
 import io.briarward.node.live.ActiveRequests;
 import io.briarward.node.live.LeastInFlightSelector;
@@ -23,6 +24,7 @@
 import io.briarward.node.platform.HttpUpstreamOrders;
 import io.briarward.node.platform.HttpVmList;
 import io.briarward.node.platform.JsonHttpClient;
+import io.briarward.node.platform.VmList;
 import io.briarward.node.settings.NodeSettings;
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.telemetry.Tracing;
@@ -155,29 +157,43 @@
         NettyPeerNetwork.create(
             PeerSettings.of(settings.vmId(), incarnation, peerAddress), scheduler);
     HttpTableService tables = HttpTableService.create(http, settings.tableService());
+    VmList vmList = HttpVmList.create(http, settings.vmList());
+    ConfigurationHolder holder = ConfigurationHolder.create();
+    long startWallMillis = System.currentTimeMillis();
+    ControlService control =
+        ControlService.create(
+            new ControlContext(
+                settings.vmId(),
+                settings.dataCentre(),
+                startWallMillis,
+                scheduler,
+                tables,
+                vmList,
+                peers,
+                holder));
     return new NodeContext(
         settings,
         incarnation,
         vertx,
         scheduler,
-        System.currentTimeMillis(),
+        startWallMillis,
         scheduler.now(TimeUnit.MILLISECONDS),
         tables,
         HttpObjectStore.create(http, settings.objectStore()),
         HttpUpstreamOrders.create(http, settings.upstreamOrders()),
         HttpReportSink.create(http, settings.reportSink()),
-        HttpVmList.create(http, settings.vmList()),
+        vmList,
         peers,
-        ConfigurationHolder.create(),
-        ConfigurationStore.create(tables),
+        holder,
+        control,
+        ConfigurationStore.create(tables, control, scheduler),
         Metrics.create(),
         Tracing.create(settings.vmId(), settings.otlpEndpoint()));
   }
 
   private Future<Node> listen() {
-    parts.push(
-        ConfigurationPoller.start(
-            context.configurationStore(), context.configuration(), context.scheduler()));
+    parts.push(context.control());
+    context.control().start();
     CallerServer callers =
         new CallerServer(live, Node::refuseTrainer, context.metrics(), this::ready);
     OperatorApi operators = OperatorApi.create(context, this::status);
--- a/node/src/main/java/io/briarward/node/NodeContext.java
+++ b/node/src/main/java/io/briarward/node/NodeContext.java
@@ -2,6 +2,7 @@
 
 import io.briarward.node.configuration.ConfigurationHolder;
 import io.briarward.node.configuration.ConfigurationStore;
+import io.briarward.node.configuration.ControlService;
 import io.briarward.node.peer.PeerNetwork;
 import io.briarward.node.platform.ObjectStore;
 import io.briarward.node.platform.ReportSink;
@@ -37,6 +38,7 @@
     VmList vmList,
     PeerNetwork peers,
     ConfigurationHolder configuration,
+    ControlService control,
     ConfigurationStore configurationStore,
     Metrics metrics,
     Tracing tracing) {
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/configuration/ControlService.java
@@ -0,0 +1,284 @@
+package io.briarward.node.configuration;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.briarward.core.distribution.Action;
+import io.briarward.core.distribution.ConfigurationDelta;
+import io.briarward.core.distribution.ConfigurationDocument;
+import io.briarward.core.distribution.ConfigurationMessage;
+import io.briarward.core.distribution.ControlNode;
+import io.briarward.core.distribution.StoreRead;
+import io.briarward.core.keys.ServingPermission;
+import io.briarward.core.keys.ServingRule;
+import io.briarward.core.membership.ListedVm;
+import io.briarward.core.membership.Member;
+import io.briarward.core.membership.Membership;
+import io.briarward.core.membership.MembershipMessage;
+import io.briarward.core.membership.MembershipSettings;
+import io.briarward.node.membership.MembershipCodec;
+import io.briarward.node.platform.VmList;
+import io.briarward.wire.proto.PeerMessage;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Maybe;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.reactivex.rxjava3.processors.BehaviorProcessor;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * Runs a {@link ControlNode}: sends its messages, carries out its reads and hands the
+ * configurations to serve from to the holder.
+ *
+ * <p>Confined to the thread of the context's scheduler. Example:
+ *
+ * <pre>{@code
+ * ControlService control = ControlService.create(context);
+ * control.start();
+ * boolean mayServe = control.permission().permitted();
+ * }</pre>
+ */
+public final class ControlService implements AutoCloseable {
+  private static final long VM_LIST_INTERVAL_MILLIS = 2_000;
+  private static final long PROBE_TIMEOUT_MILLIS = 2_000;
+  private static final long CONTENT_TIMEOUT_MILLIS = 5_000;
+  private static final long NOTHING_PUBLISHED = -1;
+
+  private final ControlContext context;
+  private final ControlNode node;
+  private final StoreReads reads;
+  private final CompositeDisposable running = new CompositeDisposable();
+  private final BehaviorProcessor<ServingPermission> permissions = BehaviorProcessor.create();
+  private long publishedVersion = NOTHING_PUBLISHED;
+
+  private ControlService(ControlContext context) {
+    this.context = context;
+    this.reads = new StoreReads(context.tables());
+    Membership membership =
+        Membership.create(
+            context.vmId(), context.startWallMillis(), MembershipSettings.defaults(), new Random());
+    this.node =
+        ControlNode.create(context.vmId(), context.dataCentre(), membership, context.nowMillis());
+  }
+
+  /** Returns a service that does nothing until it is started. */
+  public static ControlService create(ControlContext context) {
+    return new ControlService(checkNotNull(context, "context"));
+  }
+
+  /** Starts probing and reading. */
+  public void start() {
+    context.peers().handle(PeerMessage.BodyCase.MEMBERSHIP, this::onMessage);
+    context.peers().handle(PeerMessage.BodyCase.CONFIGURATION, this::onMessage);
+    running.add(
+        Flowable.interval(0, VM_LIST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
+            .onBackpressureDrop()
+            .concatMapMaybe(unused -> readVmList(), 1)
+            .observeOn(context.scheduler())
+            .subscribe(this::onVmList));
+    long probeIntervalMillis = MembershipSettings.defaults().probeIntervalMillis();
+    running.add(
+        Flowable.interval(0, probeIntervalMillis, TimeUnit.MILLISECONDS, context.scheduler())
+            .onBackpressureDrop()
+            .subscribe(unused -> perform(node.tick(context.nowMillis()))));
+  }
+
+  /** Returns whether routes that need a key may be served now. */
+  public ServingPermission permission() {
+    return ServingRule.permission(node, context.nowMillis());
+  }
+
+  /** Returns the permission from now on, judged once per probe interval. */
+  public Flowable<ServingPermission> permissions() {
+    return permissions.onBackpressureLatest().distinctUntilChanged();
+  }
+
+  /** Returns the other VMs. */
+  public ImmutableList<Member> members() {
+    return node.members();
+  }
+
+  /** Tells the other nodes that this one takes no new work from now on. */
+  public void leave() {
+    perform(node.leave(context.nowMillis()));
+  }
+
+  @Override
+  public void close() {
+    running.dispose();
+  }
+
+  /** Returns whether a change may be taken from an operator now. */
+  boolean mayAcceptChange() {
+    return ServingRule.mayAcceptChange(node, context.nowMillis());
+  }
+
+  /** Returns whether a stored version may be reported as accepted. */
+  boolean isAccepted(long version) {
+    return ServingRule.isAccepted(node, version, context.nowMillis());
+  }
+
+  /** Asks a sample of the nodes which versions they hold. */
+  void probeSample() {
+    perform(node.probeSample(context.nowMillis()));
+  }
+
+  /** Returns the newest version that this node holds. */
+  Optional<ConfigurationDocument> held() {
+    return node.held();
+  }
+
+  /** Takes over a version that this node stored by a transaction sent at {@code sentAtMillis}. */
+  void onStored(ConfigurationDelta delta, long sentAtMillis) {
+    perform(node.onAccepted(delta, sentAtMillis, context.nowMillis()));
+  }
+
+  private Maybe<ImmutableList<VmList.Vm>> readVmList() {
+    return context
+        .vmList()
+        .read()
+        .toMaybe()
+        .doOnError(error -> Logger.debug("list of VMs not read: {}", error.getMessage()))
+        .onErrorComplete();
+  }
+
+  private void onVmList(ImmutableList<VmList.Vm> vms) {
+    ImmutableMap.Builder<String, InetSocketAddress> addresses = ImmutableMap.builder();
+    ImmutableList.Builder<ListedVm> listed = ImmutableList.builder();
+    for (VmList.Vm vm : vms) {
+      listed.add(new ListedVm(vm.id(), vm.dataCentre(), vm.leaving()));
+      if (!vm.id().equals(context.vmId())) {
+        addresses.put(vm.id(), new InetSocketAddress(vm.host(), vm.peerPort()));
+      }
+    }
+    context.peers().setAddresses(addresses.buildKeepingLast());
+    node.setListed(listed.build());
+  }
+
+  private Maybe<PeerMessage> onMessage(PeerMessage message) {
+    return Maybe.defer(() -> Maybe.fromOptional(handle(message))).subscribeOn(context.scheduler());
+  }
+
+  /** Handles a message and returns that of the resulting messages that answers it. */
+  private Optional<PeerMessage> handle(PeerMessage message) {
+    String from = message.getSenderVmId();
+    Optional<PeerMessage> answer = Optional.empty();
+    ImmutableList.Builder<Action> others = ImmutableList.builder();
+    for (Action action : decide(from, message)) {
+      Optional<PeerMessage> candidate = asAnswer(from, message, action);
+      if (candidate.isPresent()) {
+        answer = candidate;
+      } else {
+        others.add(action);
+      }
+    }
+    perform(others.build());
+    return answer;
+  }
+
+  private ImmutableList<Action> decide(String from, PeerMessage message) {
+    long nowMillis = context.nowMillis();
+    return message.hasMembership()
+        ? node.onMembership(from, MembershipCodec.decode(message.getMembership()), nowMillis)
+        : node.onConfiguration(
+            from, ConfigurationMessageCodec.decode(message.getConfiguration()), nowMillis);
+  }
+
+  private static Optional<PeerMessage> asAnswer(String from, PeerMessage message, Action action) {
+    if (action instanceof Action.SendMembership send
+        && send.message().kind() == MembershipMessage.Kind.ANSWER
+        && send.message().sequence() == message.getMembership().getSequence()
+        && send.vmId().equals(from)) {
+      return Optional.of(encode(send.message()));
+    }
+    if (action instanceof Action.SendConfiguration send
+        && send.message().kind() == ConfigurationMessage.Kind.CONTENT
+        && send.vmId().equals(from)) {
+      return Optional.of(encode(send.message()));
+    }
+    return Optional.empty();
+  }
+
+  private void perform(ImmutableList<Action> actions) {
+    for (Action action : actions) {
+      if (action instanceof Action.SendMembership send) {
+        boolean isProbe = send.message().kind() == MembershipMessage.Kind.PROBE;
+        transmit(send.vmId(), encode(send.message()), isProbe, PROBE_TIMEOUT_MILLIS);
+      } else if (action instanceof Action.SendConfiguration send) {
+        boolean isRequest = send.message().kind() == ConfigurationMessage.Kind.REQUEST;
+        transmit(send.vmId(), encode(send.message()), isRequest, CONTENT_TIMEOUT_MILLIS);
+      } else if (action instanceof Action.ReadStore read) {
+        read(read.read());
+      }
+    }
+    publish();
+  }
+
+  private void transmit(String vmId, PeerMessage message, boolean isRequest, long timeoutMillis) {
+    if (!isRequest) {
+      context.peers().send(vmId, message);
+      return;
+    }
+    var unused =
+        context
+            .peers()
+            .request(vmId, message, timeoutMillis)
+            .observeOn(context.scheduler())
+            .subscribe(
+                this::onAnswer,
+                error -> Logger.trace("no answer of {}: {}", vmId, error.getMessage()),
+                running);
+  }
+
+  private void onAnswer(PeerMessage answer) {
+    perform(decide(answer.getSenderVmId(), answer));
+  }
+
+  private void read(StoreRead read) {
+    long startedAtMillis = context.nowMillis();
+    var unused =
+        reads
+            .run(read)
+            .observeOn(context.scheduler())
+            .subscribe(
+                rows ->
+                    perform(node.onStoreAnswer(read, rows, startedAtMillis, context.nowMillis())),
+                error -> onReadFailure(error),
+                running);
+  }
+
+  private void onReadFailure(Throwable error) {
+    Logger.debug("configuration not read: {}", error.getMessage());
+    node.onStoreFailure();
+  }
+
+  private void publish() {
+    if (node.isSettled(context.nowMillis())) {
+      node.held()
+          .filter(document -> document.version() > publishedVersion)
+          .ifPresent(this::publish);
+    }
+    permissions.onNext(permission());
+  }
+
+  private void publish(ConfigurationDocument document) {
+    publishedVersion = document.version();
+    context
+        .holder()
+        .update(new VersionedConfiguration(document.version(), document.configuration()));
+  }
+
+  private static PeerMessage encode(MembershipMessage message) {
+    return PeerMessage.newBuilder().setMembership(MembershipCodec.encode(message)).build();
+  }
+
+  private static PeerMessage encode(ConfigurationMessage message) {
+    return PeerMessage.newBuilder()
+        .setConfiguration(ConfigurationMessageCodec.encode(message))
+        .build();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/configuration/StoreReads.java
@@ -0,0 +1,32 @@
+package io.briarward.node.configuration;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.distribution.StoreLayout;
+import io.briarward.core.distribution.StoreRead;
+import io.briarward.core.platform.Row;
+import io.briarward.node.platform.TableService;
+import io.reactivex.rxjava3.core.Single;
+import java.util.Optional;
+
+/** Carries out reads of the configuration's rows. */
+final class StoreReads {
+  private final TableService tables;
+
+  StoreReads(TableService tables) {
+    this.tables = tables;
+  }
+
+  Single<ImmutableList<Row>> run(StoreRead read) {
+    return switch (read.kind()) {
+      case HEAD -> tables.read(StoreLayout.HEAD).map(StoreReads::toList);
+      case LOG ->
+          tables.scan(
+              StoreLayout.LOG_TABLE, "", StoreLayout.key(read.version()), StoreRead.MAX_LOG_ROWS);
+      case SNAPSHOT -> tables.read(StoreLayout.snapshotRow(read.version())).map(StoreReads::toList);
+    };
+  }
+
+  private static ImmutableList<Row> toList(Optional<Row> row) {
+    return row.map(ImmutableList::of).orElse(ImmutableList.of());
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/configuration/ControlServiceTest.java
@@ -0,0 +1,136 @@
+package io.briarward.node.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.configuration.Configuration;
+import io.briarward.core.configuration.ConfigurationCodec;
+import io.briarward.core.errors.ErrorKind;
+import io.briarward.core.errors.FailureException;
+import io.briarward.core.keys.ServingPermission;
+import io.briarward.node.peer.PeerNetwork;
+import io.briarward.node.platform.VmList;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.observers.TestObserver;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ControlServiceTest {
+  private static final Configuration NEXT =
+      ConfigurationCodec.parse("{\"dataCentres\": [\"nadi\"]}");
+
+  private final TestScheduler scheduler = new TestScheduler();
+  private final FakeTables tables = new FakeTables();
+  private final LoopbackPeers peers = new LoopbackPeers();
+  private final Participant first = new Participant("vm-1");
+  private final Participant second = new Participant("vm-2");
+  private final Participant third = new Participant("vm-3");
+
+  @BeforeEach
+  void start() {
+    advance(3_000);
+  }
+
+  @Test
+  void replacedConfigurationReachesAllHolders() {
+    replace(first, 0).assertValue(new VersionedConfiguration(1, NEXT));
+
+    for (Participant process : ImmutableList.of(first, second, third)) {
+      assertThat(process.holder.current().version()).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void lostAnswerIsResolvedByReadingBack() {
+    tables.loseAnswers(1);
+
+    replace(first, 0).assertValue(new VersionedConfiguration(1, NEXT));
+  }
+
+  @Test
+  void staleExpectedVersionConflicts() {
+    replace(first, 0).assertComplete();
+
+    replace(second, 0).assertError(error -> kindOf(error) == ErrorKind.VERSION_CONFLICT);
+  }
+
+  @Test
+  void storeOutageFailsTheChangeAndServesOn() {
+    tables.setDown(true);
+    advance(10_000);
+
+    replace(first, 0).assertError(error -> kindOf(error) == ErrorKind.STORE_UNAVAILABLE);
+    assertThat(first.control.permission().reason())
+        .isEqualTo(ServingPermission.Reason.STORE_OUTAGE);
+  }
+
+  @Test
+  void nodeWithoutPeersTakesNoChange() {
+    second.network.close();
+    third.network.close();
+    advance(10_000);
+
+    replace(first, 0).assertError(error -> kindOf(error) == ErrorKind.NOT_READY);
+  }
+
+  @Test
+  void nothingIsServedBeforeTheVersionIsKnown() {
+    tables.setDown(true);
+    final Participant fourth = new Participant("vm-4");
+    second.network.close();
+    third.network.close();
+    advance(10_000);
+
+    assertThat(fourth.holder.known()).isFalse();
+    assertThat(fourth.control.permission().permitted()).isFalse();
+  }
+
+  private TestObserver<VersionedConfiguration> replace(Participant process, long expectedVersion) {
+    TestObserver<VersionedConfiguration> observer =
+        process.store.replace(NEXT, expectedVersion).test();
+    advance(4_000);
+    return observer;
+  }
+
+  private void advance(long millis) {
+    scheduler.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+  }
+
+  private static ErrorKind kindOf(Throwable error) {
+    return ((FailureException) error).failure().kind();
+  }
+
+  private static Single<ImmutableList<VmList.Vm>> listVms() {
+    return Single.just(ImmutableList.of(listed("vm-1"), listed("vm-2"), listed("vm-3")));
+  }
+
+  private static VmList.Vm listed(String vmId) {
+    return new VmList.Vm(vmId, "nadi", "127.0.0.1", 1, 1, false);
+  }
+
+  private final class Participant {
+    final ConfigurationHolder holder = ConfigurationHolder.create();
+    final PeerNetwork network;
+    final ControlService control;
+    final ConfigurationStore store;
+
+    Participant(String vmId) {
+      network = peers.network(vmId);
+      control =
+          ControlService.create(
+              new ControlContext(
+                  vmId,
+                  "nadi",
+                  0,
+                  scheduler,
+                  tables,
+                  ControlServiceTest::listVms,
+                  network,
+                  holder));
+      store = ConfigurationStore.create(tables, control, scheduler);
+      control.start();
+    }
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/configuration/FakeTables.java
@@ -0,0 +1,61 @@
+package io.briarward.node.configuration;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.platform.CommitResult;
+import io.briarward.core.platform.Row;
+import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.TableState;
+import io.briarward.core.platform.Transaction;
+import io.briarward.node.platform.PlatformException;
+import io.briarward.node.platform.TableService;
+import io.reactivex.rxjava3.core.Single;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+
+/** A table service in memory that can be down or lose the answers of commits. */
+final class FakeTables implements TableService {
+  private final TableState state = TableState.create();
+  private boolean down;
+  private int answersToLose;
+
+  void setDown(boolean isDown) {
+    down = isDown;
+  }
+
+  void loseAnswers(int count) {
+    answersToLose = count;
+  }
+
+  @Override
+  public Single<CommitResult> commit(Transaction transaction) {
+    return call(
+        () -> {
+          CommitResult result = state.commit(transaction);
+          if (answersToLose > 0) {
+            answersToLose--;
+            throw new PlatformException(PlatformException.Effect.UNKNOWN, "answer lost");
+          }
+          return result;
+        });
+  }
+
+  @Override
+  public Single<Optional<Row>> read(RowKey key) {
+    return call(() -> state.read(key));
+  }
+
+  @Override
+  public Single<ImmutableList<Row>> scan(String table, String prefix, String after, int limit) {
+    return call(() -> state.scan(table, prefix, after, limit));
+  }
+
+  private <T> Single<T> call(Callable<T> operation) {
+    return Single.fromCallable(
+        () -> {
+          if (down) {
+            throw new PlatformException(PlatformException.Effect.NONE, "down");
+          }
+          return operation.call();
+        });
+  }
+}
