Count, copy, seal, freeze and report usage as pure state machines

Bills must equal what ran while VMs die and the store is out. Counters are cumulative per incarnation and window, so merging is idempotent; changes go to two peers before an answer ends; a window is frozen once and late usage is carried into the next one by what was billed so far.

Ruled out: freezing with a list of all incarnations per window (30 KB a row at 1,000 VMs), and letting writers choose the window that late usage goes to (two holders of copies could choose differently).

--- a/core/src/main/java/io/briarward/core/lease/LeaseAction.java
+++ b/core/src/main/java/io/briarward/core/lease/LeaseAction.java
@@ -10,8 +10,9 @@
    *
    * @param operation the number to give back with the result
    * @param transaction what to commit
+   * @param withWork whether the transaction carries the writes that were handed in
    */
-  record Commit(long operation, Transaction transaction) implements LeaseAction {}
+  record Commit(long operation, Transaction transaction, boolean withWork) implements LeaseAction {}
 
   /**
    * Read a row, with full consistency, and pass it on.
--- a/core/src/main/java/io/briarward/core/lease/LeaseMachine.java
+++ b/core/src/main/java/io/briarward/core/lease/LeaseMachine.java
@@ -45,11 +45,7 @@
   private Optional<PendingWrite> pending = Optional.empty();
   private boolean pendingUnclear;
 
-  private long operation;
-  private boolean outstanding;
-  private long operationSentMillis;
-  private int failures;
-  private long notBeforeMillis = Long.MIN_VALUE;
+  private final OperationTracker operations;
   private long nextReadMillis = Long.MIN_VALUE;
   private long renewAtMillis;
   private long tokens;
@@ -61,6 +57,7 @@
     checkArgument(!duty.isEmpty(), "duty is empty");
     checkArgument(!holder.isEmpty(), "holder is empty");
     this.key = RowKey.of(TABLE, duty);
+    this.operations = OperationTracker.create(settings.requestTimeoutMillis(), settings.backoff());
   }
 
   /**
@@ -124,10 +121,10 @@
    *     no other work before
    */
   public LeaseAction poll(long nowMillis, Optional<Transaction> work) {
-    if (outstanding && nowMillis - operationSentMillis >= settings.requestTimeoutMillis()) {
-      onFailure(operation, nowMillis, 0);
+    if (operations.expire(nowMillis)) {
+      pendingUnclear = pending.isPresent();
     }
-    if (outstanding || nowMillis < notBeforeMillis) {
+    if (!operations.ready(nowMillis)) {
       return NONE;
     }
     if (pending.isPresent()) {
@@ -145,10 +142,9 @@
    * @param answered the operation's number; an outdated one is ignored
    */
   public WorkOutcome onCommit(long answered, long nowMillis, CommitResult result) {
-    if (!expected(answered) || pending.isEmpty()) {
+    if (!operations.accept(answered)) {
       return WorkOutcome.NONE;
     }
-    succeed();
     if (result instanceof CommitResult.Committed committed) {
       return applied(nowMillis, committed.versions().get(key));
     }
@@ -167,10 +163,9 @@
    * @param answered the operation's number; an outdated one is ignored
    */
   public WorkOutcome onRead(long answered, long nowMillis, Optional<Row> present) {
-    if (!expected(answered)) {
+    if (!operations.accept(answered)) {
       return WorkOutcome.NONE;
     }
-    succeed();
     return observe(nowMillis, present);
   }
 
@@ -181,14 +176,9 @@
    * @param retryAfterMillis the least delay before the next operation, 0 if none was given
    */
   public void onFailure(long answered, long nowMillis, long retryAfterMillis) {
-    if (!expected(answered)) {
-      return;
+    if (operations.fail(answered, nowMillis, retryAfterMillis)) {
+      pendingUnclear = pending.isPresent();
     }
-    outstanding = false;
-    pendingUnclear = pending.isPresent();
-    failures++;
-    long delayMillis = Math.max(retryAfterMillis, settings.backoff().delayMillis(failures));
-    notBeforeMillis = nowMillis + delayMillis;
   }
 
   private boolean holds(long nowMillis) {
@@ -253,29 +243,13 @@
   }
 
   private LeaseAction commit(long nowMillis, PendingWrite write) {
-    begin(nowMillis);
-    return new LeaseAction.Commit(operation, write.transaction());
+    return new LeaseAction.Commit(
+        operations.begin(nowMillis), write.transaction(), write.hasWork());
   }
 
   private LeaseAction read(long nowMillis) {
-    begin(nowMillis);
     nextReadMillis = nowMillis + settings.watchMillis();
-    return new LeaseAction.Read(operation, key);
-  }
-
-  private void begin(long nowMillis) {
-    operation++;
-    outstanding = true;
-    operationSentMillis = nowMillis;
-  }
-
-  private boolean expected(long answered) {
-    return outstanding && answered == operation;
-  }
-
-  private void succeed() {
-    outstanding = false;
-    failures = 0;
+    return new LeaseAction.Read(operations.begin(nowMillis), key);
   }
 
   private WorkOutcome observe(long nowMillis, Optional<Row> present) {
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/usage/CopyFlusher.java
@@ -0,0 +1,54 @@
+package io.briarward.core.usage;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.briarward.core.platform.CommitResult;
+import java.util.Optional;
+
+/**
+ * Writes overdue copies to the table service, one at a time.
+ *
+ * <p>Times are milliseconds of one monotonic clock. Not thread-safe.
+ */
+public final class CopyFlusher {
+  private static final long CHECK_MILLIS = 1_000;
+
+  private final CopyHolder holder;
+  private final FlushRunner runner;
+  private long nextCheckMillis = Long.MIN_VALUE;
+
+  private CopyFlusher(UsageSettings settings, CopyHolder holder) {
+    this.holder = checkNotNull(holder, "holder");
+    this.runner = FlushRunner.create(settings);
+  }
+
+  /** Returns a flusher of the given copies. */
+  public static CopyFlusher create(UsageSettings settings, CopyHolder holder) {
+    return new CopyFlusher(settings, holder);
+  }
+
+  /** Returns the next transaction, if one is due. */
+  public Optional<StoreCommit> poll(long nowMillis) {
+    if (runner.idle() && nowMillis >= nextCheckMillis) {
+      Optional<UsageFlush> next = holder.due(nowMillis).stream().findFirst();
+      next.ifPresentOrElse(runner::start, () -> nextCheckMillis = nowMillis + CHECK_MILLIS);
+    }
+    return runner.poll(nowMillis);
+  }
+
+  /** Passes on the result of a commit. */
+  public void onCommit(long operation, CommitResult result) {
+    runner
+        .onCommit(operation, result)
+        .ifPresent(
+            done -> {
+              holder.onFlushed(done.flush());
+              holder.forgetEmpty(done.flush().incarnation());
+            });
+  }
+
+  /** Tells that a commit's outcome is unknown or that it was refused for now. */
+  public void onFailure(long operation, long nowMillis, long retryAfterMillis) {
+    runner.onFailure(operation, nowMillis, retryAfterMillis);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/usage/UsageAmounts.java
@@ -0,0 +1,68 @@
+package io.briarward.core.usage;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Amounts of usage, each at least 0.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param requests the number of requests answered within their due time
+ * @param weightedThousandths the same requests weighted by kind, in thousandths
+ * @param promptTokens the tokens read
+ * @param completionTokens the tokens written
+ * @param upstreamMillis the time that upstreams spent, in milliseconds
+ */
+public record UsageAmounts(
+    long requests,
+    long weightedThousandths,
+    long promptTokens,
+    long completionTokens,
+    long upstreamMillis) {
+  /** No usage. */
+  public static final UsageAmounts ZERO = new UsageAmounts(0, 0, 0, 0, 0);
+
+  /** Checks the fields. */
+  public UsageAmounts {
+    checkArgument(requests >= 0, "requests is %s, expected >= 0", requests);
+    checkArgument(
+        weightedThousandths >= 0, "weightedThousandths is %s, expected >= 0", weightedThousandths);
+    checkArgument(promptTokens >= 0, "promptTokens is %s, expected >= 0", promptTokens);
+    checkArgument(completionTokens >= 0, "completionTokens is %s, expected >= 0", completionTokens);
+    checkArgument(upstreamMillis >= 0, "upstreamMillis is %s, expected >= 0", upstreamMillis);
+  }
+
+  /** Returns the sum. */
+  public UsageAmounts plus(UsageAmounts other) {
+    return new UsageAmounts(
+        requests + other.requests,
+        weightedThousandths + other.weightedThousandths,
+        promptTokens + other.promptTokens,
+        completionTokens + other.completionTokens,
+        upstreamMillis + other.upstreamMillis);
+  }
+
+  /** Returns the larger of each amount, which merges two states of one cumulative counter. */
+  public UsageAmounts join(UsageAmounts other) {
+    return new UsageAmounts(
+        Math.max(requests, other.requests),
+        Math.max(weightedThousandths, other.weightedThousandths),
+        Math.max(promptTokens, other.promptTokens),
+        Math.max(completionTokens, other.completionTokens),
+        Math.max(upstreamMillis, other.upstreamMillis));
+  }
+
+  /**
+   * Returns what a cumulative counter gained since an earlier state.
+   *
+   * @throws IllegalArgumentException if some amount of {@code earlier} is larger
+   */
+  public UsageAmounts minus(UsageAmounts earlier) {
+    return new UsageAmounts(
+        requests - earlier.requests,
+        weightedThousandths - earlier.weightedThousandths,
+        promptTokens - earlier.promptTokens,
+        completionTokens - earlier.completionTokens,
+        upstreamMillis - earlier.upstreamMillis);
+  }
+}
