--- a/core/src/test/java/io/briarward/core/lease/FaultyTable.java
+++ b/core/src/test/java/io/briarward/core/lease/FaultyTable.java
@@ -94,7 +94,11 @@
 
   /** Runs an action after a random delay. */
   public void later(long maxDelayMillis, Runnable action) {
-    long delayMillis = 1 + (long) (random.nextDouble() * maxDelayMillis);
+    after(1 + (long) (random.nextDouble() * maxDelayMillis), action);
+  }
+
+  /** Runs an action after a delay. */
+  public void after(long delayMillis, Runnable action) {
     events.add(new Event(nowMillis + delayMillis, scheduled++, action));
   }
 
--- a/core/src/test/java/io/briarward/core/lease/LeaseWorld.java
+++ b/core/src/test/java/io/briarward/core/lease/LeaseWorld.java
@@ -101,7 +101,7 @@
 
     Process(int index) {
       this.index = index;
-      this.clockRate = 0.99 + 0.02 * random.nextDouble();
+      this.clockRate = random.nextBoolean() ? 0.99 : 1.01;
       this.clockOffsetMillis = random.nextInt(1_000_000);
       start();
     }
@@ -175,7 +175,12 @@
       checked = Optional.empty();
       lastSentMillis = nowMillis;
       String sender = "vm" + index + '.' + incarnation;
-      table.later(SETTINGS.inFlightMillis(), () -> receive(guard.fencingNumber(), sender));
+      Runnable arrival = () -> receive(guard.fencingNumber(), sender);
+      if (random.nextBoolean()) {
+        table.after(SETTINGS.inFlightMillis(), arrival);
+      } else {
+        table.later(SETTINGS.inFlightMillis(), arrival);
+      }
     }
 
     private void act(LeaseAction action) {
