--- a/core/src/main/java/io/briarward/core/lease/OperationTracker.java
+++ b/core/src/main/java/io/briarward/core/lease/OperationTracker.java
@@ -45,6 +45,11 @@
     return !outstanding && nowMillis >= notBeforeMillis;
   }
 
+  /** Returns whether no operation is outstanding. */
+  public boolean idle() {
+    return !outstanding;
+  }
+
   /** Begins an operation and returns its number. */
   public long begin(long nowMillis) {
     checkState(!outstanding, "operation %s is outstanding", number);
--- a/core/src/main/java/io/briarward/core/usage/ReportMachine.java
+++ b/core/src/main/java/io/briarward/core/usage/ReportMachine.java
@@ -125,7 +125,7 @@
   }
 
   /** Passes on the row of a {@link ReportAction.Read}. */
-  public void onRead(long operation, long nowMillis, long epochMillis, Optional<Row> row) {
+  public void onRead(long operation, Optional<Row> row) {
     if (!operations.accept(operation)) {
       return;
     }
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/capacity/CapacityPlannerTest.java
@@ -0,0 +1,91 @@
+package io.briarward.core.capacity;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
+
+class CapacityPlannerTest {
+  private static final Predicate<Market> ALL_OPEN = market -> true;
+  private static final Predicate<Market> ONLY_ON_DEMAND = market -> market == Market.ON_DEMAND;
+
+  private final CapacityPlanner planner = CapacityPlanner.create(1);
+
+  @Test
+  void sharesTheNeedBetweenTheMarkets() {
+    CapacityPlanner.Plan plan = planner.plan(need(80, 80, 0.5), ImmutableList.of(), ALL_OPEN);
+
+    assertThat(plan.startOnDemand()).isEqualTo(4);
+    assertThat(plan.startReclaimable()).isEqualTo(4);
+  }
+
+  @Test
+  void takesOnDemandUpstreamsWhileNoReclaimableOnesAreToBeHad() {
+    CapacityPlanner.Plan plan = planner.plan(need(80, 80, 0.5), ImmutableList.of(), ONLY_ON_DEMAND);
+
+    assertThat(plan.startOnDemand()).isEqualTo(8);
+    assertThat(plan.unmet()).isEqualTo(0);
+  }
+
+  @Test
+  void reportsWhatCannotBeOrderedHere() {
+    CapacityPlanner.Plan plan =
+        planner.plan(need(80, 80, 0.5), ImmutableList.of(), market -> false);
+
+    assertThat(plan.unmet()).isEqualTo(8);
+  }
+
+  @Test
+  void replacesReclaimedUpstreamsAtOnce() {
+    ImmutableList<RunningUpstream> reclaimed =
+        ImmutableList.of(
+            upstream("a", Market.ON_DEMAND, RunningUpstream.State.RUNNING),
+            upstream("b", Market.RECLAIMABLE, RunningUpstream.State.RECLAIMING));
+
+    CapacityPlanner.Plan plan = planner.plan(need(20, 20, 0.5), reclaimed, ONLY_ON_DEMAND);
+
+    assertThat(plan.startOnDemand()).isEqualTo(1);
+  }
+
+  @Test
+  void keepsWhatTheRecentPeakNeeded() {
+    ImmutableList<RunningUpstream> running =
+        ImmutableList.of(
+            upstream("a", Market.ON_DEMAND, RunningUpstream.State.RUNNING),
+            upstream("b", Market.ON_DEMAND, RunningUpstream.State.RUNNING));
+
+    assertThat(planner.plan(need(10, 20, 0), running, ALL_OPEN).stop()).isEmpty();
+    assertThat(planner.plan(need(10, 10, 0), running, ALL_OPEN).stop()).hasSize(1);
+  }
+
+  @Test
+  void givesUpOnDemandOnlyOnceTheReclaimableOneRuns() {
+    RunningUpstream onDemand = upstream("a", Market.ON_DEMAND, RunningUpstream.State.RUNNING);
+    RunningUpstream second = upstream("b", Market.ON_DEMAND, RunningUpstream.State.RUNNING);
+    RunningUpstream starting = upstream("c", Market.RECLAIMABLE, RunningUpstream.State.STARTING);
+    RunningUpstream running = upstream("c", Market.RECLAIMABLE, RunningUpstream.State.RUNNING);
+
+    ServiceNeed need = need(20, 20, 0.5);
+
+    assertThat(planner.plan(need, ImmutableList.of(onDemand, second, starting), ALL_OPEN).stop())
+        .isEmpty();
+    assertThat(planner.plan(need, ImmutableList.of(onDemand, second, running), ALL_OPEN).stop())
+        .hasSize(1);
+  }
+
+  @Test
+  void neverOrdersMoreThanTheMaximum() {
+    CapacityPlanner.Plan plan = planner.plan(need(9_000, 9_000, 0.3), ImmutableList.of(), ALL_OPEN);
+
+    assertThat(plan.startOnDemand() + plan.startReclaimable()).isEqualTo(20);
+  }
+
+  private static ServiceNeed need(double ahead, double held, double share) {
+    return new ServiceNeed("recipe-llm", 1, 20, 10, ahead, held, share);
+  }
+
+  private static RunningUpstream upstream(String id, Market market, RunningUpstream.State state) {
+    return new RunningUpstream(id, "o-" + id, "recipe-llm", market, state, "127.0.0.1", 1, 1);
+  }
+}
--- a/core/src/test/java/io/briarward/core/usage/UsageWorld.java
+++ b/core/src/test/java/io/briarward/core/usage/UsageWorld.java
@@ -313,10 +313,7 @@
         table.read(
             read.row(),
             () -> vm.storeCut,
-            row ->
-                deliver(
-                    () ->
-                        reports.onRead(read.operation(), vm.clockMillis(), vm.epochMillis(), row)));
+            row -> deliver(() -> reports.onRead(read.operation(), row)));
       } else if (action instanceof ReportAction.Scan scan) {
         table.scan(
             scan.table(),
