--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -1,12 +1,21 @@
 package io.briarward.experiments;
 
 import com.google.common.collect.ImmutableSortedMap;
+import io.briarward.experiments.serving.Flood;
+import io.briarward.experiments.serving.Overload;
+import io.briarward.experiments.serving.PrefixReuse;
+import io.briarward.experiments.serving.RoutingCost;
 import java.util.Optional;
 
 /** The measurements by name. */
 public final class Experiments {
   private static final ImmutableSortedMap<String, Experiment> BY_NAME =
-      ImmutableSortedMap.<String, Experiment>naturalOrder().build();
+      ImmutableSortedMap.<String, Experiment>naturalOrder()
+          .put("flood", new Flood())
+          .put("overload", new Overload())
+          .put("prefix", new PrefixReuse())
+          .put("routing-cost", new RoutingCost())
+          .build();
 
   private Experiments() {}
 
--- a/node/src/main/java/io/briarward/node/live/Prompt.java
+++ b/node/src/main/java/io/briarward/node/live/Prompt.java
@@ -6,6 +6,8 @@
 import com.google.common.base.Ascii;
 import com.google.common.hash.Hashing;
 import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
@@ -27,8 +29,8 @@
       return prompt.isTextual() ? Optional.of(of(prompt.asText())) : Optional.empty();
     } catch (JsonProcessingException e) {
       return Optional.empty();
-    } catch (java.io.IOException e) {
-      throw new java.io.UncheckedIOException(e);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     }
   }
 
