Sort the stand-ins' tests by class and run them all on virtual time

The tests shared two classes and the slower half waited on real timers. One JUnit extension now starts stand-ins on a clock that the test advances.

--- /dev/null
+++ b/standins/src/test/java/io/briarward/standins/engine/EngineStandInTest.java
@@ -0,0 +1,156 @@
+package io.briarward.standins.engine;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import io.briarward.standins.StandIns;
+import io.briarward.standins.http.Json;
+import io.briarward.standins.testing.StandInRule;
+import io.briarward.standins.testing.TestClient;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
+
+class EngineStandInTest {
+  private static final String STREAM =
+      "{\"prompt\":\"p\",\"seed\":7,\"max_tokens\":6,\"stream\":true}";
+  private static final String WHOLE = "{\"prompt\":\"p\",\"seed\":7,\"max_tokens\":6}";
+  private static final String LOAD_SECOND =
+      "{\"kind\":\"LOAD_WEIGHTS\",\"version\":2,\"fencingNumber\":1}";
+
+  @RegisterExtension final StandInRule rule = new StandInRule();
+
+  @Test
+  void streamedCompletionIsTheWholeText() {
+    TestClient engine = rule.start(StandIns.Name.ENGINE);
+
+    String body = rule.send(engine, "POST", "/v1/completions", STREAM).body();
+
+    assertThat(text(body)).isEqualTo(CompletionText.text("p", 7, 6));
+    assertThat(body).endsWith("data: [DONE]\n\n");
+  }
+
+  @Test
+  void resumedStreamSendsOnlyWhatFollows() {
+    TestClient engine = rule.start(StandIns.Name.ENGINE);
+    String start = CompletionText.text("p", 7, 0, 2);
+    String request = STREAM.replace("}", ",\"resume_text\":\"" + start + "\"}");
+
+    String body = rule.send(engine, "POST", "/v1/completions", request).body();
+
+    assertThat(start + text(body)).isEqualTo(CompletionText.text("p", 7, 6));
+  }
+
+  @Test
+  void wholeCompletionNamesTheVersionsOfItsTokens() {
+    TestClient engine = rule.start(StandIns.Name.ENGINE, "weightVersion", "5");
+
+    JsonNode answer = rule.send(engine, "POST", "/v1/completions", WHOLE).json();
+
+    assertThat(answer.path("weight_versions").toString())
+        .isEqualTo("[{\"version\":5,\"start\":0,\"end\":6}]");
+  }
+
+  @Test
+  void truncatedStreamBreaksOff() {
+    TestClient engine = rule.start(StandIns.Name.ENGINE);
+    engine.fault("truncatedShare", 1);
+
+    assertThrows(
+        CompletionException.class, () -> rule.send(engine, "POST", "/v1/completions", STREAM));
+  }
+
+  @Test
+  void cancelledCompletionStops() {
+    TestClient engine = rule.start(StandIns.Name.ENGINE);
+    final var reply =
+        CompletableFuture.supplyAsync(
+            () -> engine.send("POST", "/v1/completions", STREAM, "X-Request-Id", "r1"));
+    rule.advanceUntil(engine, client -> client.counter("generatedTokens") == 1);
+
+    engine.send("DELETE", "/v1/completions/r1", "");
+    rule.advance(engine, 1_000);
+
+    assertThat(engine.counter("cancelled")).isEqualTo(1);
+    assertThat(engine.counter("generatedTokens")).isEqualTo(1);
+    assertThrows(CompletionException.class, reply::join);
+  }
+
+  @Test
+  void orderWithAnOldFencingNumberIsRefusedWhereChecked() {
+    TestClient engine = rule.start(StandIns.Name.ENGINE);
+    String order = "{\"kind\":\"SET_ROLE\",\"name\":\"decode\",\"fencingNumber\":%d}";
+    engine.send("POST", "/v1/orders", String.format(order, 2));
+
+    String old = String.format(order, 1);
+    assertThat(engine.send("POST", "/v1/orders", old).status()).isEqualTo(409);
+    engine.fault("ignoreFencing", 1);
+    assertThat(engine.send("POST", "/v1/orders", old).status()).isEqualTo(202);
+  }
+
+  @Test
+  void weightsAreFetchedFromTheStore() {
+    TestClient engine = engineWithStore();
+
+    engine.send("POST", "/v1/orders", LOAD_SECOND);
+
+    rule.advanceUntil(engine, client -> client.counter("weightVersion") == 2);
+  }
+
+  @Test
+  void weightsAreFetchedFromAnotherEngine() {
+    TestClient first = engineWithStore();
+    first.send("POST", "/v1/orders", LOAD_SECOND);
+    rule.advanceUntil(first, client -> client.counter("weightVersion") == 2);
+    TestClient second = rule.start(StandIns.Name.ENGINE, "weightLoadMillis", "5");
+
+    String source = ",\"sourceHost\":\"127.0.0.1\",\"sourcePort\":" + first.port() + "}";
+    second.send("POST", "/v1/orders", LOAD_SECOND.replace("}", source));
+
+    rule.advanceUntil(second, client -> client.counter("weightVersion") == 2);
+  }
+
+  @Test
+  void failedLoadKeepsTheOldVersion() {
+    TestClient engine = engineWithStore();
+    engine.fault("weightLoadFailure", 1);
+    engine.send("POST", "/v1/orders", LOAD_SECOND);
+
+    rule.advanceUntil(engine, client -> client.counter("weightLoadFailures") == 1);
+
+    assertThat(engine.counter("weightVersion")).isEqualTo(1);
+  }
+
+  @Test
+  void loadReportLags() {
+    TestClient engine =
+        rule.start(StandIns.Name.ENGINE, "loadLagMillis", "500", "weightLoadMillis", "5");
+    engine.send("POST", "/v1/orders", LOAD_SECOND);
+    rule.advanceUntil(engine, client -> client.counter("weightVersion") == 2);
+    assertThat(engine.get("/v1/load").path("weightVersion").asInt()).isEqualTo(1);
+
+    rule.advance(engine, 500);
+
+    assertThat(engine.get("/v1/load").path("weightVersion").asInt()).isEqualTo(2);
+  }
+
+  private TestClient engineWithStore() {
+    TestClient store = rule.start(StandIns.Name.WEIGHTS);
+    store.send("PUT", "/v1/weights/model/2", "weights");
+    return rule.start(
+        StandIns.Name.ENGINE, "weightStore", "127.0.0.1:" + store.port(), "weightLoadMillis", "5");
+  }
+
+  private static String text(String body) {
+    ImmutableList<String> texts =
+        body.lines()
+            .filter(line -> line.startsWith("data: {"))
+            .map(line -> Json.parse(line.substring("data: ".length())))
+            .map(chunk -> chunk.at("/choices/0/text").asText())
+            .collect(ImmutableList.toImmutableList());
+    return String.join("", texts);
+  }
+}
--- /dev/null
+++ b/standins/src/test/java/io/briarward/standins/testing/StandInRule.java
@@ -0,0 +1,70 @@
+package io.briarward.standins.testing;
+
+import com.google.common.collect.ImmutableMap;
+import io.briarward.standins.StandIns;
+import io.briarward.standins.http.Address;
+import io.briarward.standins.http.RunningStandIn;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.extension.AfterEachCallback;
+import org.junit.jupiter.api.extension.ExtensionContext;
+
+/** Starts stand-ins whose clock the test advances, and closes them after it. */
+public final class StandInRule implements AfterEachCallback {
+  private static final int MAX_ADVANCES = 10_000;
+
+  private final TestScheduler time = new TestScheduler();
+  private final Vertx vertx = Vertx.vertx();
+  private final List<RunningStandIn> started = new ArrayList<>();
+
+  /** Starts a stand-in with options given as names and values. */
+  public TestClient start(StandIns.Name name, String... options) {
+    ImmutableMap.Builder<String, String> byName = ImmutableMap.builder();
+    for (int i = 0; i < options.length; i += 2) {
+      byName.put(options[i], options[i + 1]);
+    }
+    RunningStandIn running =
+        StandIns.with(vertx, time)
+            .start(name, Address.ephemeral(), byName.buildOrThrow())
+            .blockingGet();
+    started.add(running);
+    return TestClient.of(running.port());
+  }
+
+  /** Advances the clock and returns when the timers that became due have run. */
+  public void advance(TestClient client, long millis) {
+    time.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+    client.get("/control/state");
+  }
+
+  /** Advances the clock until the condition holds. */
+  public void advanceUntil(TestClient client, Predicate<TestClient> condition) {
+    for (int i = 0; i < MAX_ADVANCES; i++) {
+      if (condition.test(client)) {
+        return;
+      }
+      advance(client, 1);
+    }
+    throw new AssertionError("the condition does not hold after " + MAX_ADVANCES + " ms");
+  }
+
+  /** Advances the clock until the request is answered, and returns the answer. */
+  public TestClient.Reply send(
+      TestClient client, String method, String path, String body, String... headers) {
+    CompletableFuture<TestClient.Reply> reply =
+        CompletableFuture.supplyAsync(() -> client.send(method, path, body, headers));
+    advanceUntil(client, unused -> reply.isDone());
+    return reply.join();
+  }
+
+  @Override
+  public void afterEach(ExtensionContext context) {
+    started.forEach(RunningStandIn::close);
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+}
--- /dev/null
+++ b/standins/src/test/java/io/briarward/standins/testing/TestClient.java
@@ -0,0 +1,89 @@
+package io.briarward.standins.testing;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.briarward.standins.http.Json;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+
+/** Calls a stand-in and waits for the answer. */
+public final class TestClient {
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final int port;
+
+  private TestClient(int port) {
+    this.port = port;
+  }
+
+  /**
+   * An answer.
+   *
+   * @param status the HTTP status code
+   * @param body the whole body
+   */
+  public record Reply(int status, String body) {
+    /** Returns the body as JSON. */
+    public JsonNode json() {
+      return Json.parse(body);
+    }
+  }
+
+  /** Returns a client of the stand-in on the port. */
+  public static TestClient of(int port) {
+    return new TestClient(port);
+  }
+
+  /** Returns the port of the stand-in. */
+  public int port() {
+    return port;
+  }
+
+  /**
+   * Sends a request with a body and headers given as names and values.
+   *
+   * @throws UncheckedIOException if the connection breaks before the answer is whole
+   */
+  public Reply send(String method, String path, String body, String... headers) {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            .version(HttpClient.Version.HTTP_1_1)
+            .method(method, HttpRequest.BodyPublishers.ofString(body));
+    if (headers.length > 0) {
+      request.headers(headers);
+    }
+    try {
+      HttpResponse<String> answer =
+          http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+      return new Reply(answer.statusCode(), answer.body());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Returns the JSON answer to a GET. */
+  public JsonNode get(String path) {
+    return send("GET", path, "").json();
+  }
+
+  /** Returns a number of the state. */
+  public long counter(String field) {
+    return get("/control/state").path(field).asLong(-1);
+  }
+
+  /** Switches a fault. */
+  public void fault(String name, double value) {
+    fault(name, value, "");
+  }
+
+  /** Switches a fault in a data centre. */
+  public void fault(String name, double value, String dataCentre) {
+    ObjectNode body = Json.object().put("name", name).put("value", value);
+    send("POST", "/control/faults", body.put("dataCentre", dataCentre).toString());
+  }
+}
