Serve rollouts from every node and stop protected routes when cut off

Rollouts and weight announcements go through the node's router; the permission to serve, which the control service judges from the store and the other VMs, ends protected requests, also running ones. A request whose key is withdrawn while its body is read is refused. The node's stop waits for rollout attempts.

--- a/core/src/test/java/io/briarward/core/capacity/OrderWorld.java
+++ b/core/src/test/java/io/briarward/core/capacity/OrderWorld.java
@@ -245,6 +245,22 @@
       }
     }
 
+    private void act(LeaseAction action) {
+      LeaseMachine target = lease;
+      if (action instanceof LeaseAction.Read read) {
+        table.read(
+            read.row(),
+            () -> storeCut,
+            deliver(row -> slot.settle(target.onRead(read.operation(), clockMillis(), row))));
+      } else if (action instanceof LeaseAction.Commit commit) {
+        table.commit(
+            commit.transaction(),
+            () -> storeCut,
+            deliver(
+                result -> slot.settle(target.onCommit(commit.operation(), clockMillis(), result))));
+      }
+    }
+
     private void send(OrderAction.Send send) {
       if (!send.guard().mayStart(clockMillis())) {
         orders.onFailure(send.operation(), clockMillis(), 0);
@@ -277,22 +293,6 @@
           });
     }
 
-    private void act(LeaseAction action) {
-      LeaseMachine target = lease;
-      if (action instanceof LeaseAction.Read read) {
-        table.read(
-            read.row(),
-            () -> storeCut,
-            deliver(row -> slot.settle(target.onRead(read.operation(), clockMillis(), row))));
-      } else if (action instanceof LeaseAction.Commit commit) {
-        table.commit(
-            commit.transaction(),
-            () -> storeCut,
-            deliver(
-                result -> slot.settle(target.onCommit(commit.operation(), clockMillis(), result))));
-      }
-    }
-
     private <T> Consumer<T> deliver(Consumer<T> receiver) {
       int born = starts;
       return value ->
--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -2,19 +2,20 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.briarward.core.errors.ErrorKind;
-import io.briarward.core.errors.Failure;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.briarward.core.membership.Member;
 import io.briarward.node.configuration.ConfigurationHolder;
 import io.briarward.node.configuration.ConfigurationStore;
 import io.briarward.node.configuration.ControlContext;
 import io.briarward.node.configuration.ControlService;
-import io.briarward.node.http.HttpAnswers;
 import io.briarward.node.live.ActiveRequests;
 import io.briarward.node.live.LiveContext;
 import io.briarward.node.live.LiveProxy;
 import io.briarward.node.live.RetryBudgets;
 import io.briarward.node.live.RoutedSelector;
 import io.briarward.node.live.UpstreamRequests;
+import io.briarward.node.live.UsageRecorder;
 import io.briarward.node.operate.OperatorApi;
 import io.briarward.node.peer.NettyPeerNetwork;
 import io.briarward.node.peer.PeerNetwork;
@@ -25,14 +26,18 @@
 import io.briarward.node.platform.HttpUpstreamOrders;
 import io.briarward.node.platform.HttpVmList;
 import io.briarward.node.platform.JsonHttpClient;
-import io.briarward.node.serving.Serving;
 import io.briarward.node.platform.VmList;
+import io.briarward.node.rollout.RolloutService;
+import io.briarward.node.rollout.RoutedSamplers;
+import io.briarward.node.serving.Serving;
 import io.briarward.node.settings.NodeSettings;
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.telemetry.Tracing;
 import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -46,6 +51,7 @@
 import java.util.Deque;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.tinylog.Logger;
 
 /**
@@ -61,10 +67,13 @@
 public final class Node {
   private static final int IDLE_CONNECTION_SECONDS = 120;
   private static final int SHUTDOWN_TIMEOUT_SECONDS = 30;
+  private static final long MEMBERS_INTERVAL_MILLIS = 500;
 
   private final NodeContext context;
   private final ActiveRequests active;
   private final LiveProxy live;
+  private final Serving serving;
+  private final RolloutService rollouts;
   private final Deque<AutoCloseable> parts = new ArrayDeque<>();
   private HttpServer callerServer;
   private HttpServer operatorServer;
@@ -73,31 +82,69 @@
   private Node(NodeContext context) {
     this.context = context;
     this.active = ActiveRequests.create();
-    Serving serving = Serving.start(context);
+    this.serving = Serving.start(context);
     UpstreamRequests upstreams = UpstreamRequests.create(context.vertx());
-    LiveContext liveContext =
-        new LiveContext(
-            context.scheduler(),
-            upstreams,
-            RoutedSelector.create(serving.router(), context::nowMillis),
-            serving.gate(),
-            RetryBudgets.create(),
-            usage -> Completable.complete(),
-            active,
-            context.metrics(),
-            context.tracing(),
-            context.settings().maxBodyBytes());
+    UsageRecorder usage = recorded -> Completable.complete();
     this.live =
         LiveProxy.create(
-            liveContext,
+            liveContext(upstreams, usage),
             context.configuration(),
             context.tables(),
             context.settings().maxConcurrent());
+    this.rollouts =
+        RolloutService.start(
+            context,
+            upstreams,
+            RoutedSamplers.create(serving.router(), context.configuration(), context::nowMillis),
+            usage,
+            () -> context.control().members().size() + 1);
     parts.push(context.peers());
     parts.push(context.tracing());
     parts.push(upstreams);
     parts.push(live);
     parts.push(serving);
+    parts.push(context.control());
+    parts.push(rollouts);
+    parts.push(follow());
+  }
+
+  private LiveContext liveContext(UpstreamRequests upstreams, UsageRecorder usage) {
+    return new LiveContext(
+        context.scheduler(),
+        upstreams,
+        RoutedSelector.create(serving.router(), context::nowMillis),
+        serving.gate(),
+        RetryBudgets.create(),
+        usage,
+        active,
+        context.metrics(),
+        context.tracing(),
+        context.settings().maxBodyBytes());
+  }
+
+  /** Passes on what the control service learns of the other VMs and of the permission to serve. */
+  private AutoCloseable follow() {
+    CompositeDisposable following = new CompositeDisposable();
+    following.add(
+        context
+            .control()
+            .permissions()
+            .subscribe(permission -> live.serveProtected(permission.permitted())));
+    following.add(
+        Flowable.interval(MEMBERS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
+            .onBackpressureDrop()
+            .subscribe(unused -> passOnMembers()));
+    return following::dispose;
+  }
+
+  private void passOnMembers() {
+    ImmutableList<Member> others = context.control().members();
+    serving.setMembers(vmIds(others.stream().filter(Member::takesNewWork)), vmIds(others.stream()));
+  }
+
+  private ImmutableSet<String> vmIds(Stream<Member> others) {
+    return Stream.concat(Stream.of(context.settings().vmId()), others.map(Member::vmId))
+        .collect(ImmutableSet.toImmutableSet());
   }
 
   /** Starts a node and returns it once it listens. */
@@ -135,12 +182,13 @@
     return Completable.fromAction(
             () -> {
               stopping = true;
+              context.control().leave();
               Logger.info("stopping with {} requests in flight", active.count());
             })
         .subscribeOn(context.scheduler())
         .delay(settings.stopDelayMillis(), TimeUnit.MILLISECONDS, context.scheduler())
         .andThen(Completable.fromAction(live::stopAccepting))
-        .andThen(Completable.defer(active::whenIdle))
+        .andThen(Completable.defer(rollouts::drain).mergeWith(Completable.defer(active::whenIdle)))
         .timeout(
             settings.stopDelayMillis() + settings.stopTimeoutMillis(),
             TimeUnit.MILLISECONDS,
@@ -198,10 +246,9 @@
   }
 
   private Future<Node> listen() {
-    parts.push(context.control());
     context.control().start();
     CallerServer callers =
-        new CallerServer(live, Node::refuseTrainer, context.metrics(), this::ready);
+        new CallerServer(live, rollouts.api(context), context.metrics(), this::ready);
     OperatorApi operators = OperatorApi.create(context, this::status);
     NodeSettings settings = context.settings();
     return listen(settings.httpPort(), callers::handle)
@@ -237,11 +284,6 @@
         .put("requestsInFlight", active.count());
   }
 
-  private static void refuseTrainer(HttpServerRequest request) {
-    HttpAnswers.problem(
-        request, Failure.notRun(ErrorKind.NOT_READY, "rollouts are not served", 1_000));
-  }
-
   private Completable close() {
     return Completable.create(
             emitter ->
--- a/node/src/main/java/io/briarward/node/live/ActiveRequests.java
+++ b/node/src/main/java/io/briarward/node/live/ActiveRequests.java
@@ -33,6 +33,11 @@
     ImmutableList.copyOf(running).forEach(exchange -> exchange.cutOffUnlessGranted(tables));
   }
 
+  /** Ends every request that came with a key, when it is not known which keys are granted. */
+  void cutOffProtected() {
+    ImmutableList.copyOf(running).forEach(LiveExchange::cutOffIfProtected);
+  }
+
   /** Ends every request, when waiting for them has lasted too long. */
   public void cutOffAll() {
     ImmutableList.copyOf(running).forEach(LiveExchange::cutOffForStop);
--- a/node/src/main/java/io/briarward/node/live/LiveExchange.java
+++ b/node/src/main/java/io/briarward/node/live/LiveExchange.java
@@ -113,6 +113,12 @@
     }
   }
 
+  void cutOffIfProtected() {
+    if (request.caller().key().isPresent()) {
+      fail(retryLater(ErrorKind.NOT_READY, "the node cannot tell which keys are granted"));
+    }
+  }
+
   void cutOffForStop() {
     Logger.warn("request {} cut off by the stop's time limit", request.id());
     fail(retryLater(ErrorKind.STOPPING, "the node stopped before the answer was whole"));
--- a/node/src/main/java/io/briarward/node/live/LiveProxy.java
+++ b/node/src/main/java/io/briarward/node/live/LiveProxy.java
@@ -27,6 +27,7 @@
   private final int maxConcurrent;
   private final Disposable configurationChanges;
   private ServingTables tables;
+  private boolean protectedServed = true;
   private boolean stopping;
 
   private LiveProxy(
@@ -62,6 +63,18 @@
     stopping = true;
   }
 
+  /**
+   * Sets whether routes that need a key are served.
+   *
+   * <p>When they are not, their running requests end too, since a withdrawn key may be among them.
+   */
+  public void serveProtected(boolean served) {
+    protectedServed = served;
+    if (!served) {
+      context.active().cutOffProtected();
+    }
+  }
+
   /** Serves one request. */
   public void handle(HttpServerRequest request) {
     request.pause();
@@ -69,6 +82,7 @@
     try {
       checkAccepting();
       LiveRequest live = reader.read(request, tables, context.nowMillis());
+      checkProtected(live);
       span.setAttribute("organisation", live.caller().organisation());
       span.setAttribute("service", live.service().id());
       dispatch(request, live, span);
@@ -97,6 +111,12 @@
     }
   }
 
+  private void checkProtected(LiveRequest live) {
+    if (!protectedServed && live.caller().key().isPresent()) {
+      throw refused(ErrorKind.NOT_READY);
+    }
+  }
+
   private void dispatch(HttpServerRequest request, LiveRequest live, Span span) {
     Optional<String> idempotencyKey =
         Optional.ofNullable(request.getHeader("Idempotency-Key")).filter(key -> !live.idempotent());
@@ -147,7 +167,10 @@
 
   private void start(
       HttpServerRequest request, LiveRequest live, Span span, AnswerObserver observer) {
-    new LiveExchange(context, request, live, span, observer).start();
+    LiveExchange exchange = new LiveExchange(context, request, live, span, observer);
+    exchange.start();
+    // The key may have been withdrawn while the body was read.
+    exchange.cutOffUnlessGranted(tables);
   }
 
   private static void replay(HttpServerRequest request, IdempotencyRecord.Answer answer) {
--- a/node/src/main/java/io/briarward/node/live/Prompt.java
+++ b/node/src/main/java/io/briarward/node/live/Prompt.java
@@ -34,7 +34,8 @@
     }
   }
 
-  private static Prompt of(String text) {
+  /** Returns what routing needs to know of the text. */
+  public static Prompt of(String text) {
     String prefix = Ascii.truncate(text, PREFIX_CHARS, "");
     long hash = Hashing.farmHashFingerprint64().hashString(prefix, StandardCharsets.UTF_8).asLong();
     return new Prompt(hash, text.length() / CHARS_PER_TOKEN + 1);
--- a/node/src/main/java/io/briarward/node/rollout/RolloutService.java
+++ b/node/src/main/java/io/briarward/node/rollout/RolloutService.java
@@ -92,7 +92,10 @@
   /** Returns the trainers' HTTP interface. */
   public TrainerApi api(NodeContext node) {
     return new RolloutApi(
-        this, new TrainerAuthentication(node.configuration()), node.settings().maxBodyBytes());
+        this,
+        new TrainerAuthentication(
+            node.configuration(), () -> node.control().permission().permitted()),
+        node.settings().maxBodyBytes());
   }
 
   /** Takes no more work; completes when every running attempt has ended and is recorded. */
--- a/node/src/main/java/io/briarward/node/rollout/TrainerAuthentication.java
+++ b/node/src/main/java/io/briarward/node/rollout/TrainerAuthentication.java
@@ -1,6 +1,8 @@
 package io.briarward.node.rollout;
 
 import io.briarward.core.configuration.ApiKey;
+import io.briarward.core.errors.ErrorKind;
+import io.briarward.core.errors.Failure;
 import io.briarward.core.forwarding.HeaderRules;
 import io.briarward.node.configuration.ConfigurationHolder;
 import io.briarward.node.configuration.VersionedConfiguration;
@@ -8,14 +10,19 @@
 import io.briarward.node.live.ServingTables;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /** Finds whom a trainer's request runs for. Confined to the event loop. */
 final class TrainerAuthentication {
+  private static final long NOT_PERMITTED_RETRY_MILLIS = 1_000;
+
   private final ConfigurationHolder configuration;
+  private final BooleanSupplier permitted;
   private ServingTables tables;
 
-  TrainerAuthentication(ConfigurationHolder configuration) {
+  TrainerAuthentication(ConfigurationHolder configuration, BooleanSupplier permitted) {
     this.configuration = configuration;
+    this.permitted = permitted;
     this.tables = ServingTables.of(configuration.current());
   }
 
@@ -35,6 +42,11 @@
    *     scope
    */
   Caller authenticate(HttpServerRequest request) {
+    if (!permitted.getAsBoolean()) {
+      throw Failure.notRun(
+              ErrorKind.NOT_READY, ErrorKind.NOT_READY.title(), NOT_PERMITTED_RETRY_MILLIS)
+          .toException();
+    }
     Optional<String> secret =
         Optional.ofNullable(request.getHeader("Authorization")).flatMap(HeaderRules::bearerSecret);
     ApiKey key = tables().requireKey(secret, ApiKey.Scope.TRAIN);
@@ -43,6 +55,6 @@
 
   /** Returns whether the caller's key is still granted. */
   boolean isGranted(Caller caller) {
-    return caller.key().filter(tables()::grants).isPresent();
+    return permitted.getAsBoolean() && caller.key().filter(tables()::grants).isPresent();
   }
 }
--- a/node/src/test/java/io/briarward/node/rollout/RolloutApiTest.java
+++ b/node/src/test/java/io/briarward/node/rollout/RolloutApiTest.java
@@ -59,7 +59,8 @@
     service = RolloutService.start(context, () -> 1);
     ConfigurationHolder holder = ConfigurationHolder.create();
     holder.update(new VersionedConfiguration(1, configuration()));
-    RolloutApi api = new RolloutApi(service, new TrainerAuthentication(holder), MAX_BODY_BYTES);
+    RolloutApi api =
+        new RolloutApi(service, new TrainerAuthentication(holder, () -> true), MAX_BODY_BYTES);
     server =
         vertx
             .createHttpServer()
