Let stand-ins crash and split the engine's step loop from its interface

Engines crash in the field, and until now only the whole process could be killed. The fault crashMillis closes every connection, loses what is in memory and keeps the stand-in down. An engine that was slowed down takes up its speed again when the fault is switched off.

--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/engine/CompletionLoop.java
@@ -0,0 +1,171 @@
+package io.briarward.standins.engine;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.briarward.standins.http.Call;
+import io.briarward.standins.http.Fault;
+import io.briarward.standins.http.Faults;
+import io.briarward.standins.http.RunCounter;
+import io.briarward.standins.http.Timer;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+
+/** Runs the steps of a batch on a timer and sends what they generate to the callers. */
+final class CompletionLoop implements AutoCloseable {
+  private static final String REQUEST_ID = "X-Request-Id";
+
+  private final Timer timer;
+  private final Faults faults;
+  private final String instance;
+  private final ContinuousBatch batch;
+  private final LongSupplier weightVersion;
+  private final Runnable onChange;
+  private final RequestLog log = new RequestLog();
+  private final RunCounter runs = RunCounter.create();
+  private final Map<Generation, CompletionWriter> writers = new HashMap<>();
+  private Disposable scheduledStep = Disposable.disposed();
+  private boolean stepScheduled;
+  private long stepNumber;
+  private long nextRequestNumber;
+  private long started;
+  private long completed;
+  private long cancelled;
+  private long generatedTokens;
+
+  /**
+   * Creates an idle loop.
+   *
+   * @param weightVersion the weights that generate the next token
+   * @param onChange is called when the load has changed
+   */
+  CompletionLoop(
+      Timer timer,
+      Faults faults,
+      String instance,
+      ContinuousBatch batch,
+      LongSupplier weightVersion,
+      Runnable onChange) {
+    this.timer = timer;
+    this.faults = faults;
+    this.instance = instance;
+    this.batch = batch;
+    this.weightVersion = weightVersion;
+    this.onChange = onChange;
+  }
+
+  /** Starts the completion that a call asks for; it ends when the caller goes away. */
+  void start(Call call) {
+    String id = call.header(REQUEST_ID).orElseGet(this::nextRequestId);
+    Generation generation = new Generation(CompletionRequest.parse(id, call.json()));
+    started++;
+    runs.record(id);
+    writers.put(generation, new CompletionWriter(call, generation));
+    call.onClose(() -> cancelIf(each -> each == generation));
+    batch.add(generation);
+    onChange.run();
+    if (!stepScheduled) {
+      scheduleStep();
+    }
+  }
+
+  /** Cancels the completions of a request. */
+  void cancel(String requestId) {
+    cancelIf(generation -> generation.request().id().equals(requestId));
+  }
+
+  /** Cancels every completion. */
+  void cancelAll() {
+    cancelIf(generation -> true);
+  }
+
+  /** Schedules the next step anew, at the present speed. */
+  void speedChanged() {
+    scheduledStep.dispose();
+    scheduleStep();
+  }
+
+  /** Adds the counters to the state. */
+  void describe(ObjectNode state) {
+    state.put("started", started).put("completed", completed).put("cancelled", cancelled);
+    state.put("generatedTokens", generatedTokens);
+    state.put("requestsRunTwice", runs.requestsRunTwice());
+  }
+
+  /** Returns the completions that ended most recently. */
+  ArrayNode describeEnded() {
+    return log.describe();
+  }
+
+  @Override
+  public void close() {
+    stepNumber++;
+    scheduledStep.dispose();
+  }
+
+  private String nextRequestId() {
+    nextRequestNumber++;
+    return instance + "-" + nextRequestNumber;
+  }
+
+  private void cancelIf(Predicate<Generation> matches) {
+    for (Generation generation : batch.removeIf(matches)) {
+      cancelled++;
+      log.record(generation, RequestLog.Outcome.CANCELLED);
+      Optional.ofNullable(writers.remove(generation)).ifPresent(CompletionWriter::breakOff);
+    }
+    onChange.run();
+  }
+
+  /** Schedules the next step; one that was scheduled before and has not run is void. */
+  private void scheduleStep() {
+    stepNumber++;
+    stepScheduled = !batch.idle();
+    if (!stepScheduled) {
+      return;
+    }
+    batch.admit(nowMicros());
+    double factor = faults.valueOr(Fault.SLOWDOWN, 1);
+    long number = stepNumber;
+    scheduledStep = timer.schedule((long) (batch.stepMicros() * factor), () -> step(number));
+  }
+
+  private void step(long number) {
+    if (number != stepNumber) {
+      return;
+    }
+    batch.step(nowMicros(), weightVersion.getAsLong()).forEach(this::emit);
+    onChange.run();
+    scheduleStep();
+  }
+
+  private void emit(Emission emission) {
+    Generation generation = emission.generation();
+    generatedTokens += emission.tokens();
+    if (!generation.finished()) {
+      writers.get(generation).write(emission);
+      return;
+    }
+    completed++;
+    log.record(generation, RequestLog.Outcome.COMPLETED);
+    end(writers.remove(generation), emission);
+  }
+
+  private void end(CompletionWriter writer, Emission last) {
+    if (faults.hits(Fault.TRUNCATED_SHARE)) {
+      writer.breakOff();
+    } else if (faults.hits(Fault.GARBAGE_SHARE)) {
+      writer.writeGarbage();
+    } else {
+      writer.write(last);
+    }
+  }
+
+  private long nowMicros() {
+    return TimeUnit.MILLISECONDS.toMicros(timer.nowMillis());
+  }
+}
--- a/standins/src/main/java/io/briarward/standins/engine/ContinuousBatch.java
+++ b/standins/src/main/java/io/briarward/standins/engine/ContinuousBatch.java
@@ -46,6 +46,12 @@
     importedKv.add(requestId);
   }
 
+  /** Forgets every prompt prefix and imported KV cache. */
+  void clearCache() {
+    cache.clear();
+    importedKv.clear();
+  }
+
   /** Removes the completions that match, and returns them. */
   ImmutableList<Generation> removeIf(Predicate<Generation> matches) {
     ImmutableList.Builder<Generation> removed = ImmutableList.builder();
--- a/standins/src/main/java/io/briarward/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/io/briarward/standins/engine/EngineStandIn.java
@@ -10,44 +10,29 @@
 import io.briarward.standins.http.FencingCheck;
 import io.briarward.standins.http.History;
 import io.briarward.standins.http.Json;
-import io.briarward.standins.http.RunCounter;
 import io.briarward.standins.http.StandIn;
 import io.briarward.standins.http.Timer;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 
 /** Serves completions by continuous batching, load reports, cache events, orders and KV caches. */
 public final class EngineStandIn implements StandIn {
   private static final String COMPLETIONS = "/v1/completions";
-  private static final String REQUEST_ID = "X-Request-Id";
 
   private final Timer timer;
   private final Faults faults;
   private final EngineSettings settings;
   private final ContinuousBatch batch;
+  private final CompletionLoop completions;
   private final CacheEvents cacheEvents = new CacheEvents();
   private final WeightLoader weights;
   private final FencingCheck fencing;
-  private final RequestLog log = new RequestLog();
   private final History<LoadReport> loadReports;
-  private final Map<Generation, CompletionWriter> writers = new HashMap<>();
-  private final RunCounter runs = RunCounter.create();
   private final List<String> adapters = new ArrayList<>();
   private String role = "";
   private String model = "";
-  private boolean stepScheduled;
-  private boolean closed;
-  private long started;
-  private long completed;
-  private long cancelled;
-  private long generatedTokens;
-  private long nextRequestNumber;
 
   private EngineStandIn(Vertx vertx, Timer timer, Faults faults, EngineSettings settings) {
     this.timer = timer;
@@ -57,6 +42,9 @@
     this.weights = new WeightLoader(vertx, timer, settings, faults);
     this.fencing = FencingCheck.create(settings.checksFencing(), faults);
     this.loadReports = History.startingWith(loadReport());
+    this.completions =
+        new CompletionLoop(
+            timer, faults, settings.instance(), batch, weights::weightVersion, this::recordLoad);
   }
 
   /** Returns the faults of this stand-in, switched off. */
@@ -82,12 +70,11 @@
   public void handle(Call call) {
     String operation = call.method() + " " + call.path();
     switch (operation) {
-      case "POST " + COMPLETIONS -> complete(call);
+      case "POST " + COMPLETIONS -> completions.start(call);
       case "GET /v1/load" -> call.answer(Answer.json(200, laggingLoad()));
       case "GET /v1/cache/events" -> call.answer(Answer.json(200, cacheEvents(call)));
       case "POST /v1/orders" -> obey(call);
-      case "GET /control/requests" ->
-          call.answer(Answer.json(200, Json.object().set("requests", log.describe())));
+      case "GET /control/requests" -> call.answer(Answer.json(200, endedRequests()));
       default -> handleResource(call);
     }
   }
@@ -96,8 +83,7 @@
   public ObjectNode state() {
     ObjectNode state = Json.object();
     state.put("service", settings.service()).put("instance", settings.instance());
-    state.put("started", started).put("completed", completed).put("cancelled", cancelled);
-    state.put("generatedTokens", generatedTokens).put("requestsRunTwice", runs.requestsRunTwice());
+    completions.describe(state);
     state.put("running", batch.running().size()).put("queued", batch.waitingCount());
     state.put("weightVersion", weights.weightVersion());
     state.put("loadingVersion", weights.loadingVersion());
@@ -108,100 +94,73 @@
   }
 
   @Override
-  public void close() {
-    closed = true;
-    weights.close();
-  }
-
-  private void handleResource(Call call) {
-    ImmutableList<String> path = call.segments();
-    boolean hasId = path.size() == 3;
-    if (hasId && call.method().equals("DELETE") && call.path().startsWith(COMPLETIONS)) {
-      String id = path.get(2);
-      cancel(generation -> generation.request().id().equals(id));
-      call.answer(Answer.empty(204));
-    } else if (hasId && path.get(1).equals("kv")) {
-      transferKv(call, path.get(2));
-    } else if (call.method().equals("GET") && call.path().startsWith("/v1/weights/")) {
-      long version = Long.parseLong(path.get(path.size() - 1));
-      call.answer(
-          weights
-              .weights(version)
-              .map(bytes -> Answer.bytes(200, bytes))
-              .orElseGet(Answer::notFound));
-    } else {
-      call.answer(Answer.notFound());
+  public void faultChanged(Fault fault, double value, String dataCentre) {
+    if (fault == Fault.SLOWDOWN) {
+      completions.speedChanged();
     }
   }
 
-  private void complete(Call call) {
-    String id = call.header(REQUEST_ID).orElseGet(this::nextRequestId);
-    Generation generation = new Generation(CompletionRequest.parse(id, call.json()));
-    started++;
-    runs.record(id);
-    writers.put(generation, new CompletionWriter(call, generation));
-    call.onClose(() -> cancel(each -> each == generation));
-    batch.add(generation);
+  @Override
+  public void crash() {
+    completions.cancelAll();
+    batch.clearCache();
+    weights.reset();
+    adapters.clear();
+    role = "";
+    model = "";
     recordLoad();
-    scheduleStep();
   }
 
-  private String nextRequestId() {
-    nextRequestNumber++;
-    return settings.instance() + "-" + nextRequestNumber;
+  @Override
+  public void close() {
+    completions.close();
+    weights.close();
   }
 
-  private void cancel(Predicate<Generation> matches) {
-    for (Generation generation : batch.removeIf(matches)) {
-      cancelled++;
-      log.record(generation, RequestLog.Outcome.CANCELLED);
-      Optional.ofNullable(writers.remove(generation)).ifPresent(CompletionWriter::breakOff);
-    }
-    recordLoad();
+  private ObjectNode endedRequests() {
+    return Json.object().set("requests", completions.describeEnded());
   }
 
-  private void scheduleStep() {
-    if (stepScheduled || batch.idle()) {
-      return;
+  private void handleResource(Call call) {
+    ImmutableList<String> path = call.segments();
+    String operation = call.method() + " " + (path.size() > 1 ? path.get(1) : "");
+    String last = path.get(path.size() - 1);
+    switch (operation) {
+      case "DELETE completions" -> {
+        completions.cancel(last);
+        call.answer(Answer.empty(204));
+      }
+      case "GET kv" -> call.answer(exportKv(last));
+      case "PUT kv" -> {
+        batch.importKv(last);
+        call.answer(Answer.empty(204));
+      }
+      case "GET weights" -> call.answer(weightsOf(Long.parseLong(last)));
+      default -> call.answer(Answer.notFound());
     }
-    stepScheduled = true;
-    batch.admit(nowMicros());
-    double factor = faults.valueOr(Fault.SLOWDOWN, 1);
-    timer.schedule((long) (batch.stepMicros() * factor), this::step);
   }
 
-  private void step() {
-    stepScheduled = false;
-    if (closed) {
-      return;
-    }
-    batch.step(nowMicros(), weights.weightVersion()).forEach(this::emit);
-    recordLoad();
-    scheduleStep();
+  private Answer weightsOf(long version) {
+    return weights
+        .weights(version)
+        .map(bytes -> Answer.bytes(200, bytes))
+        .orElseGet(Answer::notFound);
   }
 
-  private void emit(Emission emission) {
-    Generation generation = emission.generation();
-    generatedTokens += emission.tokens();
-    CompletionWriter writer = writers.get(generation);
-    if (generation.finished()) {
-      completed++;
-      log.record(generation, RequestLog.Outcome.COMPLETED);
-      writers.remove(generation);
-      end(writer, emission);
-    } else {
-      writer.write(emission);
-    }
+  private Answer exportKv(String requestId) {
+    Optional<ObjectNode> kv =
+        batch.running().stream()
+            .filter(generation -> generation.request().id().equals(requestId))
+            .findFirst()
+            .map(EngineStandIn::describeKv);
+    return Answer.found(kv);
   }
 
-  private void end(CompletionWriter writer, Emission last) {
-    if (faults.hits(Fault.TRUNCATED_SHARE)) {
-      writer.breakOff();
-    } else if (faults.hits(Fault.GARBAGE_SHARE)) {
-      writer.writeGarbage();
-    } else {
-      writer.write(last);
-    }
+  private static ObjectNode describeKv(Generation generation) {
+    return Json.object()
+        .put("requestId", generation.request().id())
+        .put("prompt", generation.request().prompt())
+        .put("tokens", generation.nextToken());
   }
 
   private void obey(Call call) {
@@ -221,27 +180,6 @@
     call.answer(Answer.json(202, Json.object().put("kind", order.kind().name())));
   }
 
-  private void transferKv(Call call, String requestId) {
-    if (call.method().equals("PUT")) {
-      batch.importKv(requestId);
-      call.answer(Answer.empty(204));
-      return;
-    }
-    Optional<ObjectNode> kv =
-        batch.running().stream()
-            .filter(generation -> generation.request().id().equals(requestId))
-            .findFirst()
-            .map(EngineStandIn::describeKv);
-    call.answer(Answer.found(kv));
-  }
-
-  private static ObjectNode describeKv(Generation generation) {
-    return Json.object()
-        .put("requestId", generation.request().id())
-        .put("prompt", generation.request().prompt())
-        .put("tokens", generation.nextToken());
-  }
-
   private void recordCacheUse(PrefixCache.Use use) {
     use.stored().forEach(hash -> recordCacheEvent(CacheEvents.Type.STORED, hash));
     use.evicted().forEach(hash -> recordCacheEvent(CacheEvents.Type.EVICTED, hash));
@@ -290,8 +228,4 @@
         batch.kvTokens(),
         settings.kvLimitTokens());
   }
-
-  private long nowMicros() {
-    return TimeUnit.MILLISECONDS.toMicros(timer.nowMillis());
-  }
 }
--- a/standins/src/main/java/io/briarward/standins/engine/Generation.java
+++ b/standins/src/main/java/io/briarward/standins/engine/Generation.java
@@ -1,6 +1,7 @@
 package io.briarward.standins.engine;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -62,12 +63,9 @@
   /** Generates one token with the given weights and returns its text. */
   String generate(long weightVersion) {
     int position = generatedTokens();
-    VersionSpan last = spans.isEmpty() ? null : spans.get(spans.size() - 1);
-    if (last != null && last.version() == weightVersion) {
-      spans.set(spans.size() - 1, new VersionSpan(weightVersion, last.start(), position + 1));
-    } else {
-      spans.add(new VersionSpan(weightVersion, position, position + 1));
-    }
+    boolean goesOn = !spans.isEmpty() && Iterables.getLast(spans).version() == weightVersion;
+    int start = goesOn ? spans.remove(spans.size() - 1).start() : position;
+    spans.add(new VersionSpan(weightVersion, start, position + 1));
     String text = CompletionText.token(request.prompt(), request.seed(), nextToken);
     nextToken++;
     return text;
--- a/standins/src/main/java/io/briarward/standins/engine/PrefixCache.java
+++ b/standins/src/main/java/io/briarward/standins/engine/PrefixCache.java
@@ -53,6 +53,12 @@
     return new Use(0, ImmutableList.of(hash), evictOldest());
   }
 
+  /** Drops every prefix, as a restart does. */
+  void clear() {
+    tokensByHash.clear();
+    heldTokens = 0;
+  }
+
   private ImmutableList<String> evictOldest() {
     ImmutableList.Builder<String> evicted = ImmutableList.builder();
     Iterator<Map.Entry<String, Integer>> oldestFirst = tokensByHash.entrySet().iterator();
--- a/standins/src/main/java/io/briarward/standins/engine/WeightLoader.java
+++ b/standins/src/main/java/io/briarward/standins/engine/WeightLoader.java
@@ -70,6 +70,14 @@
     }
   }
 
+  /** Gives up what is loading and goes back to the first version. */
+  void reset() {
+    loadNumber++;
+    loadingVersion = 0;
+    weightVersion = settings.weightVersion();
+    weights = Buffer.buffer();
+  }
+
   @Override
   public void close() {
     client.close();
--- a/standins/src/main/java/io/briarward/standins/http/Fault.java
+++ b/standins/src/main/java/io/briarward/standins/http/Fault.java
@@ -10,6 +10,8 @@
   OUTAGE,
   /** Never answers, and does not run the operation. */
   HANG,
+  /** Closes every connection, loses what is in memory and stays down for this long. */
+  CRASH_MILLIS,
   /** Delays each operation by the value, in milliseconds. */
   DELAY_MILLIS,
   /** Closes the connection before the operation takes effect, for this share of operations. */
--- a/standins/src/main/java/io/briarward/standins/http/Faults.java
+++ b/standins/src/main/java/io/briarward/standins/http/Faults.java
@@ -15,6 +15,7 @@
       Sets.immutableEnumSet(
           Fault.OUTAGE,
           Fault.HANG,
+          Fault.CRASH_MILLIS,
           Fault.DELAY_MILLIS,
           Fault.REQUEST_LOST_SHARE,
           Fault.ANSWER_LOST_SHARE);
--- a/standins/src/main/java/io/briarward/standins/http/StandIn.java
+++ b/standins/src/main/java/io/briarward/standins/http/StandIn.java
@@ -21,6 +21,9 @@
   /** Is told that a fault changed, with the data centre it is meant for, empty for all. */
   default void faultChanged(Fault fault, double value, String dataCentre) {}
 
+  /** Loses what a process loses when it dies; every connection is closed as well. */
+  default void crash() {}
+
   /** Stops timers. */
   @Override
   default void close() {}
--- a/standins/src/main/java/io/briarward/standins/http/StandInServer.java
+++ b/standins/src/main/java/io/briarward/standins/http/StandInServer.java
@@ -8,9 +8,12 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.tinylog.Logger;
@@ -29,6 +32,8 @@
   private final Faults faults;
   private final Timer timer;
   private final SeenSecrets seenSecrets;
+  private final Set<HttpConnection> connections = new HashSet<>();
+  private boolean down;
 
   private StandInServer(HttpServer server, StandIn standIn, Timer timer, Launch launch) {
     this.server = server;
@@ -62,6 +67,7 @@
           Timer timer = new Timer(launch.scheduler, context);
           HttpServer server = launch.vertx.createHttpServer(new HttpServerOptions());
           StandInServer running = new StandInServer(server, factory.apply(timer), timer, launch);
+          server.connectionHandler(running::accept);
           server.requestHandler(running::receive);
           context.runOnContext(
               unused ->
@@ -83,6 +89,22 @@
     server.close().onFailure(e -> Logger.debug(e, "closing a stand-in"));
   }
 
+  private void accept(HttpConnection connection) {
+    if (down) {
+      connection.close();
+      return;
+    }
+    connections.add(connection);
+    connection.closeHandler(unused -> connections.remove(connection));
+  }
+
+  private void crash(long downMillis) {
+    down = true;
+    standIn.crash();
+    ImmutableList.copyOf(connections).forEach(HttpConnection::close);
+    timer.scheduleMillis(downMillis, () -> down = false);
+  }
+
   private void receive(HttpServerRequest request) {
     request
         .body()
@@ -169,5 +191,8 @@
     }
     standIn.faultChanged(fault, value, dataCentre);
     call.answer(Answer.json(200, describeFaults()));
+    if (fault == Fault.CRASH_MILLIS && value > 0) {
+      crash((long) value);
+    }
   }
 }
--- a/standins/src/main/java/io/briarward/standins/plain/PlainStandIn.java
+++ b/standins/src/main/java/io/briarward/standins/plain/PlainStandIn.java
@@ -87,6 +87,11 @@
         .put("requestsRunTwice", runs.requestsRunTwice());
   }
 
+  @Override
+  public void crash() {
+    waiting.clear();
+  }
+
   private ObjectNode load() {
     return Json.object()
         .put("running", running)
--- a/standins/src/test/java/io/briarward/standins/engine/EngineStandInTest.java
+++ b/standins/src/test/java/io/briarward/standins/engine/EngineStandInTest.java
@@ -79,6 +79,39 @@
     assertThrows(CompletionException.class, reply::join);
   }
 
+  @Test
+  void crashLosesRunningCompletionsAndLoadedWeights() {
+    TestClient engine = rule.start(StandIns.Name.ENGINE, "weightLoadMillis", "5");
+    engine.send("POST", "/v1/orders", LOAD_SECOND);
+    rule.advanceUntil(engine, client -> client.counter("weightVersion") == 2);
+    final var reply =
+        CompletableFuture.supplyAsync(() -> engine.send("POST", "/v1/completions", STREAM));
+    rule.advanceUntil(engine, client -> client.counter("generatedTokens") == 1);
+
+    engine.fault("crashMillis", 100);
+    rule.advanceTime(100);
+
+    assertThrows(CompletionException.class, reply::join);
+    assertThat(engine.counter("weightVersion")).isEqualTo(1);
+    assertThat(engine.counter("running")).isEqualTo(0);
+  }
+
+  @Test
+  void slowedEngineGoesOnOnceTheFaultIsOff() {
+    TestClient engine = rule.start(StandIns.Name.ENGINE);
+    engine.fault("slowdown", 1e9);
+    final var reply =
+        CompletableFuture.supplyAsync(() -> engine.send("POST", "/v1/completions", WHOLE));
+    rule.advanceUntil(engine, client -> client.counter("started") == 1);
+    rule.advance(engine, 10_000);
+    assertThat(engine.counter("generatedTokens")).isEqualTo(0);
+
+    engine.fault("slowdown", 0);
+    rule.advanceUntil(engine, unused -> reply.isDone());
+
+    assertThat(reply.join().status()).isEqualTo(200);
+  }
+
   @Test
   void orderWithAnOldFencingNumberIsRefusedWhereChecked() {
     TestClient engine = rule.start(StandIns.Name.ENGINE);
--- a/standins/src/test/java/io/briarward/standins/http/StandInServerTest.java
+++ b/standins/src/test/java/io/briarward/standins/http/StandInServerTest.java
@@ -80,4 +80,15 @@
     assertThat(objects.counter("authorizationHeaders")).isEqualTo(1);
     assertThat(objects.counter("requestsWithSecret")).isEqualTo(1);
   }
+
+  @Test
+  void crashedStandInIsDownForItsTime() {
+    TestClient objects = rule.start(StandIns.Name.OBJECTS);
+    objects.fault("crashMillis", 100);
+    assertThrows(UncheckedIOException.class, () -> objects.send("GET", OBJECT, ""));
+
+    rule.advanceTime(100);
+
+    assertThat(objects.send("GET", OBJECT, "").status()).isEqualTo(404);
+  }
 }
--- a/standins/src/test/java/io/briarward/standins/testing/StandInRule.java
+++ b/standins/src/test/java/io/briarward/standins/testing/StandInRule.java
@@ -38,10 +38,15 @@
 
   /** Advances the clock and returns when the timers that became due have run. */
   public void advance(TestClient client, long millis) {
-    time.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+    advanceTime(millis);
     client.get("/control/state");
   }
 
+  /** Advances the clock without waiting for the timers that became due. */
+  public void advanceTime(long millis) {
+    time.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+  }
+
   /** Advances the clock until the condition holds. */
   public void advanceUntil(TestClient client, Predicate<TestClient> condition) {
     for (int i = 0; i < MAX_ADVANCES; i++) {
