Count running requests against the limit when a share moves

The exchange's test showed 32 requests running under a limit of 20: a share that a node gave up was granted elsewhere while its requests still ran. A node now reports what runs where that is more than its share. A first request of an idle organisation was refused before its share arrived: demand that is new waits for its share, which is asked for at once, and a share that moves takes its burst along.

--- a/core/src/main/java/io/briarward/core/admission/AdmissionControl.java
+++ b/core/src/main/java/io/briarward/core/admission/AdmissionControl.java
@@ -117,15 +117,15 @@
     service(service).setCapacity(capacity);
   }
 
-  /** Returns what each organisation that has work here would use if it had no limit. */
-  public synchronized ImmutableMap<String, Share> demands(long nowMillis) {
-    ImmutableMap.Builder<String, Share> demands = ImmutableMap.builder();
+  /** Returns what each organisation that has work here uses of its limits. */
+  public synchronized ImmutableMap<String, LimitUse> limitUses(long nowMillis) {
+    ImmutableMap.Builder<String, LimitUse> uses = ImmutableMap.builder();
     for (OrganisationState state : organisations.values()) {
       if (!state.idle(nowMillis)) {
-        demands.put(state.id(), state.demand(nowMillis));
+        uses.put(state.id(), state.use(nowMillis));
       }
     }
-    return demands.buildOrThrow();
+    return uses.buildOrThrow();
   }
 
   /** Returns how many requests of a service run and wait here. */
@@ -134,6 +134,11 @@
     return queue.running() + queue.waiting();
   }
 
+  /** Returns how many requests of a service run here. */
+  public synchronized int running(String service) {
+    return service(service).running();
+  }
+
   /**
    * Decides on a new request.
    *
@@ -170,7 +175,9 @@
       long nowMillis) {
     ClassQueue classQueue = service.of(request.priority());
     int ahead = classQueue.queueOf(organisation).countDueBefore(request.dueAtMillis());
-    long limitWaitMillis = organisation.rateWaitMillis(ahead, nowMillis);
+    // A share that has not followed the demand yet is no reason to refuse.
+    boolean settling = organisation.settling(nowMillis);
+    long limitWaitMillis = settling ? 0 : organisation.rateWaitMillis(ahead, nowMillis);
     long placeWaitMillis = placeWaitMillis(service, organisation, request.priority(), ahead);
     long waitMillis = Math.max(limitWaitMillis, placeWaitMillis);
     double answeredAtMillis = nowMillis + waitMillis + classQueue.serviceTimes().upperMillis();
--- a/core/src/main/java/io/briarward/core/admission/OrganisationState.java
+++ b/core/src/main/java/io/briarward/core/admission/OrganisationState.java
@@ -4,6 +4,9 @@
 final class OrganisationState {
   private static final double DEMAND_TIME_MILLIS = 2_000;
 
+  /** How long new demand may take to bring a share of the limits to this node. */
+  private static final long SETTLING_MILLIS = 1_000;
+
   private final String id;
   private final TokenBucket bucket;
   private double weight;
@@ -12,6 +15,7 @@
   private int waiting;
   private double arrivals;
   private long arrivalsAtMillis;
+  private long activeSinceMillis;
 
   OrganisationState(String id, double weight, Share share, long nowMillis) {
     this.id = id;
@@ -48,8 +52,15 @@
     return bucket.millisUntil(ahead + 1, nowMillis);
   }
 
+  /** Returns whether the share may not have followed the demand yet. */
+  boolean settling(long nowMillis) {
+    return nowMillis - activeSinceMillis < SETTLING_MILLIS;
+  }
+
   void onArrival(long nowMillis) {
-    decayArrivals(nowMillis);
+    if (idle(nowMillis)) {
+      activeSinceMillis = nowMillis;
+    }
     arrivals += 1;
   }
 
@@ -66,10 +77,11 @@
     waiting += change;
   }
 
-  /** Returns what the organisation would use on this node if it had no limit. */
-  Share demand(long nowMillis) {
+  /** Returns what the organisation uses of its limits on this node. */
+  LimitUse use(long nowMillis) {
     decayArrivals(nowMillis);
-    return new Share(arrivals * 1_000 / DEMAND_TIME_MILLIS, running + waiting);
+    Share demand = new Share(arrivals * 1_000 / DEMAND_TIME_MILLIS, running + waiting);
+    return new LimitUse(demand, running);
   }
 
   boolean idle(long nowMillis) {
--- a/core/src/main/java/io/briarward/core/admission/ShareHolding.java
+++ b/core/src/main/java/io/briarward/core/admission/ShareHolding.java
@@ -49,23 +49,24 @@
     return nowMillis < leaseEndsAtMillis ? held : Share.ZERO;
   }
 
-  boolean reportDue(String home, Share demand, long nowMillis) {
+  boolean reportDue(String home, LimitUse use, long nowMillis) {
     long sinceMillis = nowMillis - reportedAtMillis;
     if (sinceMillis < MIN_INTERVAL_MILLIS) {
       return false;
     }
+    Share demand = use.demand();
     boolean active = !demand.equals(Share.ZERO) || !held(nowMillis).equals(Share.ZERO);
     boolean unmet = !covers(held(nowMillis), demand);
     boolean grown = unmet && !covers(reportedDemand.times(1 + GROWTH_SHARE), demand);
     boolean fallen = !covers(demand, reportedDemand.times(1 - FALL_SHARE));
     long refreshMillis = unanswered || unmet || fallen ? MISFIT_REFRESH_MILLIS : REFRESH_MILLIS;
     boolean news = grown || sinceMillis >= refreshMillis || !home.equals(reportedHome);
-    return releaseUnconfirmed() || (active && news);
+    return releaseUnconfirmed(use, nowMillis) || (active && news);
   }
 
   /** Returns whether the home must still learn that a smaller share is used from now on. */
-  private boolean releaseUnconfirmed() {
-    return !covers(held, reportedHeld);
+  private boolean releaseUnconfirmed(LimitUse use, long nowMillis) {
+    return !covers(used(use, nowMillis), reportedHeld);
   }
 
   private static boolean covers(Share share, Share needed) {
@@ -73,14 +74,20 @@
         && share.concurrent() >= needed.concurrent();
   }
 
-  ShareReport report(String home, Share demand, long sequence, long nowMillis) {
+  /** Returns the share, or what runs where that is more. */
+  private Share used(LimitUse use, long nowMillis) {
+    Share share = held(nowMillis);
+    return new Share(share.requestsPerSecond(), Math.max(share.concurrent(), use.running()));
+  }
+
+  ShareReport report(String home, LimitUse use, long sequence, long nowMillis) {
     this.sequence = sequence;
     reportedHome = home;
-    reportedDemand = demand;
-    reportedHeld = held(nowMillis);
+    reportedDemand = use.demand();
+    reportedHeld = used(use, nowMillis);
     reportedAtMillis = nowMillis;
     unanswered = true;
-    return new ShareReport(limit, sequence, demand, reportedHeld);
+    return new ShareReport(limit, sequence, reportedDemand, reportedHeld);
   }
 
   /** Takes a grant that answers the last report; its lease counts from the report. */
--- a/core/src/main/java/io/briarward/core/admission/ShareNegotiator.java
+++ b/core/src/main/java/io/briarward/core/admission/ShareNegotiator.java
@@ -18,8 +18,8 @@
  * that every node may keep on its own, but which must run at the same speed. A lease counts from
  * the report on the node and from its arrival on the home, so that the node's always ends first.
  *
- * <p>Example: {@code negotiator.poll(admission.demands(nowMillis), nowMillis)} gives the reports to
- * send, and {@code negotiator.share(organisation, nowMillis)} what the node may use.
+ * <p>Example: {@code negotiator.poll(admission.limitUses(nowMillis), nowMillis)} gives the reports
+ * to send, and {@code negotiator.share(organisation, nowMillis)} what the node may use.
  */
 public final class ShareNegotiator {
   /** How long a granted share may be used without a further answer from the home. */
@@ -98,18 +98,18 @@
   /**
    * Returns the reports that are due; those for this node itself are answered at once.
    *
-   * @param demands what this node would use of each limit; limits left out have no demand
+   * @param uses what this node uses of each limit; limits left out are not used
    */
   public synchronized ImmutableList<OutgoingReport> poll(
-      ImmutableMap<String, Share> demands, long nowMillis) {
+      ImmutableMap<String, LimitUse> uses, long nowMillis) {
     ImmutableList.Builder<OutgoingReport> outgoing = ImmutableList.builder();
     for (ShareHolding holding : holdings.values()) {
       String limitId = holding.limit().id();
-      Share demand = demands.getOrDefault(limitId, Share.ZERO);
+      LimitUse use = aboveFloor(uses.getOrDefault(limitId, LimitUse.NONE), holding.limit());
       String home = homeOf(limitId);
-      if (holding.reportDue(home, demand, nowMillis)) {
+      if (holding.reportDue(home, use, nowMillis)) {
         lastSequence++;
-        ShareReport report = holding.report(home, demand, lastSequence, nowMillis);
+        ShareReport report = holding.report(home, use, lastSequence, nowMillis);
         if (home.equals(members.self())) {
           onReport(home, report, nowMillis).ifPresent(grant -> onGrant(grant, nowMillis));
         } else {
@@ -154,6 +154,13 @@
     return floor(holding.limit().total()).plus(holding.held(nowMillis));
   }
 
+  /** Leaves out requests that run within the floor, which is not granted. */
+  @GuardedBy("this")
+  private LimitUse aboveFloor(LimitUse use, Limit limit) {
+    int floor = (int) floor(limit.total()).concurrent();
+    return new LimitUse(use.demand(), Math.max(0, use.running() - floor));
+  }
+
   /** Returns what a node may use without a grant; of running requests only whole ones. */
   @GuardedBy("this")
   private Share floor(Share total) {
--- a/core/src/main/java/io/briarward/core/admission/TokenBucket.java
+++ b/core/src/main/java/io/briarward/core/admission/TokenBucket.java
@@ -3,8 +3,9 @@
 /**
  * Bounds the rate of started requests.
  *
- * <p>It holds at most what {@value #BURST_MILLIS} milliseconds bring, but at least one request. It
- * starts with what one burst of the first rate brings. Not thread-safe.
+ * <p>It holds at most what {@value #BURST_MILLIS} milliseconds bring, but at least one request. A
+ * change of the rate brings or takes as much, so that a share that moves between nodes takes its
+ * burst along and the bursts of all nodes together are those of the whole limit. Not thread-safe.
  */
 final class TokenBucket {
   static final long BURST_MILLIS = 1_000;
@@ -21,6 +22,7 @@
 
   void setRate(double requestsPerSecond, long nowMillis) {
     fill(nowMillis);
+    tokens += (requestsPerSecond - this.requestsPerSecond) * BURST_MILLIS / 1_000;
     this.requestsPerSecond = requestsPerSecond;
     tokens = Math.min(tokens, capacity());
   }
--- a/node/src/main/java/io/briarward/node/admission/AdmissionGate.java
+++ b/node/src/main/java/io/briarward/node/admission/AdmissionGate.java
@@ -31,6 +31,7 @@
   private final AdmissionControl control;
   private final Scheduler scheduler;
   private final Map<Long, SingleEmitter<Admission>> waiting = new HashMap<>();
+  private Runnable queuedListener = () -> {};
   private Disposable timer = Disposable.disposed();
   private long timerAtMillis = Long.MAX_VALUE;
   private long lastId;
@@ -78,6 +79,11 @@
         });
   }
 
+  /** Sets what is told when a request has to wait, in place of an earlier listener. */
+  public void onQueued(Runnable listener) {
+    queuedListener = checkNotNull(listener, "listener");
+  }
+
   /** Applies changed shares and capacities to the requests that wait. */
   public void settle() {
     AdmissionDecisions decisions = control.poll(nowMillis());
@@ -97,7 +103,12 @@
     emitter.setCancellable(() -> cancel(id));
     control
         .offer(request, nowMillis())
-        .match(() -> admit(id), this::scheduleNext, failure -> refuse(id, failure));
+        .match(() -> admit(id), this::queued, failure -> refuse(id, failure));
+  }
+
+  private boolean queued() {
+    queuedListener.run();
+    return scheduleNext();
   }
 
   private boolean admit(long id) {
--- a/node/src/main/java/io/briarward/node/admission/ShareExchange.java
+++ b/node/src/main/java/io/briarward/node/admission/ShareExchange.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.admission.AdmissionControl;
 import io.briarward.core.admission.Limit;
+import io.briarward.core.admission.LimitUse;
 import io.briarward.core.admission.Members;
 import io.briarward.core.admission.OutgoingReport;
 import io.briarward.core.admission.Share;
@@ -48,6 +49,7 @@
   private final Disposable ticking;
   private Configuration configuration = Configuration.empty();
   private int listedNodes = 1;
+  private boolean tickRequested;
 
   /**
    * What the exchange connects.
@@ -88,6 +90,7 @@
         ShareNegotiator.create(
             new Members(parts.vmId, self, self), parts.firstSequence, parts.nowMillis());
     parts.peers.handle(PeerMessage.BodyCase.ADMISSION, this::onMessage);
+    parts.gate.onQueued(this::requestTick);
     this.ticking =
         Flowable.interval(INTERVAL_MILLIS, TimeUnit.MILLISECONDS, parts.scheduler)
             .onBackpressureDrop()
@@ -122,11 +125,20 @@
     ticking.dispose();
   }
 
+  /** Reports new demand without waiting for the interval. */
+  private void requestTick() {
+    if (!tickRequested) {
+      tickRequested = true;
+      parts.scheduler.scheduleDirect(this::tick);
+    }
+  }
+
   private void tick() {
+    tickRequested = false;
     long nowMillis = parts.nowMillis();
     negotiator.replaceLimits(limits(nowMillis));
     Map<String, AdmissionMessage.Builder> byHome = new LinkedHashMap<>();
-    for (OutgoingReport outgoing : negotiator.poll(demands(nowMillis), nowMillis)) {
+    for (OutgoingReport outgoing : negotiator.poll(uses(nowMillis), nowMillis)) {
       byHome
           .computeIfAbsent(outgoing.home(), home -> message(nowMillis))
           .addReports(AdmissionCodec.encodeReport(outgoing.report()));
@@ -147,16 +159,17 @@
     return limits.build();
   }
 
-  private ImmutableMap<String, Share> demands(long nowMillis) {
-    ImmutableMap.Builder<String, Share> demands = ImmutableMap.builder();
-    demands.putAll(parts.control.demands(nowMillis));
+  private ImmutableMap<String, LimitUse> uses(long nowMillis) {
+    ImmutableMap.Builder<String, LimitUse> uses = ImmutableMap.builder();
+    uses.putAll(parts.control.limitUses(nowMillis));
     for (Service service : configuration.services()) {
       int outstanding = parts.control.outstanding(service.id());
       if (outstanding > 0) {
-        demands.put(limitId(service), new Share(0, outstanding));
+        int running = parts.control.running(service.id());
+        uses.put(limitId(service), new LimitUse(new Share(0, outstanding), running));
       }
     }
-    return demands.buildOrThrow();
+    return uses.buildOrThrow();
   }
 
   /** Each data centre divides its own places; the slash keeps these ids from organisations'. */
