Carry out leases, orders, reports and usage on the node

Wires the state machines to the table service, the upstream orders, the report sink and the peer network on the node's scheduler.

--- a/core/src/test/java/io/briarward/core/capacity/OrderWorld.java
+++ b/core/src/test/java/io/briarward/core/capacity/OrderWorld.java
@@ -217,7 +217,7 @@
       arrived.forEach(Runnable::run);
       Optional<LeaseGuard> guard = lease.guard(clockMillis());
       act(orders.poll(clockMillis(), guard, this::input));
-      act(slot.poll(lease, clockMillis()));
+      commit(slot.poll(lease, clockMillis()));
     }
 
     private PlanInput input() {
@@ -277,7 +277,7 @@
           });
     }
 
-    private void act(LeaseAction action) {
+    private void commit(LeaseAction action) {
       LeaseMachine target = lease;
       if (action instanceof LeaseAction.Read read) {
         table.read(
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/duty/Duties.java
@@ -0,0 +1,153 @@
+package io.briarward.node.duty;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableSet;
+import io.briarward.core.capacity.OrderMachine;
+import io.briarward.core.capacity.PlanInput;
+import io.briarward.core.lease.DutyCandidates;
+import io.briarward.core.usage.ReportMachine;
+import io.briarward.core.usage.UsageSettings;
+import io.briarward.node.NodeContext;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.tinylog.Logger;
+
+/**
+ * The duties that this node competes for: the orders of each data centre, and the reports.
+ *
+ * <p>Only the few nodes that are chosen for a duty watch its lease. Runs on the node's event loop.
+ */
+public final class Duties implements AutoCloseable {
+  private static final long STEP_MILLIS = 50;
+  private static final int CANDIDATES = 3;
+  private static final long RELEASE_TIMEOUT_MILLIS = 5_000;
+
+  private final NodeContext context;
+  private final UsageSettings usageSettings;
+  private final Supplier<ImmutableSet<String>> liveVmIds;
+  private final Function<String, PlanInput> planInput;
+  private final Map<String, Duty> duties = new HashMap<>();
+  private boolean stopping;
+  private Disposable stepping = Disposable.disposed();
+
+  private Duties(
+      NodeContext context,
+      UsageSettings usageSettings,
+      Supplier<ImmutableSet<String>> liveVmIds,
+      Function<String, PlanInput> planInput) {
+    this.context = checkNotNull(context, "context");
+    this.usageSettings = checkNotNull(usageSettings, "usageSettings");
+    this.liveVmIds = checkNotNull(liveVmIds, "liveVmIds");
+    this.planInput = checkNotNull(planInput, "planInput");
+  }
+
+  /**
+   * Starts to compete for the duties.
+   *
+   * @param liveVmIds the ids of the VMs thought to be alive, this one among them
+   * @param planInput what the capacity plan of a data centre is made from
+   */
+  public static Duties start(
+      NodeContext context,
+      UsageSettings usageSettings,
+      Supplier<ImmutableSet<String>> liveVmIds,
+      Function<String, PlanInput> planInput) {
+    Duties duties = new Duties(context, usageSettings, liveVmIds, planInput);
+    duties.stepping =
+        Flowable.interval(0, STEP_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
+            .onBackpressureDrop()
+            .subscribe(unused -> duties.step());
+    return duties;
+  }
+
+  /** Gives every lease up once what was sent under it is answered, and completes. */
+  public Completable stop() {
+    return Completable.fromAction(() -> stopping = true)
+        .subscribeOn(context.scheduler())
+        .andThen(
+            Flowable.interval(STEP_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
+                .takeUntil((Long unused) -> released())
+                .ignoreElements())
+        .timeout(RELEASE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
+        .doOnError(error -> Logger.warn("leases not released: {}", error.toString()))
+        .onErrorComplete();
+  }
+
+  @Override
+  public void close() {
+    stepping.dispose();
+  }
+
+  private void step() {
+    if (!stopping) {
+      addDuties();
+    }
+    for (Duty duty : duties.values()) {
+      if (stopping && duty.idle()) {
+        duty.lease().release();
+      }
+      try {
+        duty.step();
+      } catch (RuntimeException e) {
+        Logger.error(e, "duty {} failed", duty.name());
+      }
+    }
+  }
+
+  private void addDuties() {
+    ImmutableSet<String> live = liveVmIds.get();
+    addDuty(ReportMachine.DUTY, live, this::reports);
+    var dataCentres =
+        context.configuration().current().configuration().capacityTargets().stream()
+            .map(target -> target.dataCentre())
+            .distinct()
+            .collect(toImmutableList());
+    for (String dataCentre : dataCentres) {
+      addDuty(OrderMachine.duty(dataCentre), live, () -> orders(dataCentre));
+    }
+  }
+
+  private void addDuty(String name, ImmutableSet<String> live, Supplier<Duty> factory) {
+    boolean chosen =
+        DutyCandidates.choose(name, live, CANDIDATES).contains(context.settings().vmId());
+    if (chosen) {
+      duties.computeIfAbsent(name, unused -> factory.get());
+    }
+    Duty duty = duties.get(name);
+    if (duty != null) {
+      duty.lease().setCandidate(chosen);
+    }
+  }
+
+  private Duty reports() {
+    return ReportsDuty.create(
+        context.tables(),
+        context.reports(),
+        context.scheduler(),
+        context::wallMillis,
+        usageSettings,
+        context.incarnation());
+  }
+
+  private Duty orders(String dataCentre) {
+    return OrdersDuty.create(
+        context.tables(),
+        context.orders(),
+        context.scheduler(),
+        dataCentre,
+        () -> planInput.apply(dataCentre),
+        context.incarnation());
+  }
+
+  private boolean released() {
+    return duties.values().stream().allMatch(duty -> duty.lease().released());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/duty/LeaseLoop.java
@@ -0,0 +1,81 @@
+package io.briarward.node.duty;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.briarward.core.lease.LeaseAction;
+import io.briarward.core.lease.LeaseGuard;
+import io.briarward.core.lease.LeaseMachine;
+import io.briarward.core.lease.LeaseSettings;
+import io.briarward.core.lease.WorkSlot;
+import io.briarward.core.platform.Transaction;
+import io.briarward.node.platform.TableService;
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Carries out the store operations of one lease. To be used on the scheduler's thread only. */
+final class LeaseLoop {
+  private final TableService tables;
+  private final Scheduler scheduler;
+  private final LeaseMachine machine;
+  private final WorkSlot slot = WorkSlot.create();
+
+  private LeaseLoop(TableService tables, Scheduler scheduler, LeaseMachine machine) {
+    this.tables = checkNotNull(tables, "tables");
+    this.scheduler = checkNotNull(scheduler, "scheduler");
+    this.machine = checkNotNull(machine, "machine");
+  }
+
+  static LeaseLoop create(
+      TableService tables, Scheduler scheduler, String duty, String incarnation) {
+    LeaseMachine machine = LeaseMachine.create(LeaseSettings.defaults(), duty, incarnation);
+    return new LeaseLoop(tables, scheduler, machine);
+  }
+
+  Optional<LeaseGuard> guard() {
+    return machine.guard(nowMillis());
+  }
+
+  void setCandidate(boolean candidate) {
+    machine.setCandidate(candidate);
+  }
+
+  void release() {
+    machine.release();
+  }
+
+  boolean released() {
+    return machine.released(nowMillis());
+  }
+
+  void onStaleFencingNumber() {
+    machine.onStaleFencingNumber();
+  }
+
+  /** Commits writes with the next renewal. */
+  void submit(Transaction work, Consumer<Boolean> outcome) {
+    slot.offer(work, outcome);
+  }
+
+  void step() {
+    LeaseAction action = slot.poll(machine, nowMillis());
+    if (action instanceof LeaseAction.Read read) {
+      StoreCalls.subscribe(
+          tables.read(read.row()),
+          scheduler,
+          row -> slot.settle(machine.onRead(read.operation(), nowMillis(), row)),
+          () -> machine.onFailure(read.operation(), nowMillis(), 0));
+    } else if (action instanceof LeaseAction.Commit commit) {
+      StoreCalls.subscribe(
+          tables.commit(commit.transaction()),
+          scheduler,
+          result -> slot.settle(machine.onCommit(commit.operation(), nowMillis(), result)),
+          () -> machine.onFailure(commit.operation(), nowMillis(), 0));
+    }
+  }
+
+  private long nowMillis() {
+    return scheduler.now(TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/duty/OrdersDuty.java
@@ -0,0 +1,168 @@
+package io.briarward.node.duty;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.capacity.CapacityPlanner;
+import io.briarward.core.capacity.Market;
+import io.briarward.core.capacity.Order;
+import io.briarward.core.capacity.OrderAction;
+import io.briarward.core.capacity.OrderMachine;
+import io.briarward.core.capacity.OrderOutcome;
+import io.briarward.core.capacity.OrderSettings;
+import io.briarward.core.capacity.PlanInput;
+import io.briarward.core.capacity.RunningUpstream;
+import io.briarward.node.platform.TableService;
+import io.briarward.node.platform.UpstreamOrders;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** Orders the upstreams of one data centre. To be used on the scheduler's thread only. */
+final class OrdersDuty implements Duty {
+  private final TableService tables;
+  private final UpstreamOrders orders;
+  private final Scheduler scheduler;
+  private final String dataCentre;
+  private final Supplier<PlanInput> input;
+  private final LeaseLoop lease;
+  private final OrderMachine machine;
+  private int sending;
+
+  private OrdersDuty(
+      TableService tables,
+      UpstreamOrders orders,
+      Scheduler scheduler,
+      String dataCentre,
+      Supplier<PlanInput> input,
+      LeaseLoop lease) {
+    this.tables = checkNotNull(tables, "tables");
+    this.orders = checkNotNull(orders, "orders");
+    this.scheduler = checkNotNull(scheduler, "scheduler");
+    this.dataCentre = checkNotNull(dataCentre, "dataCentre");
+    this.input = checkNotNull(input, "input");
+    this.lease = checkNotNull(lease, "lease");
+    this.machine =
+        OrderMachine.create(OrderSettings.defaults(), dataCentre, CapacityPlanner.create());
+  }
+
+  static OrdersDuty create(
+      TableService tables,
+      UpstreamOrders orders,
+      Scheduler scheduler,
+      String dataCentre,
+      Supplier<PlanInput> input,
+      String incarnation) {
+    LeaseLoop lease =
+        LeaseLoop.create(tables, scheduler, OrderMachine.duty(dataCentre), incarnation);
+    return new OrdersDuty(tables, orders, scheduler, dataCentre, input, lease);
+  }
+
+  @Override
+  public String name() {
+    return OrderMachine.duty(dataCentre);
+  }
+
+  @Override
+  public LeaseLoop lease() {
+    return lease;
+  }
+
+  @Override
+  public boolean idle() {
+    return sending == 0;
+  }
+
+  @Override
+  public void step() {
+    act(machine.poll(nowMillis(), lease.guard(), input));
+    lease.step();
+  }
+
+  private void act(OrderAction action) {
+    if (action instanceof OrderAction.Scan scan) {
+      StoreCalls.subscribe(
+          StoreCalls.scanAll(tables, scan.table(), scan.prefix()),
+          scheduler,
+          rows -> machine.onScan(scan.operation(), rows),
+          () -> machine.onFailure(scan.operation(), nowMillis(), 0));
+    } else if (action instanceof OrderAction.List list) {
+      StoreCalls.subscribe(
+          orders.list(dataCentre).map(OrdersDuty::upstreams),
+          scheduler,
+          upstreams -> machine.onList(list.operation(), nowMillis(), upstreams),
+          () -> machine.onFailure(list.operation(), nowMillis(), 0));
+    } else if (action instanceof OrderAction.Work work) {
+      lease.submit(work.transaction(), committed -> machine.onWork(work.operation(), committed));
+    } else if (action instanceof OrderAction.Send send) {
+      send(send);
+    }
+  }
+
+  private void send(OrderAction.Send send) {
+    long timeoutMillis = send.guard().sendTimeoutMillis(nowMillis());
+    if (timeoutMillis == 0) {
+      machine.onFailure(send.operation(), nowMillis(), 0);
+      return;
+    }
+    sending++;
+    Single<OrderOutcome> sent =
+        exchange(send.order(), send.guard().fencingNumber())
+            .timeout(timeoutMillis, TimeUnit.MILLISECONDS, scheduler)
+            .observeOn(scheduler)
+            .doFinally(() -> sending--);
+    StoreCalls.subscribe(
+        sent,
+        scheduler,
+        outcome -> onSent(send.operation(), outcome),
+        () -> machine.onFailure(send.operation(), nowMillis(), 0));
+  }
+
+  private void onSent(long operation, OrderOutcome outcome) {
+    if (outcome == OrderOutcome.STALE_FENCING_NUMBER) {
+      lease.onStaleFencingNumber();
+    }
+    machine.onSent(operation, nowMillis(), outcome);
+  }
+
+  private Single<OrderOutcome> exchange(Order order, long fencingNumber) {
+    if (order.action() == Order.Action.START) {
+      return orders
+          .start(
+              new UpstreamOrders.StartOrder(
+                  order.id(),
+                  dataCentre,
+                  order.service(),
+                  UpstreamOrders.Market.valueOf(order.market().name()),
+                  fencingNumber))
+          .map(id -> id.isPresent() ? OrderOutcome.ACCEPTED : OrderOutcome.NO_CAPACITY);
+    }
+    return orders
+        .stop(
+            new UpstreamOrders.StopOrder(order.id(), dataCentre, order.upstreamId(), fencingNumber))
+        .map(done -> done ? OrderOutcome.ACCEPTED : OrderOutcome.STALE_FENCING_NUMBER);
+  }
+
+  private static ImmutableList<RunningUpstream> upstreams(
+      ImmutableList<UpstreamOrders.OrderedUpstream> listed) {
+    return listed.stream().map(OrdersDuty::upstream).collect(toImmutableList());
+  }
+
+  private static RunningUpstream upstream(UpstreamOrders.OrderedUpstream listed) {
+    return new RunningUpstream(
+        listed.id(),
+        listed.orderId(),
+        listed.service(),
+        Market.valueOf(listed.market().name()),
+        RunningUpstream.State.valueOf(listed.state().name()),
+        listed.host(),
+        listed.port(),
+        listed.costPerHour());
+  }
+
+  private long nowMillis() {
+    return scheduler.now(TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/duty/ReportsDuty.java
@@ -0,0 +1,121 @@
+package io.briarward.node.duty;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.briarward.core.usage.ReportAction;
+import io.briarward.core.usage.ReportMachine;
+import io.briarward.core.usage.SendOutcome;
+import io.briarward.core.usage.UsageSettings;
+import io.briarward.node.platform.ReportSink;
+import io.briarward.node.platform.TableService;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/** Freezes windows and sends reports. To be used on the scheduler's thread only. */
+final class ReportsDuty implements Duty {
+  private final TableService tables;
+  private final ReportSink sink;
+  private final Scheduler scheduler;
+  private final LongSupplier wallMillis;
+  private final LeaseLoop lease;
+  private final ReportMachine machine;
+  private int sending;
+
+  private ReportsDuty(
+      TableService tables,
+      ReportSink sink,
+      Scheduler scheduler,
+      LongSupplier wallMillis,
+      LeaseLoop lease,
+      ReportMachine machine) {
+    this.tables = checkNotNull(tables, "tables");
+    this.sink = checkNotNull(sink, "sink");
+    this.scheduler = checkNotNull(scheduler, "scheduler");
+    this.wallMillis = checkNotNull(wallMillis, "wallMillis");
+    this.lease = checkNotNull(lease, "lease");
+    this.machine = checkNotNull(machine, "machine");
+  }
+
+  static ReportsDuty create(
+      TableService tables,
+      ReportSink sink,
+      Scheduler scheduler,
+      LongSupplier wallMillis,
+      UsageSettings settings,
+      String incarnation) {
+    LeaseLoop lease = LeaseLoop.create(tables, scheduler, ReportMachine.DUTY, incarnation);
+    return new ReportsDuty(
+        tables, sink, scheduler, wallMillis, lease, ReportMachine.create(settings));
+  }
+
+  @Override
+  public String name() {
+    return ReportMachine.DUTY;
+  }
+
+  @Override
+  public LeaseLoop lease() {
+    return lease;
+  }
+
+  @Override
+  public boolean idle() {
+    return sending == 0;
+  }
+
+  @Override
+  public void step() {
+    act(machine.poll(nowMillis(), wallMillis.getAsLong(), lease.guard()));
+    lease.step();
+  }
+
+  private void act(ReportAction action) {
+    if (action instanceof ReportAction.Read read) {
+      StoreCalls.subscribe(
+          tables.read(read.row()),
+          scheduler,
+          row -> machine.onRead(read.operation(), row),
+          () -> machine.onFailure(read.operation(), nowMillis(), 0));
+    } else if (action instanceof ReportAction.Scan scan) {
+      StoreCalls.subscribe(
+          StoreCalls.scanAll(tables, scan.table(), scan.prefix()),
+          scheduler,
+          rows -> machine.onScan(scan.operation(), nowMillis(), wallMillis.getAsLong(), rows),
+          () -> machine.onFailure(scan.operation(), nowMillis(), 0));
+    } else if (action instanceof ReportAction.Work work) {
+      lease.submit(work.transaction(), committed -> machine.onWork(work.operation(), committed));
+    } else if (action instanceof ReportAction.Send send) {
+      send(send);
+    }
+  }
+
+  private void send(ReportAction.Send send) {
+    long timeoutMillis = send.guard().sendTimeoutMillis(nowMillis());
+    if (timeoutMillis == 0) {
+      machine.onFailure(send.operation(), nowMillis(), 0);
+      return;
+    }
+    sending++;
+    Single<SendOutcome> sent =
+        sink.send(
+                send.organisation(),
+                send.windowStartMillis(),
+                send.figures(),
+                send.guard().fencingNumber())
+            .toSingleDefault(SendOutcome.ACCEPTED)
+            .timeout(timeoutMillis, TimeUnit.MILLISECONDS, scheduler)
+            .observeOn(scheduler)
+            .doFinally(() -> sending--);
+    StoreCalls.subscribe(
+        sent,
+        scheduler,
+        outcome -> machine.onSent(send.operation(), outcome),
+        () -> machine.onFailure(send.operation(), nowMillis(), 0));
+  }
+
+  private long nowMillis() {
+    return scheduler.now(TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/duty/OrdersDutyTest.java
@@ -0,0 +1,120 @@
+package io.briarward.node.duty;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.capacity.OrderMachine;
+import io.briarward.core.capacity.PlanInput;
+import io.briarward.core.capacity.ServiceNeed;
+import io.briarward.node.platform.UpstreamOrders;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class OrdersDutyTest {
+  private static final long STEP_MILLIS = 50;
+
+  private final TestScheduler scheduler = new TestScheduler();
+  private final FakeTableService tables = new FakeTableService();
+  private final FakeOrders orders = new FakeOrders();
+  private final OrdersDuty duty =
+      OrdersDuty.create(tables, orders, scheduler, "nadi", this::input, "vm1.a");
+  private int min = 2;
+
+  @Test
+  void minimumIsStarted() {
+    run(10_000);
+
+    assertThat(orders.started).hasSize(2);
+  }
+
+  @Test
+  void answeredOrderIsNoLongerRecorded() {
+    run(20_000);
+
+    assertThat(tables.state().scan(OrderMachine.ORDERS, "", "", 10)).isEmpty();
+  }
+
+  @Test
+  void nothingIsOrderedDuringAnOutageOfTheStore() {
+    tables.setOut(true);
+
+    run(20_000);
+
+    assertThat(orders.started).isEmpty();
+  }
+
+  @Test
+  void upstreamNoLongerNeededIsPublishedAsLeavingBeforeItIsStopped() {
+    run(10_000);
+    min = 1;
+
+    run(2_500);
+    String published = tables.state().scan(OrderMachine.UPSTREAMS, "", "", 10).toString();
+    assertThat(published).contains("\"leaving\":true");
+    assertThat(orders.stopped).isEmpty();
+
+    run(20_000);
+    assertThat(orders.stopped).hasSize(1);
+  }
+
+  private PlanInput input() {
+    return new PlanInput(
+        ImmutableList.of(new ServiceNeed("recipe-llm", min, 5, 8, 0, 0, 0)), id -> true);
+  }
+
+  private void run(long durationMillis) {
+    for (long i = 0; i < durationMillis; i += STEP_MILLIS) {
+      duty.step();
+      scheduler.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private static final class FakeOrders implements UpstreamOrders {
+    private final List<StartOrder> started = new ArrayList<>();
+    private final List<StopOrder> stopped = new ArrayList<>();
+
+    @Override
+    public Single<Optional<String>> start(StartOrder order) {
+      started.add(order);
+      return Single.just(Optional.of("u-" + order.orderId()));
+    }
+
+    @Override
+    public Single<Boolean> stop(StopOrder order) {
+      stopped.add(order);
+      return Single.just(true);
+    }
+
+    @Override
+    public Single<ImmutableList<OrderedUpstream>> list(String dataCentre) {
+      return Single.just(
+          started.stream()
+              .filter(each -> stopped.stream().noneMatch(stop -> isStop(stop, each)))
+              .map(FakeOrders::listed)
+              .collect(ImmutableList.toImmutableList()));
+    }
+
+    private static boolean isStop(StopOrder stop, StartOrder start) {
+      return stop.upstreamId().equals("u-" + start.orderId());
+    }
+
+    private static OrderedUpstream listed(StartOrder order) {
+      return new OrderedUpstream(
+          "u-" + order.orderId(),
+          order.orderId(),
+          order.dataCentre(),
+          order.service(),
+          order.market(),
+          "127.0.0.1",
+          1,
+          State.RUNNING,
+          Optional.empty(),
+          1);
+    }
+  }
+}
--- a/wire/src/main/java/io/briarward/wire/proto/Usage.java
+++ b/wire/src/main/java/io/briarward/wire/proto/Usage.java
@@ -31,6 +31,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_briarward_UsageMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_briarward_UsageCopy_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_briarward_UsageCopy_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_briarward_UsageCounter_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_briarward_UsageCounter_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_briarward_UsageCopyAck_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_briarward_UsageCopyAck_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -40,8 +55,21 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013usage.proto\022\tbriarward\"\016\n\014UsageMessage" +
-      "B\033\n\027io.briarward.wire.protoP\001b\006proto3"
+      "\n\013usage.proto\022\tbriarward\"d\n\014UsageMessage" +
+      "\022$\n\004copy\030\001 \001(\0132\024.briarward.UsageCopyH\000\022&" +
+      "\n\003ack\030\002 \001(\0132\027.briarward.UsageCopyAckH\000B\006" +
+      "\n\004body\"\217\001\n\tUsageCopy\022\023\n\013incarnation\030\001 \001(" +
+      "\t\022\026\n\016after_sequence\030\002 \001(\004\022\020\n\010sequence\030\003 " +
+      "\001(\004\022\030\n\020flushed_sequence\030\004 \001(\004\022)\n\010counter" +
+      "s\030\005 \003(\0132\027.briarward.UsageCounter\"\355\001\n\014Usa" +
+      "geCounter\022\033\n\023window_start_millis\030\001 \001(\004\022\024" +
+      "\n\014organisation\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\014\n" +
+      "\004kind\030\004 \001(\t\022\020\n\010requests\030\005 \001(\004\022\034\n\024weighte" +
+      "d_thousandths\030\006 \001(\004\022\025\n\rprompt_tokens\030\007 \001" +
+      "(\004\022\031\n\021completion_tokens\030\010 \001(\004\022\027\n\017upstrea" +
+      "m_millis\030\t \001(\004\022\020\n\010sequence\030\n \001(\004\" \n\014Usag" +
+      "eCopyAck\022\020\n\010sequence\030\001 \001(\004B\033\n\027io.briarwa" +
+      "rd.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -52,7 +80,25 @@
     internal_static_briarward_UsageMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_briarward_UsageMessage_descriptor,
-        new java.lang.String[] { });
+        new java.lang.String[] { "Copy", "Ack", "Body", });
+    internal_static_briarward_UsageCopy_descriptor =
+      getDescriptor().getMessageType(1);
+    internal_static_briarward_UsageCopy_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_briarward_UsageCopy_descriptor,
+        new java.lang.String[] { "Incarnation", "AfterSequence", "Sequence", "FlushedSequence", "Counters", });
+    internal_static_briarward_UsageCounter_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_briarward_UsageCounter_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_briarward_UsageCounter_descriptor,
+        new java.lang.String[] { "WindowStartMillis", "Organisation", "Service", "Kind", "Requests", "WeightedThousandths", "PromptTokens", "CompletionTokens", "UpstreamMillis", "Sequence", });
+    internal_static_briarward_UsageCopyAck_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_briarward_UsageCopyAck_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_briarward_UsageCopyAck_descriptor,
+        new java.lang.String[] { "Sequence", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/io/briarward/wire/proto/UsageMessage.java
+++ b/wire/src/main/java/io/briarward/wire/proto/UsageMessage.java
@@ -52,6 +52,110 @@
             io.briarward.wire.proto.UsageMessage.class, io.briarward.wire.proto.UsageMessage.Builder.class);
   }
 
+  private int bodyCase_ = 0;
+  @SuppressWarnings("serial")
+  private java.lang.Object body_;
+  public enum BodyCase
+      implements com.google.protobuf.Internal.EnumLite,
+          com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+    COPY(1),
+    ACK(2),
+    BODY_NOT_SET(0);
+    private final int value;
+    private BodyCase(int value) {
+      this.value = value;
+    }
+    /**
+     * @param value The number of the enum to look for.
+     * @return The enum associated with the given number.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static BodyCase valueOf(int value) {
+      return forNumber(value);
+    }
+
+    public static BodyCase forNumber(int value) {
+      switch (value) {
+        case 1: return COPY;
+        case 2: return ACK;
+        case 0: return BODY_NOT_SET;
+        default: return null;
+      }
+    }
+    public int getNumber() {
+      return this.value;
+    }
+  };
+
+  public BodyCase
+  getBodyCase() {
+    return BodyCase.forNumber(
+        bodyCase_);
+  }
+
+  public static final int COPY_FIELD_NUMBER = 1;
+  /**
+   * <code>.briarward.UsageCopy copy = 1;</code>
+   * @return Whether the copy field is set.
+   */
+  @java.lang.Override
+  public boolean hasCopy() {
+    return bodyCase_ == 1;
+  }
+  /**
+   * <code>.briarward.UsageCopy copy = 1;</code>
+   * @return The copy.
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.UsageCopy getCopy() {
+    if (bodyCase_ == 1) {
+       return (io.briarward.wire.proto.UsageCopy) body_;
+    }
+    return io.briarward.wire.proto.UsageCopy.getDefaultInstance();
+  }
+  /**
+   * <code>.briarward.UsageCopy copy = 1;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.UsageCopyOrBuilder getCopyOrBuilder() {
+    if (bodyCase_ == 1) {
+       return (io.briarward.wire.proto.UsageCopy) body_;
+    }
+    return io.briarward.wire.proto.UsageCopy.getDefaultInstance();
+  }
+
+  public static final int ACK_FIELD_NUMBER = 2;
+  /**
+   * <code>.briarward.UsageCopyAck ack = 2;</code>
+   * @return Whether the ack field is set.
+   */
+  @java.lang.Override
+  public boolean hasAck() {
+    return bodyCase_ == 2;
+  }
+  /**
+   * <code>.briarward.UsageCopyAck ack = 2;</code>
+   * @return The ack.
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.UsageCopyAck getAck() {
+    if (bodyCase_ == 2) {
+       return (io.briarward.wire.proto.UsageCopyAck) body_;
+    }
+    return io.briarward.wire.proto.UsageCopyAck.getDefaultInstance();
+  }
+  /**
+   * <code>.briarward.UsageCopyAck ack = 2;</code>
+   */
+  @java.lang.Override
+  public io.briarward.wire.proto.UsageCopyAckOrBuilder getAckOrBuilder() {
+    if (bodyCase_ == 2) {
+       return (io.briarward.wire.proto.UsageCopyAck) body_;
+    }
+    return io.briarward.wire.proto.UsageCopyAck.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -66,14 +170,33 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    if (bodyCase_ == 1) {
+      output.writeMessage(1, (io.briarward.wire.proto.UsageCopy) body_);
+    }
+    if (bodyCase_ == 2) {
+      output.writeMessage(2, (io.briarward.wire.proto.UsageCopyAck) body_);
+    }
     getUnknownFields().writeTo(output);
   }
+  private int computeSerializedSize_0() {
+    int size = 0;
+    if (bodyCase_ == 1) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(1, (io.briarward.wire.proto.UsageCopy) body_);
+    }
+    if (bodyCase_ == 2) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(2, (io.briarward.wire.proto.UsageCopyAck) body_);
+    }
+    return size;
+  }
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
     if (size != -1) return size;
 
     size = 0;
+    size += computeSerializedSize_0();
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -89,6 +212,19 @@
     }
     io.briarward.wire.proto.UsageMessage other = (io.briarward.wire.proto.UsageMessage) obj;
 
+    if (!getBodyCase().equals(other.getBodyCase())) return false;
+    switch (bodyCase_) {
+      case 1:
+        if (!getCopy()
+            .equals(other.getCopy())) return false;
+        break;
+      case 2:
+        if (!getAck()
+            .equals(other.getAck())) return false;
+        break;
+      case 0:
+      default:
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -100,6 +236,18 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    switch (bodyCase_) {
+      case 1:
+        hash = (37 * hash) + COPY_FIELD_NUMBER;
+        hash = (53 * hash) + getCopy().hashCode();
+        break;
+      case 2:
+        hash = (37 * hash) + ACK_FIELD_NUMBER;
+        hash = (53 * hash) + getAck().hashCode();
+        break;
+      case 0:
+      default:
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -234,6 +382,15 @@
     @java.lang.Override
     public Builder clear() {
       super.clear();
+      bitField0_ = 0;
+      if (copyBuilder_ != null) {
+        copyBuilder_.clear();
+      }
+      if (ackBuilder_ != null) {
+        ackBuilder_.clear();
+      }
+      bodyCase_ = 0;
+      body_ = null;
       return this;
     }
 
@@ -260,10 +417,29 @@
     @java.lang.Override
     public io.briarward.wire.proto.UsageMessage buildPartial() {
       io.briarward.wire.proto.UsageMessage result = new io.briarward.wire.proto.UsageMessage(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      buildPartialOneofs(result);
       onBuilt();
       return result;
     }
 
+    private void buildPartial0(io.briarward.wire.proto.UsageMessage result) {
+      int from_bitField0_ = bitField0_;
+    }
+
+    private void buildPartialOneofs(io.briarward.wire.proto.UsageMessage result) {
+      result.bodyCase_ = bodyCase_;
+      result.body_ = this.body_;
+      if (bodyCase_ == 1 &&
+          copyBuilder_ != null) {
+        result.body_ = copyBuilder_.build();
+      }
+      if (bodyCase_ == 2 &&
+          ackBuilder_ != null) {
+        result.body_ = ackBuilder_.build();
+      }
+    }
+
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof io.briarward.wire.proto.UsageMessage) {
@@ -276,6 +452,19 @@
 
     public Builder mergeFrom(io.briarward.wire.proto.UsageMessage other) {
       if (other == io.briarward.wire.proto.UsageMessage.getDefaultInstance()) return this;
+      switch (other.getBodyCase()) {
+        case COPY: {
+          mergeCopy(other.getCopy());
+          break;
+        }
+        case ACK: {
+          mergeAck(other.getAck());
+          break;
+        }
+        case BODY_NOT_SET: {
+          break;
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -300,6 +489,20 @@
             case 0:
               done = true;
               break;
+            case 10: {
+              input.readMessage(
+                  internalGetCopyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 1;
+              break;
+            } // case 10
+            case 18: {
+              input.readMessage(
+                  internalGetAckFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 2;
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -315,6 +518,302 @@
       } // finally
       return this;
     }
+    private int bodyCase_ = 0;
+    private java.lang.Object body_;
+    public BodyCase
+        getBodyCase() {
+      return BodyCase.forNumber(
+          bodyCase_);
+    }
+
+    public Builder clearBody() {
+      bodyCase_ = 0;
+      body_ = null;
+      onChanged();
+      return this;
+    }
+
+    private int bitField0_;
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.briarward.wire.proto.UsageCopy, io.briarward.wire.proto.UsageCopy.Builder, io.briarward.wire.proto.UsageCopyOrBuilder> copyBuilder_;
+    /**
+     * <code>.briarward.UsageCopy copy = 1;</code>
+     * @return Whether the copy field is set.
+     */
+    @java.lang.Override
+    public boolean hasCopy() {
+      return bodyCase_ == 1;
+    }
+    /**
+     * <code>.briarward.UsageCopy copy = 1;</code>
+     * @return The copy.
+     */
+    @java.lang.Override
+    public io.briarward.wire.proto.UsageCopy getCopy() {
+      if (copyBuilder_ == null) {
+        if (bodyCase_ == 1) {
+          return (io.briarward.wire.proto.UsageCopy) body_;
+        }
+        return io.briarward.wire.proto.UsageCopy.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 1) {
+          return copyBuilder_.getMessage();
+        }
+        return io.briarward.wire.proto.UsageCopy.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.briarward.UsageCopy copy = 1;</code>
+     */
+    public Builder setCopy(io.briarward.wire.proto.UsageCopy value) {
+      if (copyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        copyBuilder_.setMessage(value);
+      }
+      bodyCase_ = 1;
+      return this;
+    }
+    /**
+     * <code>.briarward.UsageCopy copy = 1;</code>
+     */
+    public Builder setCopy(
+        io.briarward.wire.proto.UsageCopy.Builder builderForValue) {
+      if (copyBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        copyBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 1;
+      return this;
+    }
+    /**
+     * <code>.briarward.UsageCopy copy = 1;</code>
+     */
+    public Builder mergeCopy(io.briarward.wire.proto.UsageCopy value) {
+      if (copyBuilder_ == null) {
+        if (bodyCase_ == 1 &&
+            body_ != io.briarward.wire.proto.UsageCopy.getDefaultInstance()) {
+          body_ = io.briarward.wire.proto.UsageCopy.newBuilder((io.briarward.wire.proto.UsageCopy) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 1) {
+          copyBuilder_.mergeFrom(value);
+        } else {
+          copyBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 1;
+      return this;
+    }
+    /**
+     * <code>.briarward.UsageCopy copy = 1;</code>
+     */
+    public Builder clearCopy() {
+      if (copyBuilder_ == null) {
+        if (bodyCase_ == 1) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 1) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        copyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.briarward.UsageCopy copy = 1;</code>
+     */
+    public io.briarward.wire.proto.UsageCopy.Builder getCopyBuilder() {
+      return internalGetCopyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.briarward.UsageCopy copy = 1;</code>
+     */
+    @java.lang.Override
+    public io.briarward.wire.proto.UsageCopyOrBuilder getCopyOrBuilder() {
+      if ((bodyCase_ == 1) && (copyBuilder_ != null)) {
+        return copyBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 1) {
+          return (io.briarward.wire.proto.UsageCopy) body_;
+        }
+        return io.briarward.wire.proto.UsageCopy.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.briarward.UsageCopy copy = 1;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.briarward.wire.proto.UsageCopy, io.briarward.wire.proto.UsageCopy.Builder, io.briarward.wire.proto.UsageCopyOrBuilder> 
+        internalGetCopyFieldBuilder() {
+      if (copyBuilder_ == null) {
+        if (!(bodyCase_ == 1)) {
+          body_ = io.briarward.wire.proto.UsageCopy.getDefaultInstance();
+        }
+        copyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.briarward.wire.proto.UsageCopy, io.briarward.wire.proto.UsageCopy.Builder, io.briarward.wire.proto.UsageCopyOrBuilder>(
+                (io.briarward.wire.proto.UsageCopy) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 1;
+      onChanged();
+      return copyBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.briarward.wire.proto.UsageCopyAck, io.briarward.wire.proto.UsageCopyAck.Builder, io.briarward.wire.proto.UsageCopyAckOrBuilder> ackBuilder_;
+    /**
+     * <code>.briarward.UsageCopyAck ack = 2;</code>
+     * @return Whether the ack field is set.
+     */
+    @java.lang.Override
+    public boolean hasAck() {
+      return bodyCase_ == 2;
+    }
+    /**
+     * <code>.briarward.UsageCopyAck ack = 2;</code>
+     * @return The ack.
+     */
+    @java.lang.Override
+    public io.briarward.wire.proto.UsageCopyAck getAck() {
+      if (ackBuilder_ == null) {
+        if (bodyCase_ == 2) {
+          return (io.briarward.wire.proto.UsageCopyAck) body_;
+        }
+        return io.briarward.wire.proto.UsageCopyAck.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 2) {
+          return ackBuilder_.getMessage();
+        }
+        return io.briarward.wire.proto.UsageCopyAck.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.briarward.UsageCopyAck ack = 2;</code>
+     */
+    public Builder setAck(io.briarward.wire.proto.UsageCopyAck value) {
+      if (ackBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        ackBuilder_.setMessage(value);
+      }
+      bodyCase_ = 2;
+      return this;
+    }
+    /**
+     * <code>.briarward.UsageCopyAck ack = 2;</code>
+     */
+    public Builder setAck(
+        io.briarward.wire.proto.UsageCopyAck.Builder builderForValue) {
+      if (ackBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        ackBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 2;
+      return this;
+    }
+    /**
+     * <code>.briarward.UsageCopyAck ack = 2;</code>
+     */
+    public Builder mergeAck(io.briarward.wire.proto.UsageCopyAck value) {
+      if (ackBuilder_ == null) {
+        if (bodyCase_ == 2 &&
+            body_ != io.briarward.wire.proto.UsageCopyAck.getDefaultInstance()) {
+          body_ = io.briarward.wire.proto.UsageCopyAck.newBuilder((io.briarward.wire.proto.UsageCopyAck) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 2) {
+          ackBuilder_.mergeFrom(value);
+        } else {
+          ackBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 2;
+      return this;
+    }
+    /**
+     * <code>.briarward.UsageCopyAck ack = 2;</code>
+     */
+    public Builder clearAck() {
+      if (ackBuilder_ == null) {
+        if (bodyCase_ == 2) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 2) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        ackBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.briarward.UsageCopyAck ack = 2;</code>
+     */
+    public io.briarward.wire.proto.UsageCopyAck.Builder getAckBuilder() {
+      return internalGetAckFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.briarward.UsageCopyAck ack = 2;</code>
+     */
+    @java.lang.Override
+    public io.briarward.wire.proto.UsageCopyAckOrBuilder getAckOrBuilder() {
+      if ((bodyCase_ == 2) && (ackBuilder_ != null)) {
+        return ackBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 2) {
+          return (io.briarward.wire.proto.UsageCopyAck) body_;
+        }
+        return io.briarward.wire.proto.UsageCopyAck.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.briarward.UsageCopyAck ack = 2;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.briarward.wire.proto.UsageCopyAck, io.briarward.wire.proto.UsageCopyAck.Builder, io.briarward.wire.proto.UsageCopyAckOrBuilder> 
+        internalGetAckFieldBuilder() {
+      if (ackBuilder_ == null) {
+        if (!(bodyCase_ == 2)) {
+          body_ = io.briarward.wire.proto.UsageCopyAck.getDefaultInstance();
+        }
+        ackBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.briarward.wire.proto.UsageCopyAck, io.briarward.wire.proto.UsageCopyAck.Builder, io.briarward.wire.proto.UsageCopyAckOrBuilder>(
+                (io.briarward.wire.proto.UsageCopyAck) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 2;
+      onChanged();
+      return ackBuilder_;
+    }
 
     // @@protoc_insertion_point(builder_scope:briarward.UsageMessage)
   }
--- a/wire/src/main/java/io/briarward/wire/proto/UsageMessageOrBuilder.java
+++ b/wire/src/main/java/io/briarward/wire/proto/UsageMessageOrBuilder.java
@@ -9,4 +9,36 @@
 public interface UsageMessageOrBuilder extends
     // @@protoc_insertion_point(interface_extends:briarward.UsageMessage)
     com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>.briarward.UsageCopy copy = 1;</code>
+   * @return Whether the copy field is set.
+   */
+  boolean hasCopy();
+  /**
+   * <code>.briarward.UsageCopy copy = 1;</code>
+   * @return The copy.
+   */
+  io.briarward.wire.proto.UsageCopy getCopy();
+  /**
+   * <code>.briarward.UsageCopy copy = 1;</code>
+   */
+  io.briarward.wire.proto.UsageCopyOrBuilder getCopyOrBuilder();
+
+  /**
+   * <code>.briarward.UsageCopyAck ack = 2;</code>
+   * @return Whether the ack field is set.
+   */
+  boolean hasAck();
+  /**
+   * <code>.briarward.UsageCopyAck ack = 2;</code>
+   * @return The ack.
+   */
+  io.briarward.wire.proto.UsageCopyAck getAck();
+  /**
+   * <code>.briarward.UsageCopyAck ack = 2;</code>
+   */
+  io.briarward.wire.proto.UsageCopyAckOrBuilder getAckOrBuilder();
+
+  io.briarward.wire.proto.UsageMessage.BodyCase getBodyCase();
 }
