Measure steps, staleness and the spread of weights

Cause: figures were missing for stragglers and swaps. Change: rollout-step, staleness and weights-spread in virtual time.

--- a/core/src/main/java/io/briarward/core/rollout/Attempt.java
+++ b/core/src/main/java/io/briarward/core/rollout/Attempt.java
@@ -5,6 +5,9 @@
 
 /** One request to a sampler for one sample. Not thread-safe. */
 final class Attempt {
+  private static final long WINDOW_MILLIS = 2_000;
+  private static final double UNKNOWN = -1;
+
   private final String id;
   private final SampleProgress sample;
   private final long startedAtMillis;
@@ -13,12 +16,16 @@
   private final SpanRecorder spans;
   private Optional<String> sampler = Optional.empty();
   private long lastProgressAtMillis;
+  private long windowStartMillis;
+  private int windowStartTokens;
+  private double windowTokensPerMillis = UNKNOWN;
 
   private Attempt(String id, SampleProgress sample, Prefix prefix, long nowMillis) {
     this.id = id;
     this.sample = sample;
     this.startedAtMillis = nowMillis;
     this.lastProgressAtMillis = nowMillis;
+    this.windowStartMillis = nowMillis;
     this.text = new StringBuilder(prefix.text());
     this.spans = SpanRecorder.copyOf(prefix.spans());
     this.resumedTokens = spans.tokens();
@@ -36,6 +43,23 @@
     text.append(moreText);
     spans.append(weightVersion, tokens);
     lastProgressAtMillis = nowMillis;
+    if (nowMillis - windowStartMillis >= WINDOW_MILLIS) {
+      windowTokensPerMillis = sinceWindowStart(nowMillis);
+      windowStartMillis = nowMillis;
+      windowStartTokens = ownTokens();
+    }
+  }
+
+  /** Returns the recent speed, so that an attempt that became slow is noticed. */
+  double tokensPerMillis(long nowMillis) {
+    boolean current = nowMillis - windowStartMillis < WINDOW_MILLIS;
+    return current && windowTokensPerMillis != UNKNOWN
+        ? windowTokensPerMillis
+        : sinceWindowStart(nowMillis);
+  }
+
+  private double sinceWindowStart(long nowMillis) {
+    return (double) (ownTokens() - windowStartTokens) / Math.max(1, nowMillis - windowStartMillis);
   }
 
   /** Returns what the attempt produced so far, with what it resumed. */
--- a/core/src/main/java/io/briarward/core/rollout/RolloutPlanner.java
+++ b/core/src/main/java/io/briarward/core/rollout/RolloutPlanner.java
@@ -267,7 +267,9 @@
         attempts.values().stream()
             .filter(attempt -> attempt.sample().running().size() == 1)
             .filter(attempt -> stragglers.isStraggler(attempt, step, nowMillis))
-            .sorted(Comparator.comparingInt(Attempt::ownTokens))
+            .sorted(
+                Comparator.comparingDouble(
+                    attempt -> -stragglers.remainingMillis(attempt, step, nowMillis)))
             .limit(allowed)
             .collect(ImmutableList.toImmutableList());
     for (Attempt attempt : slow) {
--- a/core/src/main/java/io/briarward/core/rollout/StragglerPolicy.java
+++ b/core/src/main/java/io/briarward/core/rollout/StragglerPolicy.java
@@ -6,8 +6,9 @@
  * When a running attempt is slow enough for a second attempt on another sampler.
  *
  * <p>The remaining work is estimated from the lengths of the samples that finished in the same
- * step. An attempt is a straggler when it would need more than {@code slowdown} times as long for
- * that work as an attempt of median speed.
+ * step, and for a sample longer than most from its own length. An attempt is a straggler when at
+ * its recent speed it would need more than {@code slowdown} times as long for that work as an
+ * attempt of median speed.
  *
  * @param extraAttemptShare the budget of extra attempts as a share of the samples, 0 to 1
  * @param slowdown the ratio of predicted times above which an attempt is a straggler, above 1
@@ -20,6 +21,7 @@
   private static final long DEFAULT_MIN_GAIN_MILLIS = 500;
   private static final long DEFAULT_STALL_MILLIS = 5_000;
   private static final double LENGTH_QUANTILE = 0.9;
+  private static final double RESIDUAL_SHARE = 0.25;
   private static final int MIN_FINISHED = 4;
 
   /** Checks the fields. */
@@ -45,29 +47,30 @@
   }
 
   boolean isStraggler(Attempt attempt, StepDistribution step, long nowMillis) {
-    if (step.count() < MIN_FINISHED) {
+    boolean known = step.count() >= MIN_FINISHED && step.medianTokensPerMillis() > 0;
+    if (!known || attempt.elapsedMillis(nowMillis) <= minGainMillis) {
       return false;
     }
-    double median = step.medianTokensPerMillis();
-    if (median <= 0) {
-      return false;
+    if (attempt.ownTokens() == 0) {
+      return attempt.silentMillis(nowMillis) > stallMillis;
     }
-    double remainingTokens = remainingTokens(attempt, step);
-    double elsewhereMillis = remainingTokens / median;
-    double hereMillis = remainingTokens / speed(attempt, nowMillis);
-    return hereMillis > slowdown * elsewhereMillis
-        && hereMillis - elsewhereMillis > minGainMillis
-        && attempt.elapsedMillis(nowMillis) > minGainMillis;
+    double elsewhereMillis = remainingTokens(attempt, step) / step.medianTokensPerMillis();
+    double hereMillis = remainingMillis(attempt, step, nowMillis);
+    return hereMillis > slowdown * elsewhereMillis && hereMillis - elsewhereMillis > minGainMillis;
   }
 
-  private static double remainingTokens(Attempt attempt, StepDistribution step) {
-    int maxTokens = attempt.sample().sampling().maxTokens();
-    double expected = Math.min(maxTokens, step.tokensQuantile(LENGTH_QUANTILE));
-    return Math.max(1, expected - attempt.tokens());
+  /** Returns the predicted time until the attempt ends, infinite for one that has stalled. */
+  double remainingMillis(Attempt attempt, StepDistribution step, long nowMillis) {
+    boolean stalled = attempt.silentMillis(nowMillis) > stallMillis;
+    double speed = stalled ? 0 : attempt.tokensPerMillis(nowMillis);
+    return remainingTokens(attempt, step) / speed;
   }
 
-  private double speed(Attempt attempt, long nowMillis) {
-    boolean stalled = attempt.silentMillis(nowMillis) > stallMillis;
-    return stalled ? 0 : (double) attempt.ownTokens() / attempt.elapsedMillis(nowMillis);
+  private static double remainingTokens(Attempt attempt, StepDistribution step) {
+    int tokens = attempt.tokens();
+    double expected =
+        Math.max(step.tokensQuantile(LENGTH_QUANTILE) - tokens, RESIDUAL_SHARE * tokens);
+    int most = attempt.sample().sampling().maxTokens() - tokens;
+    return Math.max(1, Math.min(most, expected));
   }
 }
--- a/core/src/main/java/io/briarward/core/weights/SamplerSwap.java
+++ b/core/src/main/java/io/briarward/core/weights/SamplerSwap.java
@@ -1,6 +1,7 @@
 package io.briarward.core.weights;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** What is known of one sampler's swap. Not thread-safe. */
 final class SamplerSwap {
@@ -11,6 +12,7 @@
   private Optional<SwapOrder> order = Optional.empty();
   private long loadingSinceMillis;
   private long orderedAtMillis;
+  private boolean loadedSinceOrder;
   private long notBeforeMillis;
   private int failures;
   private int failedTransfers;
@@ -33,6 +35,9 @@
   }
 
   private void noteLoading(SamplerReport next) {
+    boolean loadsOrder =
+        order.isPresent() && next.loadingVersion().equals(OptionalLong.of(order.get().version()));
+    loadedSinceOrder = loadedSinceOrder || loadsOrder;
     boolean same =
         report.isPresent() && report.get().loadingVersion().equals(next.loadingVersion());
     if (!same) {
@@ -69,6 +74,7 @@
   void ordered(SwapOrder next, long nowMillis) {
     order = Optional.of(next);
     orderedAtMillis = nowMillis;
+    loadedSinceOrder = false;
   }
 
   /** Returns whether the sampler reports the ordered version. */
@@ -86,9 +92,11 @@
   }
 
   private boolean gaveUp(SwapSettings settings) {
+    long settledAtMillis =
+        loadedSinceOrder ? orderedAtMillis : orderedAtMillis + settings.confirmGraceMillis();
     return report
         .filter(each -> each.loadingVersion().isEmpty())
-        .filter(each -> each.measuredAtMillis() > orderedAtMillis + settings.confirmGraceMillis())
+        .filter(each -> each.measuredAtMillis() > settledAtMillis)
         .isPresent();
   }
 
--- a/core/src/main/java/io/briarward/core/weights/SwapSettings.java
+++ b/core/src/main/java/io/briarward/core/weights/SwapSettings.java
@@ -11,7 +11,7 @@
  * @param transfersPerSource how many samplers one sampler passes its weights on to at once; 0 when
  *     engines cannot pass on
  * @param swapTimeoutMillis when an unconfirmed swap counts as failed
- * @param confirmGraceMillis how old a report's news of a swap may be
+ * @param confirmGraceMillis how long after an order a report may show neither version being loaded
  * @param retryDelayMillis how long a sampler rests after a failed swap
  * @param reportTimeoutMillis a sampler without a report for so long is not live
  */
@@ -24,10 +24,10 @@
     long retryDelayMillis,
     long reportTimeoutMillis) {
   private static final double DEFAULT_MIN_SERVING_SHARE = 0.5;
-  private static final int DEFAULT_TRANSFERS_PER_SOURCE = 2;
+  private static final int DEFAULT_TRANSFERS_PER_SOURCE = 4;
   private static final long DEFAULT_SWAP_TIMEOUT_MILLIS = 6_000;
   private static final long DEFAULT_CONFIRM_GRACE_MILLIS = 1_500;
-  private static final long DEFAULT_RETRY_DELAY_MILLIS = 500;
+  private static final long DEFAULT_RETRY_DELAY_MILLIS = 250;
   private static final long DEFAULT_REPORT_TIMEOUT_MILLIS = 10_000;
 
   /** Checks the fields. */
--- a/core/src/test/java/io/briarward/core/weights/SwapPlannerTest.java
+++ b/core/src/test/java/io/briarward/core/weights/SwapPlannerTest.java
@@ -75,6 +75,28 @@
     assertThat(getOnlyElement(planner.poll(3_000, 7)).sampler()).isEqualTo(sampler);
   }
 
+  @Test
+  void loadThatEndsWithoutTheVersionIsRetriedAtOnce() {
+    SwapPlanner planner = planner(1_000);
+    String sampler = getOnlyElement(planner.poll(0, 7)).sampler();
+    planner.report(new SamplerReport(sampler, 1, OptionalLong.of(2), 0, 100));
+    report(planner, sampler, 1, 200);
+
+    planner.poll(200, 7);
+    assertThat(planner.poll(500, 7).stream().map(SwapOrder::sampler)).contains(sampler);
+  }
+
+  @Test
+  void loadThatNeverEndsIsOrderedAgain() {
+    SwapPlanner planner = planner(1_000);
+    IDS.forEach(id -> report(planner, id, 2, 10));
+    planner.report(new SamplerReport("a", 1, OptionalLong.of(2), 0, 20));
+    planner.report(new SamplerReport("a", 1, OptionalLong.of(2), 0, 9_000));
+    IDS.stream().skip(1).forEach(id -> report(planner, id, 2, 9_000));
+
+    assertThat(getOnlyElement(planner.poll(9_000, 7)).sampler()).isEqualTo("a");
+  }
+
   @Test
   void oldestWeightsSwapFirst() {
     SwapPlanner planner = planner(1);
--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -1,12 +1,19 @@
 package io.briarward.experiments;
 
 import com.google.common.collect.ImmutableSortedMap;
+import io.briarward.experiments.rollout.RolloutStepExperiment;
+import io.briarward.experiments.rollout.StalenessExperiment;
+import io.briarward.experiments.rollout.WeightsSpreadExperiment;
 import java.util.Optional;
 
 /** The measurements by name. */
 public final class Experiments {
   private static final ImmutableSortedMap<String, Experiment> BY_NAME =
-      ImmutableSortedMap.<String, Experiment>naturalOrder().build();
+      ImmutableSortedMap.<String, Experiment>naturalOrder()
+          .put("rollout-step", new RolloutStepExperiment())
+          .put("staleness", new StalenessExperiment())
+          .put("weights-spread", new WeightsSpreadExperiment())
+          .build();
 
   private Experiments() {}
 
--- a/node/src/main/java/io/briarward/node/rollout/LeastLoadedSamplers.java
+++ b/node/src/main/java/io/briarward/node/rollout/LeastLoadedSamplers.java
@@ -13,11 +13,12 @@
 /**
  * Chooses the sampler with fresh weights and the fewest attempts in flight from this node.
  *
+ * <p>No sampler is given more than it runs at once: samples wait at the owner, which sends each to
+ * the first sampler that has room.
+ *
  * <p>Not thread-safe.
  */
 final class LeastLoadedSamplers implements SamplerSelector {
-  private static final int BATCHES_IN_FLIGHT = 2;
-
   private final Function<String, Optional<Service>> services;
   private final ToLongFunction<String> weightVersions;
   private final Map<String, Integer> inFlight = new HashMap<>();
@@ -55,7 +56,7 @@
   private Stream<Upstream> candidates(Service service, Selection selection) {
     return service.upstreams().stream()
         .filter(upstream -> version(upstream) >= selection.minVersion())
-        .filter(upstream -> load(upstream) < BATCHES_IN_FLIGHT * upstream.maxConcurrent());
+        .filter(upstream -> load(upstream) < upstream.maxConcurrent());
   }
 
   private long version(Upstream upstream) {
