Measure the cost of membership, the spread of versions and the withdrawal of keys

Cause: the first run at 1,000 nodes showed 1,268 bytes/s a node, and a killed VM not noticed by all within 60 s: statements about VMs heard of for the first time filled the queue. They are no longer passed on, and new statements go before those sent already.

--- a/core/src/main/java/io/briarward/core/membership/Membership.java
+++ b/core/src/main/java/io/briarward/core/membership/Membership.java
@@ -292,7 +292,12 @@
   private void apply(MemberUpdate update, long nowMillis) {
     if (update.vmId().equals(vmId)) {
       refute(update);
-    } else if (table.apply(update, nowMillis)) {
+      return;
+    }
+    Optional<MemberState> before = table.update(update.vmId()).map(MemberUpdate::state);
+    boolean changed = table.apply(update, nowMillis);
+    // Others that have not heard of a VM think it alive; they need not be told.
+    if (changed && !before.equals(Optional.of(update.state()))) {
       passOn(update);
     }
   }
--- a/core/src/main/java/io/briarward/core/membership/UpdateQueue.java
+++ b/core/src/main/java/io/briarward/core/membership/UpdateQueue.java
@@ -15,30 +15,33 @@
 final class UpdateQueue {
   private record Entry(MemberUpdate update, int remaining) {}
 
-  private final Map<String, Entry> entries = new LinkedHashMap<>();
+  private final Map<String, Entry> unsent = new LinkedHashMap<>();
+  private final Map<String, Entry> sent = new LinkedHashMap<>();
 
   void add(MemberUpdate update, int transmissions) {
-    entries.remove(update.vmId());
-    entries.put(update.vmId(), new Entry(update, transmissions));
+    sent.remove(update.vmId());
+    unsent.remove(update.vmId());
+    unsent.put(update.vmId(), new Entry(update, transmissions));
   }
 
-  void remove(String vmId) {
-    entries.remove(vmId);
-  }
-
-  /** Returns up to {@code limit} statements, those first that waited longest. */
+  /** Returns up to {@code limit} statements: new ones first, then those that waited longest. */
   ImmutableList<MemberUpdate> take(int limit) {
     List<Entry> taken = new ArrayList<>(limit);
-    Iterator<Entry> iterator = entries.values().iterator();
-    while (taken.size() < limit && iterator.hasNext()) {
-      taken.add(iterator.next());
-      iterator.remove();
-    }
+    moveFirst(unsent, limit, taken);
+    moveFirst(sent, limit, taken);
     for (Entry entry : taken) {
       if (entry.remaining() > 1) {
-        entries.put(entry.update().vmId(), new Entry(entry.update(), entry.remaining() - 1));
+        sent.put(entry.update().vmId(), new Entry(entry.update(), entry.remaining() - 1));
       }
     }
     return taken.stream().map(Entry::update).collect(ImmutableList.toImmutableList());
   }
+
+  private static void moveFirst(Map<String, Entry> from, int limit, List<Entry> to) {
+    Iterator<Entry> iterator = from.values().iterator();
+    while (to.size() < limit && iterator.hasNext()) {
+      to.add(iterator.next());
+      iterator.remove();
+    }
+  }
 }
--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -1,12 +1,19 @@
 package io.briarward.experiments;
 
 import com.google.common.collect.ImmutableSortedMap;
+import io.briarward.experiments.membership.ConfigurationSpread;
+import io.briarward.experiments.membership.KeyWithdrawal;
+import io.briarward.experiments.membership.MembershipCost;
 import java.util.Optional;
 
 /** The measurements by name. */
 public final class Experiments {
   private static final ImmutableSortedMap<String, Experiment> BY_NAME =
-      ImmutableSortedMap.<String, Experiment>naturalOrder().build();
+      ImmutableSortedMap.<String, Experiment>naturalOrder()
+          .put("configuration-spread", ConfigurationSpread.create())
+          .put("key-withdrawal", KeyWithdrawal.create())
+          .put("membership-cost", MembershipCost.create())
+          .build();
 
   private Experiments() {}
 
--- /dev/null
+++ b/experiments/src/main/java/io/briarward/experiments/membership/Percentiles.java
@@ -0,0 +1,20 @@
+package io.briarward.experiments.membership;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.List;
+
+/** Summaries of measured times. */
+final class Percentiles {
+  private Percentiles() {}
+
+  static long median(List<Long> values) {
+    checkArgument(!values.isEmpty(), "values is empty");
+    return values.stream().sorted().toList().get(values.size() / 2);
+  }
+
+  static long max(List<Long> values) {
+    checkArgument(!values.isEmpty(), "values is empty");
+    return values.stream().max(Long::compare).get();
+  }
+}
