Hold a cut-off region as suspect

A share of 20 % let the larger side declare a region of a ninth of the VMs dead; 5 % holds it as suspect until the platform's list drops it. The region property checks it.

--- a/core/src/main/java/io/briarward/core/membership/Membership.java
+++ b/core/src/main/java/io/briarward/core/membership/Membership.java
@@ -34,7 +34,7 @@
   private static final int GOODBYE_COPIES = 6;
 
   /** Of the VMs, the share that may be suspect at once while suspects are declared dead. */
-  private static final double MAX_SUSPECT_SHARE = 0.2;
+  private static final double MAX_SUSPECT_SHARE = 0.05;
 
   /** A probe under way, for this node itself or on behalf of another. */
   private static final class Pending {
--- a/experiments/src/test/java/io/briarward/experiments/membership/ClusterProperties.java
+++ b/experiments/src/test/java/io/briarward/experiments/membership/ClusterProperties.java
@@ -5,6 +5,7 @@
 
 import io.briarward.core.distribution.ChangeResult;
 import io.briarward.core.membership.Member;
+import io.briarward.core.membership.MemberState;
 import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Arbitraries;
@@ -68,6 +69,9 @@
       node.control().members().stream()
           .filter(member -> sameSide(cluster, node.vmId(), member.vmId()))
           .forEach(member -> assertTakesNewWork(node, member));
+      node.control().members().stream()
+          .filter(member -> !sameSide(cluster, node.vmId(), member.vmId()))
+          .forEach(member -> assertThat(member.state()).isEqualTo(MemberState.SUSPECT));
     }
     cluster.network().setCuts((from, to) -> false);
     cluster.advanceMillis(60_000);
