Refuse keyed requests on a node that cannot tell which keys are withdrawn

Cause: a node that is cut off from the store and from most of the VMs must not go on taking keys. The permission is judged at each request, since a published value would be stale just after a pause.

--- a/core/src/test/java/io/briarward/core/membership/UpdateQueueTest.java
+++ b/core/src/test/java/io/briarward/core/membership/UpdateQueueTest.java
@@ -17,7 +17,7 @@
   }
 
   @Test
-  void statementIsPassedOnALimitedNumberOfTimes() {
+  void statementIsPassedOnLimitedTimes() {
     queue.add(suspect("vm-1"), 2);
 
     assertThat(queue.take(8)).hasSize(1);
--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -4,6 +4,10 @@
 import io.briarward.experiments.membership.ConfigurationSpread;
 import io.briarward.experiments.membership.KeyWithdrawal;
 import io.briarward.experiments.membership.MembershipCost;
+import io.briarward.experiments.serving.Flood;
+import io.briarward.experiments.serving.Overload;
+import io.briarward.experiments.serving.PrefixReuse;
+import io.briarward.experiments.serving.RoutingCost;
 import java.util.Optional;
 
 /** The measurements by name. */
@@ -13,6 +17,10 @@
           .put("configuration-spread", ConfigurationSpread.create())
           .put("key-withdrawal", KeyWithdrawal.create())
           .put("membership-cost", MembershipCost.create())
+          .put("flood", new Flood())
+          .put("overload", new Overload())
+          .put("prefix", new PrefixReuse())
+          .put("routing-cost", new RoutingCost())
           .build();
 
   private Experiments() {}
--- a/node/src/main/java/io/briarward/node/live/ActiveRequests.java
+++ b/node/src/main/java/io/briarward/node/live/ActiveRequests.java
@@ -33,6 +33,11 @@
     ImmutableList.copyOf(running).forEach(exchange -> exchange.cutOffUnlessGranted(tables));
   }
 
+  /** Ends every request that needs a key, when this node cannot tell which keys are withdrawn. */
+  public void cutOffKeyed() {
+    ImmutableList.copyOf(running).forEach(LiveExchange::cutOffIfKeyed);
+  }
+
   /** Ends every request, when waiting for them has lasted too long. */
   public void cutOffAll() {
     ImmutableList.copyOf(running).forEach(LiveExchange::cutOffForStop);
--- a/node/src/main/java/io/briarward/node/live/LiveProxy.java
+++ b/node/src/main/java/io/briarward/node/live/LiveProxy.java
@@ -25,6 +25,7 @@
   private final LiveRequestReader reader;
   private final IdempotentRuns idempotentRuns;
   private final int maxConcurrent;
+  private final ConfigurationHolder configuration;
   private final Disposable configurationChanges;
   private ServingTables tables;
   private boolean stopping;
@@ -38,6 +39,7 @@
     this.reader = new LiveRequestReader(context.maxBodyBytes());
     this.idempotentRuns = new IdempotentRuns(tableService);
     this.maxConcurrent = maxConcurrent;
+    this.configuration = configuration;
     this.tables = ServingTables.of(configuration.current());
     this.configurationChanges =
         configuration.changes().map(ServingTables::of).subscribe(this::onConfiguration);
@@ -69,6 +71,7 @@
     try {
       checkAccepting();
       LiveRequest live = reader.read(request, tables, context.nowMillis());
+      checkKeysUsable(live);
       span.setAttribute("organisation", live.caller().organisation());
       span.setAttribute("service", live.service().id());
       dispatch(request, live, span);
@@ -97,6 +100,12 @@
     }
   }
 
+  private void checkKeysUsable(LiveRequest live) {
+    if (live.caller().key().isPresent() && !configuration.permission().permitted()) {
+      throw refused(ErrorKind.NOT_READY);
+    }
+  }
+
   private void dispatch(HttpServerRequest request, LiveRequest live, Span span) {
     Optional<String> idempotencyKey =
         Optional.ofNullable(request.getHeader("Idempotency-Key")).filter(key -> !live.idempotent());
--- a/node/src/main/java/io/briarward/node/rollout/TrainerAuthentication.java
+++ b/node/src/main/java/io/briarward/node/rollout/TrainerAuthentication.java
@@ -1,6 +1,8 @@
 package io.briarward.node.rollout;
 
 import io.briarward.core.configuration.ApiKey;
+import io.briarward.core.errors.ErrorKind;
+import io.briarward.core.errors.Failure;
 import io.briarward.core.forwarding.HeaderRules;
 import io.briarward.node.configuration.ConfigurationHolder;
 import io.briarward.node.configuration.VersionedConfiguration;
@@ -32,12 +34,15 @@
    * Returns the caller.
    *
    * @throws io.briarward.core.errors.FailureException when the key is missing, unknown or lacks the
-   *     scope
+   *     scope, or this node cannot tell at present which keys are withdrawn
    */
   Caller authenticate(HttpServerRequest request) {
     Optional<String> secret =
         Optional.ofNullable(request.getHeader("Authorization")).flatMap(HeaderRules::bearerSecret);
     ApiKey key = tables().requireKey(secret, ApiKey.Scope.TRAIN);
+    if (!configuration.permission().permitted()) {
+      throw Failure.notRun(ErrorKind.NOT_READY, ErrorKind.NOT_READY.title()).toException();
+    }
     return new Caller(key.organisation(), Optional.of(key), secret);
   }
 
