--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -1,19 +1,25 @@
 package io.briarward.experiments;
 
 import com.google.common.collect.ImmutableSortedMap;
+import io.briarward.experiments.membership.ConfigurationSpread;
+import io.briarward.experiments.membership.KeyWithdrawal;
+import io.briarward.experiments.membership.MembershipCost;
+import io.briarward.experiments.rollout.RolloutStepExperiment;
+import io.briarward.experiments.rollout.StalenessExperiment;
+import io.briarward.experiments.rollout.WeightsSpreadExperiment;
 import io.briarward.experiments.serving.Flood;
 import io.briarward.experiments.serving.Overload;
 import io.briarward.experiments.serving.PrefixReuse;
 import io.briarward.experiments.serving.RoutingCost;
-import io.briarward.experiments.rollout.RolloutStepExperiment;
-import io.briarward.experiments.rollout.StalenessExperiment;
-import io.briarward.experiments.rollout.WeightsSpreadExperiment;
 import java.util.Optional;
 
 /** The measurements by name. */
 public final class Experiments {
   private static final ImmutableSortedMap<String, Experiment> BY_NAME =
       ImmutableSortedMap.<String, Experiment>naturalOrder()
+          .put("configuration-spread", ConfigurationSpread.create())
+          .put("key-withdrawal", KeyWithdrawal.create())
+          .put("membership-cost", MembershipCost.create())
           .put("flood", new Flood())
           .put("overload", new Overload())
           .put("prefix", new PrefixReuse())
--- a/node/src/main/java/io/briarward/node/live/LiveExchange.java
+++ b/node/src/main/java/io/briarward/node/live/LiveExchange.java
@@ -113,9 +113,9 @@
     }
   }
 
-  void cutOffIfProtected() {
+  void cutOffIfKeyed() {
     if (request.caller().key().isPresent()) {
-      fail(retryLater(ErrorKind.NOT_READY, "the node cannot tell which keys are granted"));
+      fail(retryLater(ErrorKind.NOT_READY, "the node cannot tell whether the key is withdrawn"));
     }
   }
 
@@ -150,6 +150,7 @@
   }
 
   private void send(HttpClientRequest upstream) {
+    checkStillAllowed();
     if (finished) {
       upstream.reset();
       return;
@@ -167,6 +168,15 @@
     sendBody(upstream);
   }
 
+  /** Ends a request that waited so long, perhaps in a frozen process, that it may not run now. */
+  private void checkStillAllowed() {
+    if (context.nowMillis() >= request.deadlineMillis()) {
+      onDeadline();
+    } else if (!context.keysUsable().getAsBoolean()) {
+      cutOffIfKeyed();
+    }
+  }
+
   private void copyHeaders(HttpClientRequest upstream, Span hop) {
     HeaderRules.toUpstream(downstream.headers(), request.caller().secret())
         .forEach(header -> upstream.headers().add(header.getKey(), header.getValue()));
--- a/node/src/main/java/io/briarward/node/rollout/TrainerAuthentication.java
+++ b/node/src/main/java/io/briarward/node/rollout/TrainerAuthentication.java
@@ -39,7 +39,7 @@
    * Returns the caller.
    *
    * @throws io.briarward.core.errors.FailureException when the key is missing, unknown or lacks the
-   *     scope
+   *     scope, or this node cannot tell at present which keys are withdrawn
    */
   Caller authenticate(HttpServerRequest request) {
     if (!permitted.getAsBoolean()) {
