Wait for lasting weights after a sample has aged; count costs

Change: a sample that aged once waits up to 30 s for a sampler whose weights survive the next announcement. An outcome is now written after reading the new ones, with no reads after it. rollout-cost counts table operations per sample.

--- a/core/src/main/java/io/briarward/core/rollout/GroupProgress.java
+++ b/core/src/main/java/io/briarward/core/rollout/GroupProgress.java
@@ -77,9 +77,9 @@
     samples.forEach(SampleProgress::restart);
   }
 
-  /** Runs the group again from the start. */
-  void restart() {
+  /** Runs the group again from the start, since it aged beyond the bound. */
+  void expire(long nowMillis) {
     stage = Stage.RUNNING;
-    samples.forEach(SampleProgress::restart);
+    samples.forEach(sample -> sample.expire(nowMillis));
   }
 }
--- a/core/src/main/java/io/briarward/core/rollout/RolloutPlanner.java
+++ b/core/src/main/java/io/briarward/core/rollout/RolloutPlanner.java
@@ -24,6 +24,7 @@
   private static final long RETRY_MAX_MILLIS = 5_000;
   private static final int RETRY_MAX_DOUBLINGS = 6;
   private static final long SILENCE_TIMEOUT_MILLIS = 30_000;
+  private static final long FRESH_WEIGHTS_WAIT_MILLIS = 30_000;
   private static final long STRAGGLER_CHECK_MILLIS = 250;
 
   private final String attemptPrefix;
@@ -125,9 +126,10 @@
   public ImmutableList<RolloutAction> poll(long nowMillis, int freeSlots) {
     checkArgument(freeSlots >= 0, "freeSlots is %s, expected >= 0", freeSlots);
     ImmutableList.Builder<RolloutAction> actions = ImmutableList.builder();
+    cancelExpired(nowMillis, actions);
     cancelUseless(actions);
     cancelSilent(nowMillis, actions);
-    restartLeftBehind();
+    restartLeftBehind(nowMillis);
     int started = dispatchWaiting(nowMillis, freeSlots, actions);
     dispatchExtra(nowMillis, freeSlots - started, actions);
     return actions.build();
@@ -165,6 +167,7 @@
     }
     remove(attempt);
     if (!attempt.isFresh(oldestFresh())) {
+      attempt.sample().expire(nowMillis);
       return ImmutableList.of();
     }
     step.add(attempt.tokens(), attempt.ownTokens(), attempt.elapsedMillis(nowMillis));
@@ -210,11 +213,23 @@
         .collect(ImmutableList.toImmutableList());
   }
 
-  private void cancelUseless(ImmutableList.Builder<RolloutAction> actions) {
+  private void cancelExpired(long nowMillis, ImmutableList.Builder<RolloutAction> actions) {
     long oldest = oldestFresh();
+    ImmutableList<Attempt> expired =
+        attempts.values().stream()
+            .filter(attempt -> !attempt.isFresh(oldest))
+            .collect(ImmutableList.toImmutableList());
+    for (Attempt attempt : expired) {
+      attempt.sample().avoid(attempt.sampler());
+      attempt.sample().expire(nowMillis);
+    }
+    actions.addAll(cancelAll(expired));
+  }
+
+  private void cancelUseless(ImmutableList.Builder<RolloutAction> actions) {
     ImmutableList<Attempt> useless =
         attempts.values().stream()
-            .filter(each -> !each.sample().group().isRunning() || !each.isFresh(oldest))
+            .filter(attempt -> !attempt.sample().group().isRunning())
             .collect(ImmutableList.toImmutableList());
     actions.addAll(cancelAll(useless));
   }
@@ -230,16 +245,16 @@
     }
   }
 
-  private void restartLeftBehind() {
+  private void restartLeftBehind(long nowMillis) {
     long oldest = oldestFresh();
     for (GroupProgress group : groups.values()) {
       if (group.isLeftBehind(oldest)) {
-        group.restart();
+        group.expire(nowMillis);
       }
       group.samples().stream()
           .filter(sample -> sample.result().isPresent())
           .filter(sample -> sample.result().get().oldestVersion() < oldest)
-          .forEach(SampleProgress::restart);
+          .forEach(sample -> sample.expire(nowMillis));
     }
   }
 
@@ -295,11 +310,20 @@
         sample.sampling(),
         prefix.text(),
         prefix.tokens(),
-        oldestFresh(),
+        minVersion(sample, preferred, nowMillis),
         preferred,
         sample.avoided());
   }
 
+  /**
+   * Returns the oldest version to start on. A sample that aged once waits for weights that survive
+   * the next announcement, since on older ones it may never finish in time.
+   */
+  private long minVersion(SampleProgress sample, long preferred, long nowMillis) {
+    boolean waits = sample.expiredSince(nowMillis, FRESH_WEIGHTS_WAIT_MILLIS);
+    return waits ? preferred : oldestFresh();
+  }
+
   private void retry(Attempt attempt, long nowMillis) {
     remove(attempt);
     SampleProgress sample = attempt.sample();
--- a/core/src/main/java/io/briarward/core/rollout/SampleProgress.java
+++ b/core/src/main/java/io/briarward/core/rollout/SampleProgress.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** What is known of one sample that is not delivered. Not thread-safe. */
@@ -17,6 +18,7 @@
   private Optional<Sample> result = Optional.empty();
   private long notBeforeMillis;
   private int failures;
+  private OptionalLong expiredAtMillis = OptionalLong.empty();
 
   SampleProgress(GroupProgress group, int index) {
     this.group = group;
@@ -83,6 +85,20 @@
     return failures;
   }
 
+  /** Forgets everything produced so far, since it aged beyond the bound. */
+  void expire(long nowMillis) {
+    restart();
+    expiredAtMillis = OptionalLong.of(nowMillis);
+  }
+
+  /**
+   * Returns whether the sample aged beyond the bound within the last {@code waitMillis}, so that it
+   * should start on weights that last.
+   */
+  boolean expiredSince(long nowMillis, long waitMillis) {
+    return expiredAtMillis.isPresent() && nowMillis - expiredAtMillis.getAsLong() <= waitMillis;
+  }
+
   /** Forgets everything produced so far. */
   void restart() {
     result = Optional.empty();
--- a/core/src/test/java/io/briarward/core/rollout/RolloutPlannerTest.java
+++ b/core/src/test/java/io/briarward/core/rollout/RolloutPlannerTest.java
@@ -81,7 +81,17 @@
     assertThat(actions.get(0)).isEqualTo(new RolloutAction.Cancel(first));
     RolloutAction.Dispatch again = (RolloutAction.Dispatch) actions.get(1);
     assertThat(again.resumeText()).isEmpty();
-    assertThat(again.minVersion()).isEqualTo(5);
+    assertThat(again.minVersion()).isEqualTo(6);
+  }
+
+  @Test
+  void firstAttemptMayRunOnAnyWeightsWithinTheBound() {
+    RolloutPlanner planner = planner(1, 1, 1, 0);
+    planner.announced(6);
+
+    RolloutAction.Dispatch dispatch = getOnlyElement(dispatches(planner, 0));
+    assertThat(dispatch.minVersion()).isEqualTo(5);
+    assertThat(dispatch.preferredVersion()).isEqualTo(6);
   }
 
   @Test
--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -1,6 +1,7 @@
 package io.briarward.experiments;
 
 import com.google.common.collect.ImmutableSortedMap;
+import io.briarward.experiments.rollout.RolloutCostExperiment;
 import io.briarward.experiments.rollout.RolloutStepExperiment;
 import io.briarward.experiments.rollout.StalenessExperiment;
 import io.briarward.experiments.rollout.WeightsSpreadExperiment;
@@ -10,6 +11,7 @@
 public final class Experiments {
   private static final ImmutableSortedMap<String, Experiment> BY_NAME =
       ImmutableSortedMap.<String, Experiment>naturalOrder()
+          .put("rollout-cost", new RolloutCostExperiment())
           .put("rollout-step", new RolloutStepExperiment())
           .put("staleness", new StalenessExperiment())
           .put("weights-spread", new WeightsSpreadExperiment())
--- a/node/src/main/java/io/briarward/node/rollout/OutcomeWriter.java
+++ b/node/src/main/java/io/briarward/node/rollout/OutcomeWriter.java
@@ -95,17 +95,26 @@
             errors -> errors.delay(RETRY_MILLIS, TimeUnit.MILLISECONDS, context.scheduler()));
   }
 
-  /** Inserts the row until it is read back, so that a lost answer does no harm. */
+  /** Inserts the row unless it is there already, so that a lost answer does no harm. */
   private Completable record(Outcome outcome) {
+    return context.store().refreshOutcomes(view).andThen(Completable.defer(() -> insert(outcome)));
+  }
+
+  private Completable insert(Outcome outcome) {
     if (view.isRecorded(outcome.object()) || view.header().cancelled()) {
       return Completable.complete();
     }
     return context
         .store()
         .commit(view.record(outcome))
-        .ignoreElement()
-        .andThen(context.store().refresh(view))
-        .andThen(Completable.defer(() -> record(outcome)));
+        .flatMapCompletable(
+            result ->
+                result.committed()
+                    ? Completable.complete()
+                    : context
+                        .store()
+                        .refresh(view)
+                        .andThen(Completable.defer(() -> insert(outcome))));
   }
 
   @Override
--- a/node/src/main/java/io/briarward/node/rollout/RolloutStore.java
+++ b/node/src/main/java/io/briarward/node/rollout/RolloutStore.java
@@ -59,7 +59,7 @@
             .read(view.key().header())
             .doOnSuccess(row -> view.learnHeader(row.orElseThrow(() -> notFound(view.key()))))
             .ignoreElement();
-    return Completable.mergeArray(header, outcomes(view), refreshProgress(view));
+    return Completable.mergeArray(header, refreshOutcomes(view), refreshProgress(view));
   }
 
   /** Reads the new deliveries and the announced version into the view. */
@@ -98,12 +98,13 @@
     return tables.scan(RolloutKey.SHARDS, "", after, SCAN_LIMIT);
   }
 
-  private Completable outcomes(RolloutView view) {
+  /** Reads the new outcomes into the view. */
+  Completable refreshOutcomes(RolloutView view) {
     return tables
         .scan(RolloutKey.OUTCOMES, view.key().prefix(), view.lastOutcomeKey(), SCAN_LIMIT)
         .doOnSuccess(view::learnOutcomes)
         .flatMapCompletable(
-            rows -> rows.size() < SCAN_LIMIT ? Completable.complete() : outcomes(view));
+            rows -> rows.size() < SCAN_LIMIT ? Completable.complete() : refreshOutcomes(view));
   }
 
   private Completable deliveries(RolloutView view) {
--- a/node/src/main/java/io/briarward/node/rollout/ShardOwner.java
+++ b/node/src/main/java/io/briarward/node/rollout/ShardOwner.java
@@ -22,7 +22,7 @@
 
 /** Runs one shard of a rollout while this node holds its lease. */
 final class ShardOwner implements AutoCloseable {
-  private static final long TICK_MILLIS = 50;
+  private static final long TICK_MILLIS = 100;
   private static final long REFRESH_MILLIS = 2_000;
   private static final int MAX_IN_FLIGHT = 256;
 
