--- a/cli/src/main/java/io/briarward/cli/Main.java
+++ b/cli/src/main/java/io/briarward/cli/Main.java
@@ -11,7 +11,9 @@
   private static final ImmutableSortedMap<String, Supplier<Command>> COMMANDS =
       ImmutableSortedMap.<String, Supplier<Command>>naturalOrder()
           .put("apply", ApplyCommand::new)
+          .put("bench", BenchCommand::new)
           .put("check", CheckCommand::new)
+          .put("demo", DemoCommand::new)
           .put("errors", ErrorsCommand::new)
           .put("experiment", ExperimentCommand::new)
           .put("get", GetCommand::new)
--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -5,6 +5,10 @@
 import io.briarward.experiments.rollout.RolloutStepExperiment;
 import io.briarward.experiments.rollout.StalenessExperiment;
 import io.briarward.experiments.rollout.WeightsSpreadExperiment;
+import io.briarward.experiments.serving.Flood;
+import io.briarward.experiments.serving.Overload;
+import io.briarward.experiments.serving.PrefixReuse;
+import io.briarward.experiments.serving.RoutingCost;
 import java.util.Optional;
 
 /** The measurements by name. */
@@ -12,6 +16,10 @@
   private static final ImmutableSortedMap<String, Experiment> BY_NAME =
       ImmutableSortedMap.<String, Experiment>naturalOrder()
           .put("rollout-cost", new RolloutCostExperiment())
+          .put("flood", new Flood())
+          .put("overload", new Overload())
+          .put("prefix", new PrefixReuse())
+          .put("routing-cost", new RoutingCost())
           .put("rollout-step", new RolloutStepExperiment())
           .put("staleness", new StalenessExperiment())
           .put("weights-spread", new WeightsSpreadExperiment())
