Keep samples at the owner until a sampler has room

Change: RoutedSamplers excludes samplers that run as much from this node as they can; the oldest version is at least 0; a test bounds the end of a step to 5 s after an outage.

--- a/core/src/main/java/io/briarward/core/rollout/StalenessBound.java
+++ b/core/src/main/java/io/briarward/core/rollout/StalenessBound.java
@@ -13,9 +13,9 @@
     checkArgument(versions >= 0, "versions is %s, expected >= 0", versions);
   }
 
-  /** Returns the oldest version that is within the bound. */
+  /** Returns the oldest version that is within the bound, at least 0. */
   public long oldestFresh(long announcedVersion) {
-    return announcedVersion - versions;
+    return Math.max(0, announcedVersion - versions);
   }
 
   /** Returns whether work of {@code oldestVersion} may be delivered now. */
@@ -28,6 +28,6 @@
    * version is announced, where the bound leaves room for that.
    */
   public long oldestWorthStarting(long announcedVersion) {
-    return announcedVersion - Math.max(0, versions - 1);
+    return Math.max(0, announcedVersion - Math.max(0, versions - 1));
   }
 }
--- a/core/src/test/java/io/briarward/core/rollout/RolloutPlannerTest.java
+++ b/core/src/test/java/io/briarward/core/rollout/RolloutPlannerTest.java
@@ -94,6 +94,14 @@
     assertThat(dispatch.preferredVersion()).isEqualTo(6);
   }
 
+  @Test
+  void anyWeightsWillDoBeforeTheFirstAnnouncement() {
+    RolloutAction.Dispatch dispatch = getOnlyElement(dispatches(planner(1, 1, 3, 0), 0));
+
+    assertThat(dispatch.minVersion()).isEqualTo(0);
+    assertThat(dispatch.preferredVersion()).isEqualTo(0);
+  }
+
   @Test
   void staleFinishIsNotAccepted() {
     RolloutPlanner planner = planner(1, 1, 0, 0);
--- a/node/src/main/java/io/briarward/node/rollout/RoutedSamplers.java
+++ b/node/src/main/java/io/briarward/node/rollout/RoutedSamplers.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableSet;
 import io.briarward.core.configuration.Configuration;
 import io.briarward.core.configuration.Organisation;
 import io.briarward.core.configuration.Partner;
@@ -11,14 +12,25 @@
 import io.briarward.core.routing.UpstreamChoice;
 import io.briarward.node.configuration.ConfigurationHolder;
 import io.briarward.node.live.Prompt;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
-/** Chooses samplers by the node's router, which also places live requests. */
+/**
+ * Chooses samplers by the node's router, which also places live requests.
+ *
+ * <p>No sampler is given more than it runs at once: samples wait at the owner, which sends each to
+ * the first sampler that has room.
+ */
 public final class RoutedSamplers implements SamplerSelector {
   private final Router router;
   private final ConfigurationHolder configuration;
   private final LongSupplier nowMillis;
+  private final Map<String, Integer> inFlight = new HashMap<>();
+  private final Set<String> full = new HashSet<>();
 
   private RoutedSamplers(Router router, ConfigurationHolder configuration, LongSupplier nowMillis) {
     this.router = checkNotNull(router, "router");
@@ -36,7 +48,7 @@
   @Override
   public Optional<Slot> select(Selection selection) {
     RouteRequest any = request(selection);
-    RouteRequest untried = any.toBuilder().excluded(selection.avoided()).build();
+    RouteRequest untried = any.toBuilder().excluded(withFull(selection.avoided())).build();
     RouteRequest lasting =
         untried.toBuilder().minWeightVersion(selection.preferredVersion()).build();
     return choose(lasting).or(() -> choose(untried)).or(() -> choose(any));
@@ -52,9 +64,24 @@
         .prefixHash(prompt.prefixHash())
         .promptTokens(prompt.tokens())
         .minWeightVersion(selection.minVersion())
+        .excluded(ImmutableSet.copyOf(full))
         .build();
   }
 
+  private ImmutableSet<String> withFull(ImmutableSet<String> avoided) {
+    return ImmutableSet.<String>builder().addAll(avoided).addAll(full).build();
+  }
+
+  private void count(Upstream upstream, int change) {
+    int count = inFlight.merge(upstream.id(), change, Integer::sum);
+    if (count >= upstream.maxConcurrent()) {
+      full.add(upstream.id());
+    } else {
+      full.remove(upstream.id());
+    }
+    inFlight.remove(upstream.id(), 0);
+  }
+
   private Optional<Partner> partner(String organisationId) {
     Configuration current = configuration.current().configuration();
     return current
@@ -72,9 +99,11 @@
 
   private final class RoutedSlot implements Slot {
     private final UpstreamChoice choice;
+    private boolean released;
 
     RoutedSlot(UpstreamChoice choice) {
       this.choice = choice;
+      count(choice.upstream(), 1);
     }
 
     @Override
@@ -84,6 +113,11 @@
 
     @Override
     public void release(boolean succeeded) {
+      if (released) {
+        return;
+      }
+      released = true;
+      count(choice.upstream(), -1);
       if (succeeded) {
         router.onFinished(choice, nowMillis.getAsLong());
       } else {
--- a/node/src/test/java/io/briarward/node/rollout/RolloutServiceTest.java
+++ b/node/src/test/java/io/briarward/node/rollout/RolloutServiceTest.java
@@ -15,6 +15,7 @@
   private static final int GROUPS = 16;
   private static final int SAMPLES = 8;
   private static final int TOKENS = 10;
+  private static final long SOON_MILLIS = 5_000;
 
   private final RolloutFixture fixture = new RolloutFixture();
   private final TestNode first = fixture.startNode("n1");
@@ -65,6 +66,17 @@
     assertEachGroupOnce(fixture.collect(second));
   }
 
+  @Test
+  void stepEndsSoonAfterAnOutage() {
+    submit();
+    fixture.advance(50, first);
+    long endMillis = fixture.nowMillis() + 20_000;
+    fixture.tables().failWhile(() -> fixture.nowMillis() < endMillis);
+    fixture.collect(first);
+
+    assertThat(fixture.nowMillis()).isAtMost(endMillis + SOON_MILLIS);
+  }
+
   @Test
   void outageLosesNothing() {
     submit();
