--- a/core/src/main/java/io/briarward/core/rollout/StragglerPolicy.java
+++ b/core/src/main/java/io/briarward/core/rollout/StragglerPolicy.java
@@ -43,7 +43,7 @@
 
   /** Returns how many extra attempts a step of {@code samples} samples may start. */
   int budget(int samples) {
-    return (int) Math.ceil(extraAttemptShare * samples);
+    return (int) Math.floor(extraAttemptShare * samples);
   }
 
   boolean isStraggler(Attempt attempt, StepDistribution step, long nowMillis) {
--- a/experiments/src/main/java/io/briarward/experiments/rollout/StepSimulation.java
+++ b/experiments/src/main/java/io/briarward/experiments/rollout/StepSimulation.java
@@ -173,7 +173,7 @@
     for (VirtualSampler sampler : samplers) {
       swaps.report(
           new SamplerReport(
-              sampler.id(), sampler.version(), sampler.loading(), sampler.load(), nowMillis));
+              sampler.id(), sampler.version(), sampler.loading(), sampler.inFlight(), nowMillis));
     }
     for (SwapOrder order : swaps.poll(nowMillis, 1)) {
       samplers.stream()
@@ -207,12 +207,12 @@
   private Optional<VirtualSampler> leastLoaded(RolloutAction.Dispatch dispatch) {
     return samplers.stream()
         .filter(sampler -> sampler.version() >= dispatch.minVersion())
-        .filter(sampler -> sampler.load() < scenario.batchLimit())
+        .filter(sampler -> sampler.inFlight() < scenario.batchLimit())
         .min(
             Comparator.<VirtualSampler, Boolean>comparing(
                     sampler -> dispatch.avoidSamplers().contains(sampler.id()))
                 .thenComparing(sampler -> sampler.version() < dispatch.preferredVersion())
-                .thenComparing(VirtualSampler::load));
+                .thenComparing(VirtualSampler::inFlight));
   }
 
   private VirtualSampler roundRobin() {
--- a/experiments/src/main/java/io/briarward/experiments/rollout/VirtualSampler.java
+++ b/experiments/src/main/java/io/briarward/experiments/rollout/VirtualSampler.java
@@ -36,7 +36,7 @@
     return loading;
   }
 
-  int load() {
+  int inFlight() {
     return attempts.size();
   }
 
