--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -4,6 +4,7 @@
 import io.briarward.experiments.membership.ConfigurationSpread;
 import io.briarward.experiments.membership.KeyWithdrawal;
 import io.briarward.experiments.membership.MembershipCost;
+import io.briarward.experiments.rollout.RolloutCostExperiment;
 import io.briarward.experiments.rollout.RolloutStepExperiment;
 import io.briarward.experiments.rollout.StalenessExperiment;
 import io.briarward.experiments.rollout.WeightsSpreadExperiment;
@@ -20,6 +21,7 @@
           .put("configuration-spread", ConfigurationSpread.create())
           .put("key-withdrawal", KeyWithdrawal.create())
           .put("membership-cost", MembershipCost.create())
+          .put("rollout-cost", new RolloutCostExperiment())
           .put("flood", new Flood())
           .put("overload", new Overload())
           .put("prefix", new PrefixReuse())
--- /dev/null
+++ b/experiments/src/main/java/io/briarward/experiments/demo/HistoryCheck.java
@@ -0,0 +1,40 @@
+package io.briarward.experiments.demo;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Multiset;
+
+/** Checks what callers saw against what the upstreams ran. */
+final class HistoryCheck {
+  private final Multiset<String> executions;
+  private final Findings findings;
+
+  /**
+   * Creates a check.
+   *
+   * @param executions how often the upstreams ran each operation
+   */
+  HistoryCheck(Multiset<String> executions, Findings findings) {
+    this.executions = executions;
+    this.findings = findings;
+  }
+
+  void run(ImmutableList<Operation> operations) {
+    operations.forEach(this::check);
+  }
+
+  private void check(Operation operation) {
+    int count = executions.count(operation.id());
+    findings.expect(count <= 1, "%s ran %d times", operation.id(), count);
+    findings.expect(
+        count == 0 || !operation.everyAttemptStatesNotRun(),
+        "%s was refused as not run, but it ran",
+        operation.id());
+    operation.answer().ifPresent(answer -> checkAnswer(operation, answer, count));
+  }
+
+  private void checkAnswer(Operation operation, Operation.Attempt answer, int count) {
+    findings.expect(count == 1, "%s was answered, but ran %d times", operation.id(), count);
+    String body = Json.parse(answer.body()).path("body").asText();
+    findings.expect(body.equals(operation.id()), "%s got the answer of %s", operation.id(), body);
+  }
+}
