Tighten the checks of limit shares and of prefix locality by mutations

Removing group affinity, the lease's end, the new home's wait, the removal of dead holders, the refusal of old reports, the lease's start at the report, or the report of running requests left all checks passing. Each removal now fails one: see the properties and tests added here. The two checks of moving shares wait longer for the concurrent part, because the model's requests now end slowly enough to show the fault.

--- a/core/src/test/java/io/briarward/core/admission/ShareProperties.java
+++ b/core/src/test/java/io/briarward/core/admission/ShareProperties.java
@@ -18,11 +18,12 @@
   private static final Limit LIMIT = new Limit("mill", new Share(100, 20));
   private static final double ROUNDING = 1e-6;
 
-  @Property(seed = "20260201", tries = 60)
+  @Property(seed = "20260201", tries = 100)
   void sumOfSharesStaysWithinLimitUnderLossAndDelay(@ForAll long seed) {
     Network network = new Network(seed, 5);
     network.lossShare = 0.3;
-    network.maxDelayMillis = 2_000;
+    network.maxDelayMillis = 4_000;
+    network.demandChangeSteps = 5;
     for (int step = 0; step < 600; step++) {
       network.step();
       assertThat(network.sum().requestsPerSecond()).isAtMost(100 + ROUNDING);
@@ -31,6 +32,45 @@
     }
   }
 
+  @Property(seed = "20260207", tries = 60)
+  void sumOfSharesStaysWithinLimitWhenTheHomeMoves(@ForAll long seed) {
+    Network network = new Network(seed, 6);
+    for (int step = 0; step < 500; step++) {
+      if (step % 100 == 99) {
+        network.kill(network.home());
+      }
+      network.step();
+      assertThat(network.sum().requestsPerSecond()).isAtMost(100 + ROUNDING);
+      assertThat(network.running()).isAtMost(20);
+    }
+  }
+
+  @Property(seed = "20260208", tries = 20)
+  void limitIsUsableAgainAfterHolderDied(@ForAll long seed) {
+    Network network = new Network(seed, 5);
+    network.fixedDemands = true;
+    String holder = network.notHome();
+    network.demandOnly(holder, new Share(80, 15));
+    network.run(200);
+    network.kill(holder);
+    String survivor = network.notHome();
+    network.demandOnly(survivor, new Share(80, 15));
+    network.run(50);
+    assertThat(network.share(survivor).requestsPerSecond()).isAtLeast(80.0);
+  }
+
+  @Property(seed = "20260209", tries = 20)
+  void shareFallsToTheFloorWhenItsLeaseEnds(@ForAll long seed) {
+    Network network = new Network(seed, 5);
+    network.fixedDemands = true;
+    String holder = network.notHome();
+    network.demandOnly(holder, new Share(80, 15));
+    network.run(200);
+    network.lossShare = 1;
+    network.run((int) (ShareNegotiator.LEASE_MILLIS / Network.STEP_MILLIS));
+    assertThat(network.share(holder).requestsPerSecond()).isAtMost(100.0 / 5);
+  }
+
   @Property(seed = "20260202", tries = 60)
   void sumOfSharesStaysWithinTwiceTheLimitUnderKillsAndOneWayCuts(@ForAll long seed) {
     Network network = new Network(seed, 5);
@@ -70,6 +110,8 @@
     network.demandOnly("n3", new Share(80, 15));
     network.run(200);
     assertThat(network.share("n3").requestsPerSecond()).isAtLeast(80.0);
+    // Requests of the first node end one by one and keep their part until then.
+    network.run(800);
     assertThat(network.share("n3").concurrent()).isAtLeast(15.0);
   }
 
@@ -92,11 +134,12 @@
   void lastShareIsKeptWhilePeersAreUnreachable(@ForAll long seed) {
     Network network = new Network(seed, 3);
     network.fixedDemands = true;
-    network.demandOnly("n1", new Share(80, 15));
+    String holder = network.notHome();
+    network.demandOnly(holder, new Share(80, 15));
     network.run(200);
     network.lossShare = 1;
     network.run((int) (ShareNegotiator.LEASE_MILLIS / 2 / Network.STEP_MILLIS));
-    assertThat(network.share("n1").requestsPerSecond()).isAtLeast(80.0);
+    assertThat(network.share(holder).requestsPerSecond()).isAtLeast(80.0);
   }
 
   /** Nodes that exchange reports and grants over a lossy network, in virtual time. */
@@ -112,6 +155,7 @@
         new PriorityQueue<>((a, b) -> Long.compare(a.atMillis, b.atMillis));
     private double lossShare;
     private long maxDelayMillis = 50;
+    private int demandChangeSteps = 20;
     private boolean fixedDemands;
     private long nowMillis;
 
@@ -152,7 +196,7 @@
     }
 
     private void poll(String id, ShareNegotiator node) {
-      if (!fixedDemands && random.nextInt(20) == 0) {
+      if (!fixedDemands && random.nextInt(demandChangeSteps) == 0) {
         demands.put(id, new Share(random.nextDouble(120), random.nextInt(25)));
       }
       Share demand = demands.getOrDefault(id, Share.ZERO);
@@ -168,7 +212,7 @@
     /** Ends some requests, and starts as many as the share allows if there is demand. */
     private int runRequests(String id) {
       int before = running.getOrDefault(id, 0);
-      int left = before - (before == 0 ? 0 : random.nextInt(Math.min(before, 3) + 1));
+      int left = before - (before > 0 && random.nextInt(20) == 0 ? 1 : 0);
       Share demand = demands.getOrDefault(id, Share.ZERO);
       int allowed = (int) Math.min(share(id).concurrent(), demand.concurrent());
       int after = Math.max(left, allowed);
@@ -237,6 +281,13 @@
       return new Members(all.iterator().next(), all, all).homeOf(LIMIT.id());
     }
 
+    /** Returns a node that is not the limit's home. */
+    String notHome() {
+      List<String> others = new ArrayList<>(nodes.keySet());
+      others.remove(home());
+      return others.get(0);
+    }
+
     Share share(String id) {
       return nodes.get(id).share(LIMIT.id(), nowMillis);
     }
--- a/core/src/test/java/io/briarward/core/routing/RouterTest.java
+++ b/core/src/test/java/io/briarward/core/routing/RouterTest.java
@@ -7,6 +7,7 @@
 import io.briarward.core.configuration.Upstream;
 import io.briarward.core.errors.ErrorKind;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class RouterTest {
@@ -87,6 +88,48 @@
     assertThat(used.build()).hasSize(1);
   }
 
+  @Test
+  void groupOfSeveralNodesSharesOneUpstreamAmongMany() {
+    RouteRequest sample = request().group("group-1").promptTokens(8_000).build();
+    ImmutableSet.Builder<String> used = ImmutableSet.builder();
+    for (int node = 0; node < 5; node++) {
+      Router other = Router.create("nadi", RoutingPolicy.DEFAULT, new SplittableRandom(node));
+      other.replaceUpstreams(SERVICE, manyUpstreams());
+      used.add(((RouteResult.Chosen) other.choose(sample, 0)).choice().upstream().id());
+    }
+    assertThat(used.build()).hasSize(1);
+  }
+
+  @Test
+  void cachedPrefixIsFoundAmongMany() {
+    router.replaceUpstreams(SERVICE, manyUpstreams());
+    CacheEvent stored = new CacheEvent(1, CacheEvent.Type.STORED, 42);
+    router.onCacheEvents("u77", ImmutableList.of(stored), 0);
+    RouteRequest prompted = request().prefixHash(42).promptTokens(8_000).build();
+    assertThat(chosenId(prompted, 0)).isEqualTo("u77");
+  }
+
+  @Test
+  void evictedPrefixIsForgotten() {
+    router.replaceUpstreams(SERVICE, manyUpstreams());
+    CacheEvent stored = new CacheEvent(1, CacheEvent.Type.STORED, 42);
+    CacheEvent evicted = new CacheEvent(2, CacheEvent.Type.EVICTED, 42);
+    router.onCacheEvents("u77", ImmutableList.of(stored), 0);
+    router.onCacheEvents("u77", ImmutableList.of(evicted), 10_000);
+    RouteRequest prompted = request().prefixHash(42).promptTokens(8_000).build();
+    assertThat(choice(prompted, 10_000).reuseExpected()).isFalse();
+  }
+
+  @Test
+  void longQueueOutweighsCachedPrefix() {
+    router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a"), upstream("b")));
+    CacheEvent stored = new CacheEvent(1, CacheEvent.Type.STORED, 42);
+    router.onCacheEvents("a", ImmutableList.of(stored), 0);
+    router.onLoadReport("a", new LoadReport(8, 8, 8, 1, 0), 0);
+    RouteRequest prompted = request().prefixHash(42).promptTokens(1_000).build();
+    assertThat(chosenId(prompted, 0)).isEqualTo("b");
+  }
+
   @Test
   void remoteDataCentreServesWhenLocalHasNone() {
     Upstream remote = new Upstream("r", "ba", "127.0.0.1", 9_000, false, false, 8);
@@ -107,6 +150,12 @@
     return new Upstream(id, "nadi", "127.0.0.1", 9_000, false, false, 8);
   }
 
+  private static ImmutableList<Upstream> manyUpstreams() {
+    return IntStream.range(0, 100)
+        .mapToObj(i -> upstream("u" + i))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   private static RouteRequest.Builder request() {
     return RouteRequest.builder(SERVICE, "vatuwaqa");
   }
