--- a/core/src/main/java/io/briarward/core/keys/ServingPermission.java
+++ b/core/src/main/java/io/briarward/core/keys/ServingPermission.java
@@ -28,11 +28,13 @@
     checkNotNull(reason, "reason");
   }
 
-  static ServingPermission permitted(Reason reason) {
+  /** Returns a permission. */
+  public static ServingPermission permitted(Reason reason) {
     return new ServingPermission(true, reason);
   }
 
-  static ServingPermission refused(Reason reason) {
+  /** Returns a refusal. */
+  public static ServingPermission refused(Reason reason) {
     return new ServingPermission(false, reason);
   }
 }
--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -1,6 +1,12 @@
 package io.briarward.experiments;
 
 import com.google.common.collect.ImmutableSortedMap;
+import io.briarward.experiments.membership.ConfigurationSpread;
+import io.briarward.experiments.membership.KeyWithdrawal;
+import io.briarward.experiments.membership.MembershipCost;
+import io.briarward.experiments.rollout.RolloutStepExperiment;
+import io.briarward.experiments.rollout.StalenessExperiment;
+import io.briarward.experiments.rollout.WeightsSpreadExperiment;
 import io.briarward.experiments.serving.Flood;
 import io.briarward.experiments.serving.Overload;
 import io.briarward.experiments.serving.PrefixReuse;
@@ -11,10 +17,16 @@
 public final class Experiments {
   private static final ImmutableSortedMap<String, Experiment> BY_NAME =
       ImmutableSortedMap.<String, Experiment>naturalOrder()
+          .put("configuration-spread", ConfigurationSpread.create())
+          .put("key-withdrawal", KeyWithdrawal.create())
+          .put("membership-cost", MembershipCost.create())
           .put("flood", new Flood())
           .put("overload", new Overload())
           .put("prefix", new PrefixReuse())
           .put("routing-cost", new RoutingCost())
+          .put("rollout-step", new RolloutStepExperiment())
+          .put("staleness", new StalenessExperiment())
+          .put("weights-spread", new WeightsSpreadExperiment())
           .build();
 
   private Experiments() {}
--- a/node/src/main/java/io/briarward/node/live/LiveProxy.java
+++ b/node/src/main/java/io/briarward/node/live/LiveProxy.java
@@ -69,6 +69,7 @@
     try {
       checkAccepting();
       LiveRequest live = reader.read(request, tables, context.nowMillis());
+      checkKeysUsable(live);
       span.setAttribute("organisation", live.caller().organisation());
       span.setAttribute("service", live.service().id());
       dispatch(request, live, span);
@@ -97,6 +98,12 @@
     }
   }
 
+  private void checkKeysUsable(LiveRequest live) {
+    if (live.caller().key().isPresent() && !context.keysUsable().getAsBoolean()) {
+      throw refused(ErrorKind.NOT_READY);
+    }
+  }
+
   private void dispatch(HttpServerRequest request, LiveRequest live, Span span) {
     Optional<String> idempotencyKey =
         Optional.ofNullable(request.getHeader("Idempotency-Key")).filter(key -> !live.idempotent());
@@ -147,7 +154,10 @@
 
   private void start(
       HttpServerRequest request, LiveRequest live, Span span, AnswerObserver observer) {
-    new LiveExchange(context, request, live, span, observer).start();
+    LiveExchange exchange = new LiveExchange(context, request, live, span, observer);
+    exchange.start();
+    // The key may have been withdrawn while the body was read.
+    exchange.cutOffUnlessGranted(tables);
   }
 
   private static void replay(HttpServerRequest request, IdempotencyRecord.Answer answer) {
