--- a/experiments/src/main/java/io/briarward/experiments/serving/AdmissionTrial.java
+++ b/experiments/src/main/java/io/briarward/experiments/serving/AdmissionTrial.java
@@ -87,7 +87,7 @@
     return offered.getOrDefault(organisation, 0);
   }
 
-  int answeredInTime() {
+  int allAnsweredInTime() {
     return answered.values().stream().mapToInt(Integer::intValue).sum();
   }
 
--- a/experiments/src/main/java/io/briarward/experiments/serving/Overload.java
+++ b/experiments/src/main/java/io/briarward/experiments/serving/Overload.java
@@ -31,7 +31,7 @@
       trial.arrivals("org-" + i, perOrganisation, DURATION_MILLIS);
     }
     trial.run(DURATION_MILLIS);
-    double perSecond = trial.answeredInTime() * 1_000.0 / DURATION_MILLIS;
+    double perSecond = trial.allAnsweredInTime() * 1_000.0 / DURATION_MILLIS;
     return perSecond / AdmissionTrial.capacityPerSecond();
   }
 }
