--- a/core/src/main/java/io/briarward/core/admission/AdmissionControl.java
+++ b/core/src/main/java/io/briarward/core/admission/AdmissionControl.java
@@ -252,8 +252,7 @@
           WaitingRequest late = queue.first();
           classQueue.remove(queue, late);
           waiting.remove(late.request().id());
-          double meanMillis = classQueue.serviceTimes().meanMillis();
-          Failure failure = overloaded((long) meanMillis).failure();
+          Failure failure = unanswerable(classQueue, queue.organisation(), nowMillis);
           refused.add(new RefusedRequest(late.request().id(), failure));
         }
       }
@@ -261,6 +260,17 @@
     }
   }
 
+  /** Names the organisation's limit as the cause where it is what the request waited for. */
+  private static Failure unanswerable(
+      ClassQueue classQueue, OrganisationState organisation, long nowMillis) {
+    long meanMillis = (long) classQueue.serviceTimes().meanMillis();
+    if (organisation.mayStart(nowMillis)) {
+      return overloaded(meanMillis).failure();
+    }
+    long rateWaitMillis = organisation.rateWaitMillis(0, nowMillis);
+    return overLimit(Math.max(meanMillis, rateWaitMillis)).failure();
+  }
+
   @GuardedBy("this")
   private void startWaiting(
       ServiceQueue service, ImmutableList.Builder<Long> admitted, long nowMillis) {
--- a/core/src/test/java/io/briarward/core/admission/AdmissionControlTest.java
+++ b/core/src/test/java/io/briarward/core/admission/AdmissionControlTest.java
@@ -84,6 +84,14 @@
     assertThat(refusal(offerOverLimit()).runState()).isEqualTo(RunState.NOT_RUN);
   }
 
+  @Test
+  void requestThatWaitedForItsLimitIsToldSo() {
+    offer("small", 10_000, 0);
+    offer("small", 500, 0);
+    Failure failure = control.poll(501).refused().get(0).failure();
+    assertThat(failure.kind()).isEqualTo(ErrorKind.LIMIT_EXCEEDED);
+  }
+
   @Test
   void newDemandWaitsForItsShare() {
     control.setShare("small", Share.ZERO, 0);
