--- a/core/src/main/java/io/briarward/core/membership/Membership.java
+++ b/core/src/main/java/io/briarward/core/membership/Membership.java
@@ -41,14 +41,12 @@
     final String target;
     final long sentAtMillis;
     final Optional<Requester> requester;
-    final boolean drawn;
     boolean askedOthers;
 
-    Pending(String target, long sentAtMillis, Optional<Requester> requester, boolean drawn) {
+    Pending(String target, long sentAtMillis, Optional<Requester> requester) {
       this.target = target;
       this.sentAtMillis = sentAtMillis;
       this.requester = requester;
-      this.drawn = drawn;
     }
   }
 
@@ -227,9 +225,6 @@
     if (probe.requester.isPresent()) {
       return;
     }
-    if (probe.drawn) {
-      contacts.onFailure(probe.sentAtMillis);
-    }
     health.onFailure();
     table.update(probe.target).ifPresent(update -> suspect(update, nowMillis));
   }
@@ -275,17 +270,14 @@
       return;
     }
     health.onAnswer();
-    contacts.onAnswer(from, probe.sentAtMillis, message.digest(), probe.drawn);
+    contacts.onAnswer(from, message.sequence(), probe.sentAtMillis, message.digest());
   }
 
   private void onIndirectAnswer(MembershipMessage message) {
     Pending probe = pending.get(message.sequence());
     if (probe != null && probe.target.equals(message.subject())) {
+      // The VM is alive; but there was no two-way contact with it, so that contacts hear nothing.
       pending.remove(message.sequence());
-      // The VM is alive, but there was no two-way contact with it.
-      if (probe.drawn) {
-        contacts.onFailure(probe.sentAtMillis);
-      }
     }
   }
 
@@ -322,7 +314,10 @@
   private Outgoing startProbe(
       String target, Optional<Requester> requester, boolean drawn, long nowMillis, Digest digest) {
     long sequence = ++lastSequence;
-    pending.put(sequence, new Pending(target, nowMillis, requester, drawn));
+    if (drawn) {
+      contacts.onSent(sequence, nowMillis);
+    }
+    pending.put(sequence, new Pending(target, nowMillis, requester));
     return outgoing(target, MembershipMessage.Kind.PROBE, sequence, "", digest);
   }
 
--- a/core/src/main/java/io/briarward/core/membership/MembershipSettings.java
+++ b/core/src/main/java/io/briarward/core/membership/MembershipSettings.java
@@ -11,7 +11,7 @@
  * @param suspicionTimeoutMillis how long a suspect may refute, in good health
  * @param indirectProbes how many others are asked to probe
  * @param maxUpdates the largest number of statements passed on in one message
- * @param sampleSize how many finished probes a large group's majority is judged from
+ * @param sampleSize how many probes a large group's majority is judged from
  * @param contactWindowMillis how long an answered probe counts as contact
  */
 public record MembershipSettings(
--- a/experiments/src/test/java/io/briarward/experiments/membership/FaultRun.java
+++ b/experiments/src/test/java/io/briarward/experiments/membership/FaultRun.java
@@ -4,6 +4,7 @@
 
 import io.briarward.core.distribution.ChangeResult;
 import io.briarward.core.distribution.ConfigurationDocument;
+import io.briarward.core.keys.ServingPermission;
 import io.briarward.core.keys.ServingRule;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,6 +25,7 @@
   private final List<Accepted> accepted = new ArrayList<>();
   private final Map<Long, Integer> winners = new HashMap<>();
   private final Map<VirtualNode, Long> heldVersions = new HashMap<>();
+  private final Map<String, Long> servedVersions = new HashMap<>();
   private int changes;
 
   FaultRun(long seed) {
@@ -142,6 +144,7 @@
     if (served < 0) {
       return;
     }
+    checkNotReverted(node, served);
     for (Accepted change : accepted) {
       if (cluster.time().nowMillis() > change.atMillis() + BOUND_MILLIS) {
         assertWithMessage(
@@ -153,6 +156,17 @@
     }
   }
 
+  /** Compares with what earlier processes of the VM served. */
+  private void checkNotReverted(VirtualNode node, long served) {
+    // In an outage of the store, a version that no majority holds may be unknown after a restart.
+    if (node.permission().reason() == ServingPermission.Reason.FRESH) {
+      assertWithMessage("version served by %s", node.vmId())
+          .that(served)
+          .isAtLeast(servedVersions.getOrDefault(node.vmId(), -1L));
+    }
+    servedVersions.merge(node.vmId(), served, Long::max);
+  }
+
   private void checkSettled() {
     long newest = cluster.nodes().stream().mapToLong(VirtualNode::servedVersion).max().getAsLong();
     for (VirtualNode node : cluster.nodes()) {
