--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -4,6 +4,9 @@
 import io.briarward.experiments.membership.ConfigurationSpread;
 import io.briarward.experiments.membership.KeyWithdrawal;
 import io.briarward.experiments.membership.MembershipCost;
+import io.briarward.experiments.rollout.RolloutStepExperiment;
+import io.briarward.experiments.rollout.StalenessExperiment;
+import io.briarward.experiments.rollout.WeightsSpreadExperiment;
 import io.briarward.experiments.serving.Flood;
 import io.briarward.experiments.serving.Overload;
 import io.briarward.experiments.serving.PrefixReuse;
@@ -21,6 +24,9 @@
           .put("overload", new Overload())
           .put("prefix", new PrefixReuse())
           .put("routing-cost", new RoutingCost())
+          .put("rollout-step", new RolloutStepExperiment())
+          .put("staleness", new StalenessExperiment())
+          .put("weights-spread", new WeightsSpreadExperiment())
           .build();
 
   private Experiments() {}
--- a/node/src/main/java/io/briarward/node/live/LiveContext.java
+++ b/node/src/main/java/io/briarward/node/live/LiveContext.java
@@ -5,10 +5,12 @@
 import io.briarward.node.telemetry.Tracing;
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * What every live request of a node shares.
  *
+ * @param keysUsable whether this node can tell which keys are withdrawn
  * @param maxBodyBytes the largest body of a request
  */
 public record LiveContext(
@@ -19,6 +21,7 @@
     RetryBudgets retryBudgets,
     UsageRecorder usage,
     ActiveRequests active,
+    BooleanSupplier keysUsable,
     Metrics metrics,
     Tracing tracing,
     long maxBodyBytes) {
--- a/node/src/main/java/io/briarward/node/live/LiveExchange.java
+++ b/node/src/main/java/io/briarward/node/live/LiveExchange.java
@@ -150,6 +150,7 @@
   }
 
   private void send(HttpClientRequest upstream) {
+    checkStillAllowed();
     if (finished) {
       upstream.reset();
       return;
@@ -167,6 +168,15 @@
     sendBody(upstream);
   }
 
+  /** Ends a request that waited so long, perhaps in a frozen process, that it may not run now. */
+  private void checkStillAllowed() {
+    if (context.nowMillis() >= request.deadlineMillis()) {
+      onDeadline();
+    } else if (!context.keysUsable().getAsBoolean()) {
+      cutOffIfKeyed();
+    }
+  }
+
   private void copyHeaders(HttpClientRequest upstream, Span hop) {
     HeaderRules.toUpstream(downstream.headers(), request.caller().secret())
         .forEach(header -> upstream.headers().add(header.getKey(), header.getValue()));
--- a/node/src/main/java/io/briarward/node/live/LiveProxy.java
+++ b/node/src/main/java/io/briarward/node/live/LiveProxy.java
@@ -25,7 +25,6 @@
   private final LiveRequestReader reader;
   private final IdempotentRuns idempotentRuns;
   private final int maxConcurrent;
-  private final ConfigurationHolder configuration;
   private final Disposable configurationChanges;
   private ServingTables tables;
   private boolean stopping;
@@ -39,7 +38,6 @@
     this.reader = new LiveRequestReader(context.maxBodyBytes());
     this.idempotentRuns = new IdempotentRuns(tableService);
     this.maxConcurrent = maxConcurrent;
-    this.configuration = configuration;
     this.tables = ServingTables.of(configuration.current());
     this.configurationChanges =
         configuration.changes().map(ServingTables::of).subscribe(this::onConfiguration);
@@ -101,7 +99,7 @@
   }
 
   private void checkKeysUsable(LiveRequest live) {
-    if (live.caller().key().isPresent() && !configuration.permission().permitted()) {
+    if (live.caller().key().isPresent() && !context.keysUsable().getAsBoolean()) {
       throw refused(ErrorKind.NOT_READY);
     }
   }
@@ -156,7 +154,10 @@
 
   private void start(
       HttpServerRequest request, LiveRequest live, Span span, AnswerObserver observer) {
-    new LiveExchange(context, request, live, span, observer).start();
+    LiveExchange exchange = new LiveExchange(context, request, live, span, observer);
+    exchange.start();
+    // The key may have been withdrawn while the body was read.
+    exchange.cutOffUnlessGranted(tables);
   }
 
   private static void replay(HttpServerRequest request, IdempotencyRecord.Answer answer) {
--- a/node/src/main/java/io/briarward/node/rollout/TrainerAuthentication.java
+++ b/node/src/main/java/io/briarward/node/rollout/TrainerAuthentication.java
@@ -10,14 +10,19 @@
 import io.briarward.node.live.ServingTables;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /** Finds whom a trainer's request runs for. Confined to the event loop. */
 final class TrainerAuthentication {
+  private static final long NOT_PERMITTED_RETRY_MILLIS = 1_000;
+
   private final ConfigurationHolder configuration;
+  private final BooleanSupplier permitted;
   private ServingTables tables;
 
-  TrainerAuthentication(ConfigurationHolder configuration) {
+  TrainerAuthentication(ConfigurationHolder configuration, BooleanSupplier permitted) {
     this.configuration = configuration;
+    this.permitted = permitted;
     this.tables = ServingTables.of(configuration.current());
   }
 
@@ -37,17 +42,19 @@
    *     scope, or this node cannot tell at present which keys are withdrawn
    */
   Caller authenticate(HttpServerRequest request) {
+    if (!permitted.getAsBoolean()) {
+      throw Failure.notRun(
+              ErrorKind.NOT_READY, ErrorKind.NOT_READY.title(), NOT_PERMITTED_RETRY_MILLIS)
+          .toException();
+    }
     Optional<String> secret =
         Optional.ofNullable(request.getHeader("Authorization")).flatMap(HeaderRules::bearerSecret);
     ApiKey key = tables().requireKey(secret, ApiKey.Scope.TRAIN);
-    if (!configuration.permission().permitted()) {
-      throw Failure.notRun(ErrorKind.NOT_READY, ErrorKind.NOT_READY.title()).toException();
-    }
     return new Caller(key.organisation(), Optional.of(key), secret);
   }
 
   /** Returns whether the caller's key is still granted. */
   boolean isGranted(Caller caller) {
-    return caller.key().filter(tables()::grants).isPresent();
+    return permitted.getAsBoolean() && caller.key().filter(tables()::grants).isPresent();
   }
 }
--- a/node/src/test/java/io/briarward/node/configuration/ControlServiceTest.java
+++ b/node/src/test/java/io/briarward/node/configuration/ControlServiceTest.java
@@ -78,7 +78,7 @@
 
   @Test
   void isolatedNodeRefusesAndThenCutsOffRunningRequests() {
-    TestSubscriber<ServingPermission> cutOffs = first.control.cutOffs().test();
+    final TestSubscriber<ServingPermission> cutOffs = first.control.cutOffs().test();
     tables.setDown(true);
     second.network.close();
     third.network.close();
