--- a/experiments/src/test/java/io/briarward/experiments/membership/VirtualClusterTest.java
+++ b/experiments/src/test/java/io/briarward/experiments/membership/VirtualClusterTest.java
@@ -97,9 +97,10 @@
   void oneWayCutSuspectsNobody() {
     cluster.advanceMillis(START_MILLIS);
     cluster.network().setCuts((from, to) -> from.equals("vm-1") && to.equals("vm-2"));
-    cluster.advanceMillis(60_000);
-
-    assertThat(viewsOf("vm-2")).doesNotContain(false);
+    for (int step = 0; step < 600; step++) {
+      cluster.advanceMillis(100);
+      assertThat(viewsOf("vm-2")).doesNotContain(false);
+    }
   }
 
   @Test
