--- a/experiments/src/main/java/io/briarward/experiments/membership/MembershipCost.java
+++ b/experiments/src/main/java/io/briarward/experiments/membership/MembershipCost.java
@@ -47,9 +47,9 @@
     long heapBefore = usedHeapBytes();
     VirtualCluster cluster = new VirtualCluster(size, dataCentres(size), seed);
     cluster.advanceMillis(WARM_UP_MILLIS);
-    long heapBytes = usedHeapBytes() - heapBefore;
+    final long heapBytes = usedHeapBytes() - heapBefore;
     cluster.countBytes();
-    long messagesBefore = cluster.network().messages();
+    final long messagesBefore = cluster.network().messages();
     long cpuBefore = threadCpuNanos();
     cluster.advanceMillis(MEASURED_MILLIS);
     long cpuNanos = threadCpuNanos() - cpuBefore;
