Announce new weights at the start of the demonstration's step

They were announced after the first groups, when almost all samples had been generated. Differences in the bill are now listed by organisation.

--- a/experiments/src/main/java/io/briarward/experiments/demo/Demo.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/Demo.java
@@ -72,7 +72,7 @@
         UsageCheck.delivered(live, TubeMill.TRAINER, stepCheck.deliveredTokens());
     ImmutableSortedMap<String, UsageCheck.Amounts> billed =
         new UsageCheck(http, settings).awaitBilled(delivered);
-    findings.expect(billed.equals(delivered), "billed %s, but delivered %s", billed, delivered);
+    UsageCheck.compare(billed, delivered, findings);
     checkReports();
     print(step, stepCheck, live);
     printUsage(records, delivered, billed);
--- a/experiments/src/main/java/io/briarward/experiments/demo/TrainingStep.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/TrainingStep.java
@@ -78,7 +78,7 @@
     return 1_000L * (group + 1);
   }
 
-  /** Runs the step; new weights are announced once the first groups have arrived. */
+  /** Runs the step; new weights are announced while it runs. */
   Result run() throws InterruptedException {
     if (settings.groups() == 0) {
       return new Result(ImmutableList.of(), ImmutableList.of(), Duration.ZERO);
@@ -86,21 +86,17 @@
     final long startedNanos = System.nanoTime();
     announce(1);
     submit();
+    announce(NEXT_VERSION);
     List<String> groups = new ArrayList<>();
     List<DeliveredSample> samples = new ArrayList<>();
     long cursor = 0;
     boolean done = false;
-    boolean announced = false;
     long deadlineNanos = startedNanos + TimeUnit.MILLISECONDS.toNanos(STEP_TIMEOUT_MILLIS);
     while (!done && System.nanoTime() < deadlineNanos) {
       JsonNode answer = fetch(cursor);
       answer.path("groups").forEach(group -> take(group, groups, samples));
       cursor = answer.path("cursor").asLong();
       done = answer.path("done").asBoolean();
-      if (!announced && !groups.isEmpty()) {
-        announce(NEXT_VERSION);
-        announced = true;
-      }
     }
     return new Result(
         ImmutableList.copyOf(groups),
