--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -5,6 +5,9 @@
 import io.briarward.experiments.serving.Overload;
 import io.briarward.experiments.serving.PrefixReuse;
 import io.briarward.experiments.serving.RoutingCost;
+import io.briarward.experiments.rollout.RolloutStepExperiment;
+import io.briarward.experiments.rollout.StalenessExperiment;
+import io.briarward.experiments.rollout.WeightsSpreadExperiment;
 import java.util.Optional;
 
 /** The measurements by name. */
@@ -15,6 +18,9 @@
           .put("overload", new Overload())
           .put("prefix", new PrefixReuse())
           .put("routing-cost", new RoutingCost())
+          .put("rollout-step", new RolloutStepExperiment())
+          .put("staleness", new StalenessExperiment())
+          .put("weights-spread", new WeightsSpreadExperiment())
           .build();
 
   private Experiments() {}
