Stamp the stand-ins' times in milliseconds since the epoch

The binary makes RxJava's clock monotonic, and the stand-ins passed its times on in load reports, VM lists and orders, where docs/PLATFORM.md wants times since the epoch. Nodes took every load report for old, knew no weight version, and a rollout never started once a second version had been announced.

--- a/standins/src/main/java/io/briarward/standins/StandIns.java
+++ b/standins/src/main/java/io/briarward/standins/StandIns.java
@@ -28,6 +28,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /**
@@ -45,10 +46,12 @@
 public final class StandIns {
   private final Vertx vertx;
   private final Scheduler scheduler;
+  private final long epochOffsetMillis;
 
-  private StandIns(Vertx vertx, Scheduler scheduler) {
+  private StandIns(Vertx vertx, Scheduler scheduler, long epochOffsetMillis) {
     this.vertx = vertx;
     this.scheduler = scheduler;
+    this.epochOffsetMillis = epochOffsetMillis;
   }
 
   /** The stand-ins that can be started. */
@@ -83,13 +86,21 @@
 
   /** Returns a starter whose stand-ins take time and timers from the scheduler. */
   public static StandIns with(Vertx vertx, Scheduler scheduler) {
-    return new StandIns(vertx, scheduler);
+    return new StandIns(vertx, scheduler, 0);
+  }
+
+  /** Returns a starter whose stand-ins run on the system clock. */
+  public static StandIns onSystemClock(Vertx vertx) {
+    // RxJava's clock may be monotonic, while the interfaces carry times since the epoch.
+    Scheduler scheduler = Schedulers.single();
+    long offsetMillis = System.currentTimeMillis() - scheduler.now(TimeUnit.MILLISECONDS);
+    return new StandIns(vertx, scheduler, offsetMillis);
   }
 
   /** Starts a stand-in on the system clock. */
   public static Single<RunningStandIn> start(
       Name name, Vertx vertx, String host, int port, Map<String, String> options) {
-    return with(vertx, Schedulers.single()).start(name, new Address(host, port), options);
+    return onSystemClock(vertx).start(name, new Address(host, port), options);
   }
 
   /**
@@ -103,7 +114,8 @@
     Faults faults = faults(name, unread.number("seed", 1));
     Function<Timer, StandIn> factory = factory(name, unread, faults);
     return StandInServer.start(
-        new StandInServer.Launch(vertx, scheduler, address, faults, secrets), factory);
+        new StandInServer.Launch(vertx, scheduler, epochOffsetMillis, address, faults, secrets),
+        factory);
   }
 
   /**
--- a/standins/src/main/java/io/briarward/standins/http/StandInServer.java
+++ b/standins/src/main/java/io/briarward/standins/http/StandInServer.java
@@ -48,6 +48,7 @@
    *
    * @param vertx the Vert.x instance it runs on
    * @param scheduler its clock and timers
+   * @param epochOffsetMillis what the scheduler's clock lacks to the time since the epoch
    * @param address where it listens
    * @param faults the faults it supports
    * @param secrets texts that no request may carry
@@ -55,6 +56,7 @@
   public record Launch(
       Vertx vertx,
       Scheduler scheduler,
+      long epochOffsetMillis,
       Address address,
       Faults faults,
       ImmutableList<String> secrets) {}
@@ -64,7 +66,7 @@
     return Single.create(
         emitter -> {
           Context context = launch.vertx.getOrCreateContext();
-          Timer timer = new Timer(launch.scheduler, context);
+          Timer timer = new Timer(launch.scheduler, context, launch.epochOffsetMillis);
           HttpServer server = launch.vertx.createHttpServer(new HttpServerOptions());
           StandInServer running = new StandInServer(server, factory.apply(timer), timer, launch);
           server.connectionHandler(running::accept);
--- a/standins/src/main/java/io/briarward/standins/http/Timer.java
+++ b/standins/src/main/java/io/briarward/standins/http/Timer.java
@@ -9,15 +9,22 @@
 public final class Timer {
   private final Scheduler scheduler;
   private final Context context;
+  private final long epochOffsetMillis;
 
-  Timer(Scheduler scheduler, Context context) {
+  /**
+   * Creates a timer.
+   *
+   * @param epochOffsetMillis what the scheduler's clock lacks to the time since the epoch
+   */
+  Timer(Scheduler scheduler, Context context, long epochOffsetMillis) {
     this.scheduler = scheduler;
     this.context = context;
+    this.epochOffsetMillis = epochOffsetMillis;
   }
 
   /** Returns the present time in milliseconds since the epoch. */
   public long nowMillis() {
-    return scheduler.now(TimeUnit.MILLISECONDS);
+    return scheduler.now(TimeUnit.MILLISECONDS) + epochOffsetMillis;
   }
 
   /** Runs the action on the event loop after the delay. */
--- a/standins/src/test/java/io/briarward/standins/StandInsTest.java
+++ b/standins/src/test/java/io/briarward/standins/StandInsTest.java
@@ -3,8 +3,11 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.google.common.collect.ImmutableMap;
+import io.briarward.standins.http.RunningStandIn;
 import io.briarward.standins.testing.StandInRule;
 import io.briarward.standins.testing.TestClient;
+import io.vertx.core.Vertx;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.RegisterExtension;
 
@@ -27,4 +30,19 @@
     assertThrows(
         IllegalArgumentException.class, () -> rule.start(StandIns.Name.PLAIN, "batchLimit", "1"));
   }
+
+  @Test
+  void timesOnTheSystemClockCountFromTheEpochAlsoWhenRxJavasClockIsMonotonic() throws Exception {
+    long beforeMillis = System.currentTimeMillis();
+    Vertx vertx = Vertx.vertx();
+    try (RunningStandIn vms =
+        StandIns.start(StandIns.Name.VMS, vertx, "127.0.0.1", 0, ImmutableMap.of("lagMillis", "0"))
+            .blockingGet()) {
+      TestClient client = TestClient.of(vms.port());
+
+      assertThat(client.get("/v1/vms").path("asOfMillis").asLong()).isAtLeast(beforeMillis);
+    } finally {
+      vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+  }
 }
