--- a/core/src/main/java/io/briarward/core/membership/Membership.java
+++ b/core/src/main/java/io/briarward/core/membership/Membership.java
@@ -34,7 +34,7 @@
   private static final int GOODBYE_COPIES = 6;
 
   /** Of the VMs, the share that may be suspect at once while suspects are declared dead. */
-  private static final double MAX_SUSPECT_SHARE = 0.2;
+  private static final double MAX_SUSPECT_SHARE = 0.05;
 
   /** A probe under way, for this node itself or on behalf of another. */
   private static final class Pending {
@@ -292,7 +292,12 @@
   private void apply(MemberUpdate update, long nowMillis) {
     if (update.vmId().equals(vmId)) {
       refute(update);
-    } else if (table.apply(update, nowMillis)) {
+      return;
+    }
+    Optional<MemberState> before = table.update(update.vmId()).map(MemberUpdate::state);
+    boolean changed = table.apply(update, nowMillis);
+    // Others that have not heard of a VM think it alive; they need not be told.
+    if (changed && !before.equals(Optional.of(update.state()))) {
       passOn(update);
     }
   }
--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -117,6 +117,7 @@
         RetryBudgets.create(),
         usage,
         active,
+        () -> context.configuration().permission().permitted(),
         context.metrics(),
         context.tracing(),
         context.settings().maxBodyBytes());
@@ -125,11 +126,7 @@
   /** Passes on what the control service learns of the other VMs and of the permission to serve. */
   private AutoCloseable follow() {
     CompositeDisposable following = new CompositeDisposable();
-    following.add(
-        context
-            .control()
-            .permissions()
-            .subscribe(permission -> live.serveProtected(permission.permitted())));
+    following.add(context.control().cutOffs().subscribe(unused -> active.cutOffKeyed()));
     following.add(
         Flowable.interval(MEMBERS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
             .onBackpressureDrop()
--- a/node/src/main/java/io/briarward/node/live/ActiveRequests.java
+++ b/node/src/main/java/io/briarward/node/live/ActiveRequests.java
@@ -33,9 +33,9 @@
     ImmutableList.copyOf(running).forEach(exchange -> exchange.cutOffUnlessGranted(tables));
   }
 
-  /** Ends every request that came with a key, when it is not known which keys are granted. */
-  void cutOffProtected() {
-    ImmutableList.copyOf(running).forEach(LiveExchange::cutOffIfProtected);
+  /** Ends every request that needs a key, when this node cannot tell which keys are withdrawn. */
+  public void cutOffKeyed() {
+    ImmutableList.copyOf(running).forEach(LiveExchange::cutOffIfKeyed);
   }
 
   /** Ends every request, when waiting for them has lasted too long. */
--- a/node/src/main/java/io/briarward/node/live/LiveProxy.java
+++ b/node/src/main/java/io/briarward/node/live/LiveProxy.java
@@ -27,7 +27,6 @@
   private final int maxConcurrent;
   private final Disposable configurationChanges;
   private ServingTables tables;
-  private boolean protectedServed = true;
   private boolean stopping;
 
   private LiveProxy(
@@ -63,18 +62,6 @@
     stopping = true;
   }
 
-  /**
-   * Sets whether routes that need a key are served.
-   *
-   * <p>When they are not, their running requests end too, since a withdrawn key may be among them.
-   */
-  public void serveProtected(boolean served) {
-    protectedServed = served;
-    if (!served) {
-      context.active().cutOffProtected();
-    }
-  }
-
   /** Serves one request. */
   public void handle(HttpServerRequest request) {
     request.pause();
@@ -82,7 +69,7 @@
     try {
       checkAccepting();
       LiveRequest live = reader.read(request, tables, context.nowMillis());
-      checkProtected(live);
+      checkKeysUsable(live);
       span.setAttribute("organisation", live.caller().organisation());
       span.setAttribute("service", live.service().id());
       dispatch(request, live, span);
@@ -111,8 +98,8 @@
     }
   }
 
-  private void checkProtected(LiveRequest live) {
-    if (!protectedServed && live.caller().key().isPresent()) {
+  private void checkKeysUsable(LiveRequest live) {
+    if (live.caller().key().isPresent() && !context.keysUsable().getAsBoolean()) {
       throw refused(ErrorKind.NOT_READY);
     }
   }
--- a/node/src/test/java/io/briarward/node/configuration/ControlServiceTest.java
+++ b/node/src/test/java/io/briarward/node/configuration/ControlServiceTest.java
@@ -13,6 +13,7 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
+import io.reactivex.rxjava3.subscribers.TestSubscriber;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -75,6 +76,21 @@
     replace(first, 0).assertError(error -> kindOf(error) == ErrorKind.NOT_READY);
   }
 
+  @Test
+  void isolatedNodeRefusesAndThenCutsOffRunningRequests() {
+    final TestSubscriber<ServingPermission> cutOffs = first.control.cutOffs().test();
+    tables.setDown(true);
+    second.network.close();
+    third.network.close();
+
+    advance(6_000);
+    assertThat(first.holder.permission().permitted()).isFalse();
+    cutOffs.assertNoValues();
+
+    advance(5_000);
+    cutOffs.assertValueCount(1);
+  }
+
   @Test
   void nothingIsServedBeforeTheVersionIsKnown() {
     tables.setDown(true);
