--- a/cli/src/main/java/io/briarward/cli/Main.java
+++ b/cli/src/main/java/io/briarward/cli/Main.java
@@ -16,6 +16,7 @@
           .put("demo", DemoCommand::new)
           .put("errors", ErrorsCommand::new)
           .put("experiment", ExperimentCommand::new)
+          .put("fault-run", FaultRunCommand::new)
           .put("get", GetCommand::new)
           .put("keys", KeysCommand::new)
           .put("node", NodeCommand::new)
--- a/core/src/main/java/io/briarward/core/forwarding/HeaderRules.java
+++ b/core/src/main/java/io/briarward/core/forwarding/HeaderRules.java
@@ -35,8 +35,7 @@
           "traceparent",
           "tracestate",
           "x-request-id",
-          "x-timeout-millis",
-          "idempotency-key");
+          "x-timeout-millis");
   private static final String BEARER = "bearer ";
 
   private HeaderRules() {}
--- a/experiments/src/main/java/io/briarward/experiments/demo/FaultRun.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/FaultRun.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.Multiset;
 import io.briarward.experiments.demo.HttpCalls.Request;
 import io.briarward.operator.examples.TubeMill;
+import io.briarward.standins.http.Json;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.schedulers.Schedulers;
--- a/experiments/src/main/java/io/briarward/experiments/demo/HistoryCheck.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/HistoryCheck.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.Multiset;
+import io.briarward.standins.http.Json;
 
 /** Checks what callers saw against what the upstreams ran. */
 final class HistoryCheck {
--- a/standins/src/main/java/io/briarward/standins/plain/PlainStandIn.java
+++ b/standins/src/main/java/io/briarward/standins/plain/PlainStandIn.java
@@ -1,6 +1,8 @@
 package io.briarward.standins.plain;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
 import io.briarward.standins.http.Answer;
 import io.briarward.standins.http.Call;
 import io.briarward.standins.http.Fault;
@@ -19,6 +21,7 @@
   private static final long WORK_MILLIS = 2;
   private static final int MAX_CONCURRENT = 64;
   private static final String REQUEST_ID = "X-Request-Id";
+  private static final String OPERATION_ID = "X-Operation-Id";
   private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
   private final Timer timer;
@@ -26,6 +29,7 @@
   private final Settings settings;
   private final Queue<Call> waiting = new ArrayDeque<>();
   private final RunCounter runs = RunCounter.create();
+  private final Multiset<String> executionsByOperation = HashMultiset.create();
   private int running;
   private long executions;
 
@@ -66,6 +70,10 @@
 
   @Override
   public void handle(Call call) {
+    if (call.path().equals("/control/executions")) {
+      call.answer(Answer.json(200, executionCounts()));
+      return;
+    }
     if (call.path().equals("/v1/load")) {
       call.answer(Answer.json(200, load()));
       return;
@@ -92,6 +100,12 @@
     waiting.clear();
   }
 
+  private ObjectNode executionCounts() {
+    ObjectNode counts = Json.object();
+    executionsByOperation.entrySet().forEach(e -> counts.put(e.getElement(), e.getCount()));
+    return counts;
+  }
+
   private ObjectNode load() {
     return Json.object()
         .put("running", running)
@@ -106,6 +120,7 @@
     executions++;
     long execution = executions;
     call.header(IDEMPOTENCY_KEY).or(() -> call.header(REQUEST_ID)).ifPresent(runs::record);
+    call.header(OPERATION_ID).ifPresent(executionsByOperation::add);
     double factor = faults.valueOr(Fault.SLOWDOWN, 1);
     long workMillis = (long) (settings.workMillis() * factor);
     timer.scheduleMillis(workMillis, () -> finish(call, execution));
