--- a/core/src/main/java/io/briarward/core/usage/CopySender.java
+++ b/core/src/main/java/io/briarward/core/usage/CopySender.java
@@ -10,10 +10,10 @@
 /**
  * Sends the changes of a ledger to the peers that keep copies, one batch at a time to each.
  *
- * <p>Records that arrive while a batch is on its way go together into the next one. A lost batch is
- * sent again with everything changed since the last acknowledgement; counters are cumulative, so
- * repeats and reordering do no harm. Times are milliseconds of one monotonic clock. Not
- * thread-safe.
+ * <p>Records that arrive while a batch is on its way, or shortly after the last one, go together
+ * into the next one. A lost batch is sent again with everything changed since the last
+ * acknowledgement; counters are cumulative, so repeats and reordering do no harm. Times are
+ * milliseconds of one monotonic clock. Not thread-safe.
  */
 public final class CopySender {
   private final UsageSettings settings;
@@ -33,7 +33,7 @@
     private long announcedFlush;
     private long sentFlush;
     private boolean outstanding;
-    private long sentMillis;
+    private long sentMillis = Long.MIN_VALUE / 2;
     private int timeouts;
   }
 
@@ -64,7 +64,8 @@
     peers.forEach(
         (id, peer) -> {
           expire(peer, nowMillis);
-          if (!peer.outstanding && behind(peer)) {
+          boolean rested = nowMillis - peer.sentMillis >= settings.copyGapMillis();
+          if (!peer.outstanding && rested && behind(peer)) {
             peer.outstanding = true;
             peer.sentFlush = flushedSequence;
             peer.sentMillis = nowMillis;
--- a/core/src/main/java/io/briarward/core/usage/UsageSettings.java
+++ b/core/src/main/java/io/briarward/core/usage/UsageSettings.java
@@ -13,6 +13,7 @@
  * @param windowMillis the length of a reporting window
  * @param flushMillis how often a VM writes its counters to the table service
  * @param sealDelayMillis how long after a window's end a VM seals it
+ * @param copyGapMillis the least time between two batches to the same peer
  * @param copyTimeoutMillis when a copy that was not acknowledged is sent again
  * @param copyAgeMillis the age at which a holder writes a copy on behalf of its owner
  * @param deadAfterMillis how long an incarnation's row may stay unchanged before a window is frozen
@@ -26,6 +27,7 @@
     long windowMillis,
     long flushMillis,
     long sealDelayMillis,
+    long copyGapMillis,
     long copyTimeoutMillis,
     long copyAgeMillis,
     long deadAfterMillis,
@@ -36,6 +38,7 @@
   private static final long WINDOW_MILLIS = 300_000;
   private static final long FLUSH_MILLIS = 30_000;
   private static final long SEAL_DELAY_MILLIS = 1_000;
+  private static final long COPY_GAP_MILLIS = 20;
   private static final long COPY_TIMEOUT_MILLIS = 50;
   private static final long COPY_AGE_MILLIS = 45_000;
   private static final long DEAD_AFTER_MILLIS = 90_000;
@@ -74,6 +77,7 @@
         WINDOW_MILLIS,
         FLUSH_MILLIS,
         SEAL_DELAY_MILLIS,
+        COPY_GAP_MILLIS,
         COPY_TIMEOUT_MILLIS,
         COPY_AGE_MILLIS,
         DEAD_AFTER_MILLIS,
--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -1,6 +1,10 @@
 package io.briarward.experiments;
 
 import com.google.common.collect.ImmutableSortedMap;
+import io.briarward.experiments.control.CapacityPolicies;
+import io.briarward.experiments.control.LeaseCost;
+import io.briarward.experiments.control.UsageCost;
+import io.briarward.experiments.control.UsageLoss;
 import io.briarward.experiments.serving.Flood;
 import io.briarward.experiments.serving.Overload;
 import io.briarward.experiments.serving.PrefixReuse;
@@ -11,10 +15,14 @@
 public final class Experiments {
   private static final ImmutableSortedMap<String, Experiment> BY_NAME =
       ImmutableSortedMap.<String, Experiment>naturalOrder()
+          .put("capacity", new CapacityPolicies())
           .put("flood", new Flood())
+          .put("lease-cost", new LeaseCost())
           .put("overload", new Overload())
           .put("prefix", new PrefixReuse())
           .put("routing-cost", new RoutingCost())
+          .put("usage-cost", new UsageCost())
+          .put("usage-loss", new UsageLoss())
           .build();
 
   private Experiments() {}
--- /dev/null
+++ b/experiments/src/main/java/io/briarward/experiments/control/CapacitySimulation.java
@@ -0,0 +1,223 @@
+package io.briarward.experiments.control;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.capacity.CapacityPlanner;
+import io.briarward.core.capacity.Market;
+import io.briarward.core.capacity.RunningUpstream;
+import io.briarward.core.capacity.RunningUpstream.State;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * Three data centres whose demand follows the day, with bursts and reclaims of whole data centres.
+ *
+ * <p>Work beyond a data centre's capacity goes to free capacity elsewhere; what finds none is
+ * unserved. Work on a reclaimed upstream is cut and counted.
+ */
+final class CapacitySimulation {
+  static final long START_MILLIS = 60_000;
+  static final int MAX_CONCURRENT = 16;
+  static final int MAX_UPSTREAMS = 40;
+
+  private static final long STEP_MILLIS = 1_000;
+  private static final long PLAN_MILLIS = 5_000;
+  private static final long DAY_MILLIS = 86_400_000;
+  private static final long HARM_MILLIS = 180_000;
+  private static final double RECLAIMABLE_COST = 0.3;
+  private static final double RECLAIMS_PER_DAY = 6;
+  private static final double BURSTS_PER_DAY = 24;
+  private static final long SCARCE_MILLIS = 900_000;
+  private static final long BURST_MILLIS = 300_000;
+  private static final double BURST_FACTOR = 1.5;
+
+  private final Random random;
+  private final CapacityPolicy policy;
+  private final List<DataCentre> dataCentres = new ArrayList<>();
+  private long nowMillis;
+  private long upstreamIds;
+  private double cost;
+  private double demanded;
+  private double served;
+  private double servedOnReclaimable;
+  private double cut;
+  private double unservedAfterReclaim;
+  private int reclaims;
+  private long lastReclaimMillis = -HARM_MILLIS;
+
+  CapacitySimulation(long seed, CapacityPolicy policy) {
+    this.random = new Random(seed);
+    this.policy = policy;
+    for (int i = 0; i < 3; i++) {
+      dataCentres.add(new DataCentre("dc-" + i));
+    }
+  }
+
+  /** Totals of a run; work is in request-seconds, cost in on-demand hours. */
+  record Result(
+      double cost,
+      double demanded,
+      double served,
+      double servedOnReclaimable,
+      double cut,
+      double unservedAfterReclaim,
+      int reclaims) {}
+
+  private static final class Running {
+    private final String id;
+    private final Market market;
+    private final long startedMillis;
+
+    Running(String id, Market market, long startedMillis) {
+      this.id = id;
+      this.market = market;
+      this.startedMillis = startedMillis;
+    }
+
+    private boolean serves(long nowMillis) {
+      return nowMillis >= startedMillis + START_MILLIS;
+    }
+
+    private RunningUpstream view(long nowMillis) {
+      return new RunningUpstream(
+          id,
+          id,
+          "recipe-llm",
+          market,
+          serves(nowMillis) ? State.RUNNING : State.STARTING,
+          "127.0.0.1",
+          1,
+          market == Market.ON_DEMAND ? 1 : RECLAIMABLE_COST);
+    }
+  }
+
+  private static final class DataCentre {
+    private final String id;
+    private final List<Running> upstreams = new ArrayList<>();
+    private long burstUntilMillis;
+    private long scarceUntilMillis;
+    private double concurrent;
+    private double spare;
+
+    DataCentre(String id) {
+      this.id = id;
+    }
+
+    private long serving(long nowMillis) {
+      return upstreams.stream().filter(each -> each.serves(nowMillis)).count();
+    }
+
+    private double reclaimableShare(long nowMillis) {
+      long reclaimable =
+          upstreams.stream()
+              .filter(each -> each.serves(nowMillis) && each.market == Market.RECLAIMABLE)
+              .count();
+      return reclaimable / Math.max(1.0, serving(nowMillis));
+    }
+  }
+
+  Result run(int days) {
+    for (nowMillis = 0; nowMillis < days * DAY_MILLIS; nowMillis += STEP_MILLIS) {
+      for (DataCentre dataCentre : dataCentres) {
+        dataCentre.concurrent = demand(dataCentre);
+        reclaimSometimes(dataCentre);
+        if (nowMillis % PLAN_MILLIS == 0) {
+          plan(dataCentre);
+        }
+      }
+      serve();
+    }
+    return new Result(
+        cost, demanded, served, servedOnReclaimable, cut, unservedAfterReclaim, reclaims);
+  }
+
+  private double demand(DataCentre dataCentre) {
+    if (chance(BURSTS_PER_DAY)) {
+      dataCentre.burstUntilMillis = nowMillis + BURST_MILLIS;
+    }
+    double day = Math.sin(2 * Math.PI * nowMillis / DAY_MILLIS);
+    double base = 70 + 45 * day;
+    double burst = nowMillis < dataCentre.burstUntilMillis ? BURST_FACTOR : 1;
+    return base * burst * (1 + 0.05 * random.nextGaussian());
+  }
+
+  private void reclaimSometimes(DataCentre dataCentre) {
+    if (!chance(RECLAIMS_PER_DAY)) {
+      return;
+    }
+    double share = dataCentre.reclaimableShare(nowMillis);
+    cut += Math.min(dataCentre.concurrent, capacity(dataCentre)) * share;
+    dataCentre.upstreams.removeIf(each -> each.market == Market.RECLAIMABLE);
+    dataCentre.scarceUntilMillis = nowMillis + SCARCE_MILLIS;
+    lastReclaimMillis = nowMillis;
+    reclaims++;
+  }
+
+  private void plan(DataCentre dataCentre) {
+    ImmutableList<RunningUpstream> upstreams =
+        dataCentre.upstreams.stream().map(each -> each.view(nowMillis)).collect(toImmutableList());
+    boolean scarce = nowMillis < dataCentre.scarceUntilMillis;
+    CapacityPlanner.Plan plan =
+        policy.plan(
+            dataCentre.id,
+            nowMillis,
+            dataCentre.concurrent,
+            upstreams,
+            market -> market == Market.ON_DEMAND || !scarce);
+    start(dataCentre, Market.ON_DEMAND, plan.startOnDemand());
+    start(dataCentre, Market.RECLAIMABLE, plan.startReclaimable());
+    for (RunningUpstream stopped : plan.stop()) {
+      dataCentre.upstreams.removeIf(each -> each.id.equals(stopped.id()));
+    }
+  }
+
+  private void start(DataCentre dataCentre, Market market, int count) {
+    for (int i = 0; i < count; i++) {
+      upstreamIds++;
+      dataCentre.upstreams.add(new Running("u-" + upstreamIds, market, nowMillis));
+    }
+  }
+
+  private void serve() {
+    double seconds = STEP_MILLIS / 1_000.0;
+    double unserved = 0;
+    for (DataCentre dataCentre : dataCentres) {
+      double capacity = capacity(dataCentre);
+      double local = Math.min(dataCentre.concurrent, capacity);
+      dataCentre.spare = capacity - local;
+      unserved += dataCentre.concurrent - local;
+      demanded += dataCentre.concurrent * seconds;
+      count(dataCentre, local * seconds);
+      cost += costPerHour(dataCentre) * seconds / 3_600;
+    }
+    for (DataCentre dataCentre : dataCentres) {
+      double moved = Math.min(unserved, dataCentre.spare);
+      unserved -= moved;
+      count(dataCentre, moved * seconds);
+    }
+    if (nowMillis - lastReclaimMillis < HARM_MILLIS) {
+      unservedAfterReclaim += unserved * seconds;
+    }
+  }
+
+  private void count(DataCentre dataCentre, double work) {
+    served += work;
+    servedOnReclaimable += work * dataCentre.reclaimableShare(nowMillis);
+  }
+
+  private double capacity(DataCentre dataCentre) {
+    return dataCentre.serving(nowMillis) * (double) MAX_CONCURRENT;
+  }
+
+  private static double costPerHour(DataCentre dataCentre) {
+    return dataCentre.upstreams.stream()
+        .mapToDouble(each -> each.market == Market.ON_DEMAND ? 1 : RECLAIMABLE_COST)
+        .sum();
+  }
+
+  private boolean chance(double perDay) {
+    return random.nextDouble() < perDay * STEP_MILLIS / DAY_MILLIS;
+  }
+}
--- /dev/null
+++ b/experiments/src/main/java/io/briarward/experiments/control/UsageNode.java
@@ -0,0 +1,167 @@
+package io.briarward.experiments.control;
+
+import io.briarward.core.lease.LeaseAction;
+import io.briarward.core.lease.LeaseMachine;
+import io.briarward.core.lease.LeaseSettings;
+import io.briarward.core.lease.WorkSlot;
+import io.briarward.core.usage.CopyFlusher;
+import io.briarward.core.usage.CopyHolder;
+import io.briarward.core.usage.CopySender;
+import io.briarward.core.usage.ReportAction;
+import io.briarward.core.usage.ReportMachine;
+import io.briarward.core.usage.SendOutcome;
+import io.briarward.core.usage.UsageAmounts;
+import io.briarward.core.usage.UsageKey;
+import io.briarward.core.usage.UsageLedger;
+import io.briarward.core.usage.UsageOwner;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** One process of a {@link UsageSimulation}. */
+final class UsageNode {
+  private static final long PEER_DELAY_MILLIS = 1;
+  private static final long SINK_DELAY_MILLIS = 20;
+
+  private final UsageSimulation world;
+  private final String vmId;
+  private final UsageLedger ledger;
+  private final CopySender sender;
+  private final UsageOwner owner;
+  private final CopyHolder holder = CopyHolder.create(UsageSimulation.SETTINGS);
+  private final CopyFlusher flusher = CopyFlusher.create(UsageSimulation.SETTINGS, holder);
+  private final LeaseMachine lease;
+  private final ReportMachine reports = ReportMachine.create(UsageSimulation.SETTINGS);
+  private final WorkSlot slot = WorkSlot.create();
+  private final Deque<Long> unanswered = new ArrayDeque<>();
+
+  UsageNode(UsageSimulation world, String vmId, String incarnation) {
+    this.world = world;
+    this.vmId = vmId;
+    this.ledger = UsageLedger.create(UsageSimulation.SETTINGS, now());
+    this.sender = CopySender.create(UsageSimulation.SETTINGS, incarnation, ledger);
+    this.owner = UsageOwner.create(UsageSimulation.SETTINGS, incarnation, ledger, sender);
+    this.lease = LeaseMachine.create(LeaseSettings.defaults(), ReportMachine.DUTY, incarnation);
+  }
+
+  void step(boolean request) {
+    if (request && owner.registered()) {
+      serve();
+    }
+    sender.setPeers(world.peersOf(vmId));
+    copy();
+    answer();
+    owner
+        .poll(now(), now())
+        .ifPresent(
+            commit ->
+                world
+                    .store()
+                    .commit(
+                        commit.transaction(),
+                        result -> owner.onCommit(commit.operation(), result)));
+    flusher
+        .poll(now())
+        .ifPresent(
+            commit ->
+                world
+                    .store()
+                    .commit(
+                        commit.transaction(),
+                        result -> flusher.onCommit(commit.operation(), result)));
+    report(reports.poll(now(), now(), lease.guard(now())));
+    renew(slot.poll(lease, now()));
+  }
+
+  private long now() {
+    return world.time().nowMillis();
+  }
+
+  private boolean dead() {
+    return world.alive(vmId).filter(node -> node == this).isEmpty();
+  }
+
+  private void serve() {
+    UsageKey key = new UsageKey("org-" + world.random().nextInt(8), "recipe-llm", "live");
+    unanswered.add(owner.record(now(), key, new UsageAmounts(1, 1_000, 300, 200, 900)));
+    world.countRun();
+    if (world.copies() == 0) {
+      // Without copies the answer goes out at once.
+      unanswered.clear();
+      world.countAnswered(1);
+    }
+  }
+
+  private void copy() {
+    for (CopySender.Send send : sender.poll(now())) {
+      world
+          .time()
+          .after(
+              PEER_DELAY_MILLIS,
+              () ->
+                  world
+                      .alive(send.peer())
+                      .ifPresent(
+                          peer -> {
+                            long sequence = peer.holder.accept(send.batch(), now());
+                            world
+                                .time()
+                                .after(PEER_DELAY_MILLIS, () -> onAck(send.peer(), sequence));
+                          }));
+    }
+  }
+
+  private void onAck(String peer, long sequence) {
+    if (!dead()) {
+      sender.onAck(peer, sequence);
+      answer();
+    }
+  }
+
+  private void answer() {
+    long durable = sender.durableSequence(Math.max(1, world.copies()));
+    long count = 0;
+    while (!unanswered.isEmpty() && unanswered.peek() <= durable) {
+      unanswered.remove();
+      count++;
+    }
+    world.countAnswered(count);
+  }
+
+  private void renew(LeaseAction action) {
+    if (action instanceof LeaseAction.Read read) {
+      world
+          .store()
+          .read(read.row(), row -> slot.settle(lease.onRead(read.operation(), now(), row)));
+    } else if (action instanceof LeaseAction.Commit commit) {
+      world
+          .store()
+          .commit(
+              commit.transaction(),
+              result -> slot.settle(lease.onCommit(commit.operation(), now(), result)));
+    }
+  }
+
+  private void report(ReportAction action) {
+    if (action instanceof ReportAction.Read read) {
+      world.store().read(read.row(), row -> reports.onRead(read.operation(), row));
+    } else if (action instanceof ReportAction.Scan scan) {
+      world
+          .store()
+          .scan(
+              scan.table(),
+              scan.prefix(),
+              rows -> reports.onScan(scan.operation(), now(), now(), rows));
+    } else if (action instanceof ReportAction.Work work) {
+      slot.offer(work.transaction(), done -> reports.onWork(work.operation(), done));
+    } else if (action instanceof ReportAction.Send send) {
+      world
+          .time()
+          .after(
+              SINK_DELAY_MILLIS,
+              () -> {
+                world.accept(send);
+                reports.onSent(send.operation(), SendOutcome.ACCEPTED);
+              });
+    }
+  }
+}
--- a/node/src/main/java/io/briarward/node/usage/UsageMeter.java
+++ b/node/src/main/java/io/briarward/node/usage/UsageMeter.java
@@ -43,7 +43,7 @@
  */
 public final class UsageMeter implements UsageRecorder, AutoCloseable {
   private static final long STEP_MILLIS = 20;
-  private static final long COPY_WAIT_MILLIS = 20;
+  private static final long COPY_WAIT_MILLIS = 40;
   private static final long FLUSH_WAIT_MILLIS = 500;
   private static final int COPIES = 2;
   private static final int SILENT_AFTER_TIMEOUTS = 3;
@@ -64,6 +64,7 @@
   private final CompletableSubject sealed = CompletableSubject.create();
   private Disposable stepping = Disposable.disposed();
   private long unprotected;
+  private boolean sendScheduled;
 
   private UsageMeter(
       UsageSettings settings,
@@ -137,6 +138,7 @@
     CompletableSubject durable = CompletableSubject.create();
     waiting.put(sequence, durable);
     sendCopies();
+    sendAfterGap();
     return durable
         .timeout(COPY_WAIT_MILLIS, TimeUnit.MILLISECONDS, scheduler, fallBack(sequence, durable))
         .doFinally(() -> waiting.remove(sequence));
@@ -191,6 +193,22 @@
     }
   }
 
+  /** Sends what could not go out at once because a batch went out just before. */
+  private void sendAfterGap() {
+    if (sendScheduled) {
+      return;
+    }
+    sendScheduled = true;
+    var unused =
+        scheduler.scheduleDirect(
+            () -> {
+              sendScheduled = false;
+              sendCopies();
+            },
+            settings.copyGapMillis(),
+            TimeUnit.MILLISECONDS);
+  }
+
   private void onAck(String peer, PeerMessage answer) {
     sender.onAck(peer, answer.getUsage().getAck().getSequence());
     completeDurable();
