--- a/core/src/test/java/io/briarward/core/usage/WindowFreezerTest.java
+++ b/core/src/test/java/io/briarward/core/usage/WindowFreezerTest.java
@@ -51,6 +51,17 @@
     assertThat(third.figures().isEmpty()).isTrue();
   }
 
+  @Test
+  void usageWrittenBetweenTheScanAndTheFreezeIsBilledInTheNextWindow() {
+    WindowFreezer.Input scanned = input(ImmutableSet.of("vm1.a"));
+    flush(3, false);
+    FrozenWindow first = freezeAndCommit(before(), scanned);
+    FrozenWindow second = freezeAndCommit(first, input(ImmutableSet.of()));
+
+    assertThat(first.figures().isEmpty()).isTrue();
+    assertThat(second.figures().get(KEY).requests()).isEqualTo(3);
+  }
+
   @Test
   void usageIsSealedOnBehalfOfItsOwnerAfterTheRetention() {
     flush(3, false);
