--- a/node/src/main/java/io/briarward/node/configuration/ControlService.java
+++ b/node/src/main/java/io/briarward/node/configuration/ControlService.java
@@ -46,6 +46,7 @@
   private static final long VM_LIST_INTERVAL_MILLIS = 2_000;
   private static final long PROBE_TIMEOUT_MILLIS = 2_000;
   private static final long CONTENT_TIMEOUT_MILLIS = 5_000;
+  private static final long CUT_OFF_DELAY_MILLIS = 5_000;
   private static final long NOTHING_PUBLISHED = -1;
 
   private final ControlContext context;
@@ -72,6 +73,7 @@
 
   /** Starts probing and reading. */
   public void start() {
+    context.holder().setPermission(this::permission);
     context.peers().handle(PeerMessage.BodyCase.MEMBERSHIP, this::onMessage);
     context.peers().handle(PeerMessage.BodyCase.CONFIGURATION, this::onMessage);
     running.add(
@@ -97,6 +99,21 @@
     return permissions.onBackpressureLatest().distinctUntilChanged();
   }
 
+  /**
+   * Signals when running requests and streams of callers with keys are to be cut off, because the
+   * permission has been refused for {@value #CUT_OFF_DELAY_MILLIS} ms on end.
+   */
+  public Flowable<ServingPermission> cutOffs() {
+    return permissions()
+        .distinctUntilChanged(ServingPermission::permitted)
+        .switchMapMaybe(
+            judged ->
+                judged.permitted()
+                    ? Maybe.<ServingPermission>empty()
+                    : Maybe.just(judged)
+                        .delay(CUT_OFF_DELAY_MILLIS, TimeUnit.MILLISECONDS, context.scheduler()));
+  }
+
   /** Returns the other VMs. */
   public ImmutableList<Member> members() {
     return node.members();
