--- a/experiments/src/main/java/io/briarward/experiments/Experiments.java
+++ b/experiments/src/main/java/io/briarward/experiments/Experiments.java
@@ -1,6 +1,10 @@
 package io.briarward.experiments;
 
 import com.google.common.collect.ImmutableSortedMap;
+import io.briarward.experiments.control.CapacityPolicies;
+import io.briarward.experiments.control.LeaseCost;
+import io.briarward.experiments.control.UsageCost;
+import io.briarward.experiments.control.UsageLoss;
 import io.briarward.experiments.membership.ConfigurationSpread;
 import io.briarward.experiments.membership.KeyWithdrawal;
 import io.briarward.experiments.membership.MembershipCost;
@@ -18,14 +22,18 @@
 public final class Experiments {
   private static final ImmutableSortedMap<String, Experiment> BY_NAME =
       ImmutableSortedMap.<String, Experiment>naturalOrder()
+          .put("capacity", new CapacityPolicies())
           .put("configuration-spread", ConfigurationSpread.create())
           .put("key-withdrawal", KeyWithdrawal.create())
           .put("membership-cost", MembershipCost.create())
           .put("rollout-cost", new RolloutCostExperiment())
           .put("flood", new Flood())
+          .put("lease-cost", new LeaseCost())
           .put("overload", new Overload())
           .put("prefix", new PrefixReuse())
           .put("routing-cost", new RoutingCost())
+          .put("usage-cost", new UsageCost())
+          .put("usage-loss", new UsageLoss())
           .put("rollout-step", new RolloutStepExperiment())
           .put("staleness", new StalenessExperiment())
           .put("weights-spread", new WeightsSpreadExperiment())
