Count, copy and report usage, hold leases and swap weights on every node

The node meters each answer before its last byte goes out, competes for the duties of orders, reports and weight swaps, and routes to the upstreams that were ordered. A node takes no work before its usage is registered.

--- a/core/src/main/java/io/briarward/core/routing/Router.java
+++ b/core/src/main/java/io/briarward/core/routing/Router.java
@@ -184,6 +184,14 @@
     return pool == null ? ImmutableSet.of() : pool.localIds();
   }
 
+  /** Returns whether nothing is known to run or wait at an upstream. */
+  public synchronized boolean isIdle(String upstreamId) {
+    checkNotNull(upstreamId, "upstreamId");
+    return pools.values().stream()
+        .flatMap(pool -> pool.locate(upstreamId).stream())
+        .allMatch(located -> located.state().outstanding() <= 0);
+  }
+
   /** Returns the number of places reserved and not given back. */
   public synchronized int reservedCount() {
     return reservations.size();
--- a/core/src/main/java/io/briarward/core/usage/UsageSettings.java
+++ b/core/src/main/java/io/briarward/core/usage/UsageSettings.java
@@ -87,6 +87,22 @@
         BACKOFF);
   }
 
+  /** Returns these settings with another length of the window. */
+  public UsageSettings withWindowMillis(long millis) {
+    return new UsageSettings(
+        millis,
+        flushMillis,
+        sealDelayMillis,
+        copyGapMillis,
+        copyTimeoutMillis,
+        copyAgeMillis,
+        deadAfterMillis,
+        scanMillis,
+        requestTimeoutMillis,
+        retentionWindows,
+        backoff);
+  }
+
   /** Returns the start of the window that holds the given time since the Unix epoch. */
   public long windowStartMillis(long epochMillis) {
     return Math.floorDiv(epochMillis, windowMillis) * windowMillis;
--- a/node/src/main/java/io/briarward/node/CallerServer.java
+++ b/node/src/main/java/io/briarward/node/CallerServer.java
@@ -1,6 +1,8 @@
 package io.briarward.node;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.briarward.core.errors.ErrorKind;
+import io.briarward.core.errors.Failure;
 import io.briarward.node.http.HttpAnswers;
 import io.briarward.node.live.LiveProxy;
 import io.briarward.node.telemetry.Metrics;
@@ -9,6 +11,7 @@
 
 /** Sorts the requests on the port for callers and trainers. */
 final class CallerServer {
+  private static final long NOT_READY_RETRY_MILLIS = 1_000;
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
 
@@ -16,12 +19,25 @@
   private final TrainerApi trainer;
   private final Metrics metrics;
   private final BooleanSupplier ready;
+  private final BooleanSupplier serves;
 
-  CallerServer(LiveProxy live, TrainerApi trainer, Metrics metrics, BooleanSupplier ready) {
+  /**
+   * Creates a server.
+   *
+   * @param ready whether the balancer should send work here
+   * @param serves whether work that arrives all the same is taken
+   */
+  CallerServer(
+      LiveProxy live,
+      TrainerApi trainer,
+      Metrics metrics,
+      BooleanSupplier ready,
+      BooleanSupplier serves) {
     this.live = live;
     this.trainer = trainer;
     this.metrics = metrics;
     this.ready = ready;
+    this.serves = serves;
   }
 
   void handle(HttpServerRequest request) {
@@ -43,7 +59,11 @@
         path.equals("/v1/rollouts")
             || path.startsWith("/v1/rollouts/")
             || path.equals("/v1/weights");
-    if (ofTrainer) {
+    if (!serves.getAsBoolean()) {
+      HttpAnswers.problem(
+          request,
+          Failure.notRun(ErrorKind.NOT_READY, ErrorKind.NOT_READY.title(), NOT_READY_RETRY_MILLIS));
+    } else if (ofTrainer) {
       request.pause();
       trainer.handle(request);
     } else {
--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -3,19 +3,26 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import io.briarward.core.configuration.Service;
+import io.briarward.core.configuration.Upstream;
 import io.briarward.core.membership.Member;
+import io.briarward.core.usage.CopyPlacement;
+import io.briarward.core.usage.UsageSettings;
+import io.briarward.core.weights.SwapSettings;
 import io.briarward.node.configuration.ConfigurationHolder;
 import io.briarward.node.configuration.ConfigurationStore;
 import io.briarward.node.configuration.ControlContext;
 import io.briarward.node.configuration.ControlService;
+import io.briarward.node.duty.Duties;
+import io.briarward.node.duty.PlanInputs;
 import io.briarward.node.live.ActiveRequests;
 import io.briarward.node.live.LiveContext;
 import io.briarward.node.live.LiveProxy;
 import io.briarward.node.live.RetryBudgets;
 import io.briarward.node.live.RoutedSelector;
 import io.briarward.node.live.UpstreamRequests;
-import io.briarward.node.live.UsageRecorder;
 import io.briarward.node.operate.OperatorApi;
 import io.briarward.node.peer.NettyPeerNetwork;
 import io.briarward.node.peer.PeerNetwork;
@@ -29,10 +36,13 @@
 import io.briarward.node.platform.VmList;
 import io.briarward.node.rollout.RolloutService;
 import io.briarward.node.rollout.RoutedSamplers;
+import io.briarward.node.serving.OrderedUpstreams;
 import io.briarward.node.serving.Serving;
 import io.briarward.node.settings.NodeSettings;
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.telemetry.Tracing;
+import io.briarward.node.usage.UsageMeter;
+import io.briarward.node.weights.WeightService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
@@ -68,12 +78,16 @@
   private static final int IDLE_CONNECTION_SECONDS = 120;
   private static final int SHUTDOWN_TIMEOUT_SECONDS = 30;
   private static final long MEMBERS_INTERVAL_MILLIS = 500;
+  private static final long SEAL_TIMEOUT_MILLIS = 10_000;
+  private static final double WEIGHT_FETCHES_PER_SECOND = 2;
 
   private final NodeContext context;
   private final ActiveRequests active;
   private final LiveProxy live;
   private final Serving serving;
   private final RolloutService rollouts;
+  private final UsageMeter usage;
+  private final Duties duties;
   private final Deque<AutoCloseable> parts = new ArrayDeque<>();
   private HttpServer callerServer;
   private HttpServer operatorServer;
@@ -84,10 +98,10 @@
     this.active = ActiveRequests.create();
     this.serving = Serving.start(context);
     UpstreamRequests upstreams = UpstreamRequests.create(context.vertx());
-    UsageRecorder usage = recorded -> Completable.complete();
+    this.usage = startUsage();
     this.live =
         LiveProxy.create(
-            liveContext(upstreams, usage),
+            liveContext(upstreams),
             context.configuration(),
             context.tables(),
             context.settings().maxConcurrent());
@@ -104,11 +118,67 @@
     parts.push(live);
     parts.push(serving);
     parts.push(context.control());
+    PlanInputs planInputs = PlanInputs.create(context, serving.router());
+    this.duties = Duties.start(context, usageSettings(), this::liveVms, planInputs::of);
+    parts.push(usage);
     parts.push(rollouts);
+    parts.push(duties);
+    parts.push(startWeights());
+    parts.push(OrderedUpstreams.start(context, serving));
     parts.push(follow());
   }
 
-  private LiveContext liveContext(UpstreamRequests upstreams, UsageRecorder usage) {
+  private UsageSettings usageSettings() {
+    return UsageSettings.defaults().withWindowMillis(context.settings().usageWindowMillis());
+  }
+
+  private UsageMeter startUsage() {
+    return UsageMeter.start(
+        usageSettings(),
+        context.incarnation(),
+        new CopyPlacement.Candidate(context.settings().vmId(), context.settings().dataCentre()),
+        this::copyCandidates,
+        context.scheduler(),
+        context::wallMillis,
+        context.tables(),
+        context.peers());
+  }
+
+  private ImmutableList<CopyPlacement.Candidate> copyCandidates() {
+    return context.control().members().stream()
+        .filter(Member::takesNewWork)
+        .map(member -> new CopyPlacement.Candidate(member.vmId(), member.dataCentre()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private ImmutableMap<String, String> liveVms() {
+    ImmutableMap.Builder<String, String> live = ImmutableMap.builder();
+    live.put(context.settings().vmId(), context.settings().dataCentre());
+    context.control().members().stream()
+        .filter(Member::takesNewWork)
+        .forEach(member -> live.put(member.vmId(), member.dataCentre()));
+    return live.buildKeepingLast();
+  }
+
+  private WeightService startWeights() {
+    return WeightService.start(
+        context,
+        duties::swapsFencingNumber,
+        this::configuredUpstreams,
+        SwapSettings.of(WEIGHT_FETCHES_PER_SECOND));
+  }
+
+  private ImmutableList<Upstream> configuredUpstreams(String serviceId) {
+    return context
+        .configuration()
+        .current()
+        .configuration()
+        .service(serviceId)
+        .map(Service::upstreams)
+        .orElse(ImmutableList.of());
+  }
+
+  private LiveContext liveContext(UpstreamRequests upstreams) {
     return new LiveContext(
         context.scheduler(),
         upstreams,
@@ -191,9 +261,19 @@
             TimeUnit.MILLISECONDS,
             context.scheduler(),
             Completable.fromAction(active::cutOffAll))
+        .andThen(Completable.defer(duties::stop))
+        .andThen(Completable.defer(this::sealUsage))
         .andThen(Completable.defer(this::close));
   }
 
+  private Completable sealUsage() {
+    return usage
+        .seal()
+        .timeout(SEAL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
+        .doOnError(error -> Logger.warn("usage not sealed: {}", error.toString()))
+        .onErrorComplete();
+  }
+
   /** Ends every running request at once, which lets a stop complete. */
   public void cutOffAll() {
     context.scheduler().scheduleDirect(active::cutOffAll);
@@ -245,7 +325,7 @@
   private Future<Node> listen() {
     context.control().start();
     CallerServer callers =
-        new CallerServer(live, rollouts.api(context), context.metrics(), this::ready);
+        new CallerServer(live, rollouts.api(context), context.metrics(), this::ready, this::serves);
     OperatorApi operators = OperatorApi.create(context, this::status);
     NodeSettings settings = context.settings();
     return listen(settings.httpPort(), callers::handle)
@@ -267,7 +347,12 @@
   }
 
   private boolean ready() {
-    return !stopping && context.configuration().known();
+    return !stopping && serves();
+  }
+
+  /** Returns whether work may be taken at all: usage that is not registered cannot be billed. */
+  private boolean serves() {
+    return context.configuration().known() && usage.ready();
   }
 
   private ObjectNode status() {
--- a/node/src/main/java/io/briarward/node/duty/Duties.java
+++ b/node/src/main/java/io/briarward/node/duty/Duties.java
@@ -1,11 +1,14 @@
 package io.briarward.node.duty;
 
 import static com.google.common.base.Preconditions.checkNotNull;
-import static com.google.common.collect.ImmutableList.toImmutableList;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.capacity.OrderMachine;
 import io.briarward.core.capacity.PlanInput;
+import io.briarward.core.configuration.CapacityTarget;
+import io.briarward.core.configuration.Configuration;
+import io.briarward.core.configuration.Service;
 import io.briarward.core.lease.DutyCandidates;
 import io.briarward.core.usage.ReportMachine;
 import io.briarward.core.usage.UsageSettings;
@@ -15,13 +18,15 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.tinylog.Logger;
 
 /**
- * The duties that this node competes for: the orders of each data centre, and the reports.
+ * The duties that this node competes for: orders, weight swaps and reports.
  *
  * <p>Only the few nodes that are chosen for a duty watch its lease. Runs on the node's event loop.
  */
@@ -32,7 +37,7 @@
 
   private final NodeContext context;
   private final UsageSettings usageSettings;
-  private final Supplier<ImmutableSet<String>> liveVmIds;
+  private final Supplier<ImmutableMap<String, String>> liveVms;
   private final Function<String, PlanInput> planInput;
   private final Map<String, Duty> duties = new HashMap<>();
   private boolean stopping;
@@ -41,26 +46,26 @@
   private Duties(
       NodeContext context,
       UsageSettings usageSettings,
-      Supplier<ImmutableSet<String>> liveVmIds,
+      Supplier<ImmutableMap<String, String>> liveVms,
       Function<String, PlanInput> planInput) {
     this.context = checkNotNull(context, "context");
     this.usageSettings = checkNotNull(usageSettings, "usageSettings");
-    this.liveVmIds = checkNotNull(liveVmIds, "liveVmIds");
+    this.liveVms = checkNotNull(liveVms, "liveVms");
     this.planInput = checkNotNull(planInput, "planInput");
   }
 
   /**
    * Starts to compete for the duties.
    *
-   * @param liveVmIds the ids of the VMs thought to be alive, this one among them
+   * @param liveVms the data centre of each VM thought to be alive, by id, this one among them
    * @param planInput what the capacity plan of a data centre is made from
    */
   public static Duties start(
       NodeContext context,
       UsageSettings usageSettings,
-      Supplier<ImmutableSet<String>> liveVmIds,
+      Supplier<ImmutableMap<String, String>> liveVms,
       Function<String, PlanInput> planInput) {
-    Duties duties = new Duties(context, usageSettings, liveVmIds, planInput);
+    Duties duties = new Duties(context, usageSettings, liveVms, planInput);
     duties.stepping =
         Flowable.interval(0, STEP_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
             .onBackpressureDrop()
@@ -103,16 +108,33 @@
   }
 
   private void addDuties() {
-    ImmutableSet<String> live = liveVmIds.get();
-    addDuty(ReportMachine.DUTY, live, this::reports);
-    var dataCentres =
-        context.configuration().current().configuration().capacityTargets().stream()
-            .map(target -> target.dataCentre())
-            .distinct()
-            .collect(toImmutableList());
-    for (String dataCentre : dataCentres) {
-      addDuty(OrderMachine.duty(dataCentre), live, () -> orders(dataCentre));
-    }
+    ImmutableMap<String, String> live = liveVms.get();
+    addDuty(ReportMachine.DUTY, live.keySet(), this::reports);
+    Configuration configuration = context.configuration().current().configuration();
+    configuration.capacityTargets().stream()
+        .map(CapacityTarget::dataCentre)
+        .distinct()
+        .forEach(
+            dataCentre ->
+                addDuty(
+                    OrderMachine.duty(dataCentre),
+                    within(dataCentre, live),
+                    () -> orders(dataCentre)));
+    String here = context.settings().dataCentre();
+    configuration.services().stream()
+        .filter(service -> service.kind() == Service.Kind.MODEL)
+        .map(service -> swapsDuty(service.id()))
+        .forEach(name -> addDuty(name, within(here, live), () -> swaps(name)));
+  }
+
+  /** Prefers the VMs that see the data centre's load, if any is left there. */
+  private static ImmutableSet<String> within(String dataCentre, ImmutableMap<String, String> live) {
+    ImmutableSet<String> local =
+        live.entrySet().stream()
+            .filter(vm -> vm.getValue().equals(dataCentre))
+            .map(Map.Entry::getKey)
+            .collect(ImmutableSet.toImmutableSet());
+    return local.isEmpty() ? live.keySet() : local;
   }
 
   private void addDuty(String name, ImmutableSet<String> live, Supplier<Duty> factory) {
@@ -127,6 +149,28 @@
     }
   }
 
+  /**
+   * Returns the fencing number for the weight swaps of a service in this node's data centre, while
+   * this node holds their lease.
+   */
+  public OptionalLong swapsFencingNumber(String service) {
+    long nowMillis = context.nowMillis();
+    return Optional.ofNullable(duties.get(swapsDuty(service)))
+        .flatMap(duty -> duty.lease().guard())
+        .filter(guard -> guard.mayStart(nowMillis))
+        .map(guard -> OptionalLong.of(guard.fencingNumber()))
+        .orElseGet(OptionalLong::empty);
+  }
+
+  private String swapsDuty(String service) {
+    return "swaps/" + context.settings().dataCentre() + "/" + service;
+  }
+
+  private Duty swaps(String name) {
+    return new LeaseOnlyDuty(
+        name, LeaseLoop.create(context.tables(), context.scheduler(), name, context.incarnation()));
+  }
+
   private Duty reports() {
     return ReportsDuty.create(
         context.tables(),
--- a/node/src/main/java/io/briarward/node/duty/OrdersDuty.java
+++ b/node/src/main/java/io/briarward/node/duty/OrdersDuty.java
@@ -129,20 +129,16 @@
 
   private Single<OrderOutcome> exchange(Order order, long fencingNumber) {
     if (order.action() == Order.Action.START) {
-      return orders
-          .start(
-              new UpstreamOrders.StartOrder(
-                  order.id(),
-                  dataCentre,
-                  order.service(),
-                  UpstreamOrders.Market.valueOf(order.market().name()),
-                  fencingNumber))
-          .map(id -> id.isPresent() ? OrderOutcome.ACCEPTED : OrderOutcome.NO_CAPACITY);
+      return orders.start(
+          new UpstreamOrders.StartOrder(
+              order.id(),
+              dataCentre,
+              order.service(),
+              UpstreamOrders.Market.valueOf(order.market().name()),
+              fencingNumber));
     }
-    return orders
-        .stop(
-            new UpstreamOrders.StopOrder(order.id(), dataCentre, order.upstreamId(), fencingNumber))
-        .map(done -> done ? OrderOutcome.ACCEPTED : OrderOutcome.STALE_FENCING_NUMBER);
+    return orders.stop(
+        new UpstreamOrders.StopOrder(order.id(), dataCentre, order.upstreamId(), fencingNumber));
   }
 
   private static ImmutableList<RunningUpstream> upstreams(
--- a/node/src/main/java/io/briarward/node/duty/ReportsDuty.java
+++ b/node/src/main/java/io/briarward/node/duty/ReportsDuty.java
@@ -104,17 +104,23 @@
                 send.windowStartMillis(),
                 send.figures(),
                 send.guard().fencingNumber())
-            .toSingleDefault(SendOutcome.ACCEPTED)
             .timeout(timeoutMillis, TimeUnit.MILLISECONDS, scheduler)
             .observeOn(scheduler)
             .doFinally(() -> sending--);
     StoreCalls.subscribe(
         sent,
         scheduler,
-        outcome -> machine.onSent(send.operation(), outcome),
+        outcome -> onSent(send.operation(), outcome),
         () -> machine.onFailure(send.operation(), nowMillis(), 0));
   }
 
+  private void onSent(long operation, SendOutcome outcome) {
+    if (outcome == SendOutcome.STALE_FENCING_NUMBER) {
+      lease.onStaleFencingNumber();
+    }
+    machine.onSent(operation, outcome);
+  }
+
   private long nowMillis() {
     return scheduler.now(TimeUnit.MILLISECONDS);
   }
--- a/node/src/main/java/io/briarward/node/platform/HttpReportSink.java
+++ b/node/src/main/java/io/briarward/node/platform/HttpReportSink.java
@@ -4,8 +4,10 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
 import com.google.common.net.UrlEscapers;
+import io.briarward.core.usage.SendOutcome;
+import io.briarward.node.platform.JsonHttpClient.Reply;
 import io.briarward.node.platform.PlatformException.Effect;
-import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 
@@ -13,6 +15,7 @@
 public final class HttpReportSink implements ReportSink {
   private static final int OK = 200;
   private static final int CREATED = 201;
+  private static final int CONFLICT = 409;
 
   private final JsonHttpClient client;
   private final HostAndPort server;
@@ -28,7 +31,7 @@
   }
 
   @Override
-  public Completable send(
+  public Single<SendOutcome> send(
       String organisation, long windowStartMillis, JsonNode figures, long fencingNumber) {
     String path =
         "/v1/reports/"
@@ -40,12 +43,19 @@
             "Content-Type", "application/json", "Fencing-Number", Long.toString(fencingNumber));
     return client
         .send(HttpMethod.PUT, server, path, headers, Buffer.buffer(figures.toString()))
-        .doOnSuccess(
-            reply -> {
-              if (reply.status() != OK && reply.status() != CREATED) {
-                throw new PlatformException(Effect.NONE, "report sink answered " + reply.status());
-              }
-            })
-        .ignoreElement();
+        .map(HttpReportSink::outcome);
+  }
+
+  private static SendOutcome outcome(Reply reply) {
+    return switch (reply.status()) {
+      case OK, CREATED -> SendOutcome.ACCEPTED;
+      case CONFLICT -> conflict(reply);
+      default -> throw new PlatformException(Effect.NONE, "report sink answered " + reply.status());
+    };
+  }
+
+  private static SendOutcome conflict(Reply reply) {
+    boolean stale = reply.json().path("error").asText().equals("stale-fencing-number");
+    return stale ? SendOutcome.STALE_FENCING_NUMBER : SendOutcome.DIFFERENT_FIGURES;
   }
 }
--- a/node/src/main/java/io/briarward/node/platform/HttpUpstreamOrders.java
+++ b/node/src/main/java/io/briarward/node/platform/HttpUpstreamOrders.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import com.google.common.net.UrlEscapers;
+import io.briarward.core.capacity.OrderOutcome;
 import io.briarward.node.platform.JsonHttpClient.Reply;
 import io.briarward.node.platform.PlatformException.Effect;
 import io.reactivex.rxjava3.core.Single;
@@ -16,6 +17,7 @@
 public final class HttpUpstreamOrders implements UpstreamOrders {
   private static final int OK = 200;
   private static final int ACCEPTED = 202;
+  private static final int CONFLICT = 409;
   private static final int UNAVAILABLE = 503;
 
   private final JsonHttpClient client;
@@ -32,7 +34,7 @@
   }
 
   @Override
-  public Single<Optional<String>> start(StartOrder order) {
+  public Single<OrderOutcome> start(StartOrder order) {
     ObjectNode body =
         JsonNodeFactory.instance
             .objectNode()
@@ -44,11 +46,11 @@
             .put("fencingNumber", order.fencingNumber());
     return client
         .send(HttpMethod.POST, server, "/v1/orders", body)
-        .map(HttpUpstreamOrders::startedId);
+        .map(HttpUpstreamOrders::outcome);
   }
 
   @Override
-  public Single<Boolean> stop(StopOrder order) {
+  public Single<OrderOutcome> stop(StopOrder order) {
     ObjectNode body =
         JsonNodeFactory.instance
             .objectNode()
@@ -59,7 +61,7 @@
             .put("fencingNumber", order.fencingNumber());
     return client
         .send(HttpMethod.POST, server, "/v1/orders", body)
-        .map(reply -> reply.status() == ACCEPTED);
+        .map(HttpUpstreamOrders::outcome);
   }
 
   @Override
@@ -69,14 +71,23 @@
     return client.send(HttpMethod.GET, server, path).map(HttpUpstreamOrders::upstreams);
   }
 
-  private static Optional<String> startedId(Reply reply) {
+  private static OrderOutcome outcome(Reply reply) {
     return switch (reply.status()) {
-      case ACCEPTED -> Optional.of(reply.json().path("upstreamId").asText());
-      case UNAVAILABLE -> Optional.empty();
+      case ACCEPTED -> OrderOutcome.ACCEPTED;
+      case CONFLICT -> OrderOutcome.STALE_FENCING_NUMBER;
+      case UNAVAILABLE -> unavailable(reply);
       default -> throw new PlatformException(Effect.NONE, "orders answered " + reply.status());
     };
   }
 
+  /** Tells a data centre that has nothing to give from an outage of the interface. */
+  private static OrderOutcome unavailable(Reply reply) {
+    if (reply.json().path("error").asText().equals("no-capacity")) {
+      return OrderOutcome.NO_CAPACITY;
+    }
+    throw new PlatformException(Effect.NONE, "orders answered " + reply.status());
+  }
+
   private static ImmutableList<OrderedUpstream> upstreams(Reply reply) {
     if (reply.status() != OK) {
       throw new PlatformException(Effect.NONE, "orders answered " + reply.status());
--- a/node/src/main/java/io/briarward/node/platform/ReportSink.java
+++ b/node/src/main/java/io/briarward/node/platform/ReportSink.java
@@ -1,7 +1,8 @@
 package io.briarward.node.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.reactivex.rxjava3.core.Completable;
+import io.briarward.core.usage.SendOutcome;
+import io.reactivex.rxjava3.core.Single;
 
 /** The platform's interface that accepts usage reports. */
 @FunctionalInterface
@@ -11,6 +12,6 @@
    *
    * @param windowStartMillis the start of the window in milliseconds since the Unix epoch
    */
-  Completable send(
+  Single<SendOutcome> send(
       String organisation, long windowStartMillis, JsonNode figures, long fencingNumber);
 }
--- a/node/src/main/java/io/briarward/node/platform/UpstreamOrders.java
+++ b/node/src/main/java/io/briarward/node/platform/UpstreamOrders.java
@@ -1,16 +1,17 @@
 package io.briarward.node.platform;
 
 import com.google.common.collect.ImmutableList;
+import io.briarward.core.capacity.OrderOutcome;
 import io.reactivex.rxjava3.core.Single;
 import java.util.Optional;
 
 /** The platform's interface that starts and stops upstreams by data centre. */
 public interface UpstreamOrders {
-  /** Starts an upstream and returns its id, or empty when the data centre has none to give. */
-  Single<Optional<String>> start(StartOrder order);
+  /** Orders an upstream to be started. */
+  Single<OrderOutcome> start(StartOrder order);
 
-  /** Stops an upstream. */
-  Single<Boolean> stop(StopOrder order);
+  /** Orders an upstream to be stopped. */
+  Single<OrderOutcome> stop(StopOrder order);
 
   /** Lists the upstreams of a data centre. */
   Single<ImmutableList<OrderedUpstream>> list(String dataCentre);
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/serving/OrderedUpstreams.java
@@ -0,0 +1,99 @@
+package io.briarward.node.serving;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import io.briarward.core.capacity.OrderMachine;
+import io.briarward.core.capacity.UpstreamsRow;
+import io.briarward.core.configuration.CapacityTarget;
+import io.briarward.core.configuration.Configuration;
+import io.briarward.core.configuration.Upstream;
+import io.briarward.core.platform.Row;
+import io.briarward.node.NodeContext;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Maybe;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * Reads which ordered upstreams requests may go to.
+ *
+ * <p>While the table service does not answer, the last list stays in use.
+ */
+public final class OrderedUpstreams implements AutoCloseable {
+  private static final long INTERVAL_MILLIS = 2_000;
+  private static final int MAX_DATA_CENTRES = 500;
+  private static final int DEFAULT_MAX_CONCURRENT = 16;
+
+  private final NodeContext context;
+  private final Serving serving;
+  private Disposable polling = Disposable.disposed();
+  private ImmutableList<Row> last = ImmutableList.of();
+
+  private OrderedUpstreams(NodeContext context, Serving serving) {
+    this.context = context;
+    this.serving = serving;
+  }
+
+  /** Starts to pass the ordered upstreams on to {@code serving}. */
+  public static OrderedUpstreams start(NodeContext context, Serving serving) {
+    OrderedUpstreams ordered = new OrderedUpstreams(context, serving);
+    ordered.polling =
+        Flowable.interval(0, INTERVAL_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
+            .onBackpressureDrop()
+            .concatMapMaybe(unused -> ordered.read(), 1)
+            .observeOn(context.scheduler())
+            .subscribe(ordered::onRows);
+    return ordered;
+  }
+
+  @Override
+  public void close() {
+    polling.dispose();
+  }
+
+  private Maybe<ImmutableList<Row>> read() {
+    return context
+        .tables()
+        .scan(OrderMachine.UPSTREAMS, "", "", MAX_DATA_CENTRES)
+        .toMaybe()
+        .doOnError(error -> Logger.debug("ordered upstreams not read: {}", error.getMessage()))
+        .onErrorComplete();
+  }
+
+  private void onRows(ImmutableList<Row> rows) {
+    if (rows.equals(last)) {
+      return;
+    }
+    last = rows;
+    Configuration configuration = context.configuration().current().configuration();
+    ImmutableListMultimap.Builder<String, Upstream> byService = ImmutableListMultimap.builder();
+    for (Row row : rows) {
+      for (UpstreamsRow.Entry entry : UpstreamsRow.parse(row.value()).entries()) {
+        if (!entry.leaving()) {
+          byService.put(entry.service(), upstream(entry, row.key(), configuration));
+        }
+      }
+    }
+    serving.setOrderedUpstreams(byService.build());
+  }
+
+  private static Upstream upstream(
+      UpstreamsRow.Entry entry, String dataCentre, Configuration configuration) {
+    int maxConcurrent =
+        configuration.capacityTargets().stream()
+            .filter(target -> target.dataCentre().equals(dataCentre))
+            .filter(target -> target.service().equals(entry.service()))
+            .mapToInt(CapacityTarget::maxConcurrent)
+            .findFirst()
+            .orElse(DEFAULT_MAX_CONCURRENT);
+    return new Upstream(
+        entry.id(),
+        dataCentre,
+        entry.host(),
+        entry.port(),
+        entry.reclaimable(),
+        false,
+        maxConcurrent);
+  }
+}
--- a/node/src/test/java/io/briarward/node/duty/OrdersDutyTest.java
+++ b/node/src/test/java/io/briarward/node/duty/OrdersDutyTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.briarward.core.capacity.OrderMachine;
+import io.briarward.core.capacity.OrderOutcome;
 import io.briarward.core.capacity.PlanInput;
 import io.briarward.core.capacity.ServiceNeed;
 import io.briarward.node.platform.UpstreamOrders;
@@ -79,15 +80,15 @@
     private final List<StopOrder> stopped = new ArrayList<>();
 
     @Override
-    public Single<Optional<String>> start(StartOrder order) {
+    public Single<OrderOutcome> start(StartOrder order) {
       started.add(order);
-      return Single.just(Optional.of("u-" + order.orderId()));
+      return Single.just(OrderOutcome.ACCEPTED);
     }
 
     @Override
-    public Single<Boolean> stop(StopOrder order) {
+    public Single<OrderOutcome> stop(StopOrder order) {
       stopped.add(order);
-      return Single.just(true);
+      return Single.just(OrderOutcome.ACCEPTED);
     }
 
     @Override
--- a/node/src/test/java/io/briarward/node/duty/ReportsDutyTest.java
+++ b/node/src/test/java/io/briarward/node/duty/ReportsDutyTest.java
@@ -6,13 +6,14 @@
 import com.google.common.collect.ImmutableMap;
 import io.briarward.core.platform.Transaction;
 import io.briarward.core.usage.IncarnationRow;
+import io.briarward.core.usage.SendOutcome;
 import io.briarward.core.usage.UsageAmounts;
 import io.briarward.core.usage.UsageKey;
 import io.briarward.core.usage.UsageRow;
 import io.briarward.core.usage.UsageSettings;
 import io.briarward.core.usage.UsageTables;
 import io.briarward.core.usage.UsageTotals;
-import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.HashMap;
 import java.util.Map;
@@ -75,8 +76,11 @@
     return ReportsDuty.create(
         tables,
         (organisation, windowStartMillis, figures, fencingNumber) ->
-            Completable.fromAction(
-                () -> accepted.put(organisation + '/' + windowStartMillis, figures)),
+            Single.fromCallable(
+                () -> {
+                  accepted.put(organisation + '/' + windowStartMillis, figures);
+                  return SendOutcome.ACCEPTED;
+                }),
         scheduler,
         () -> scheduler.now(TimeUnit.MILLISECONDS),
         SETTINGS,
