--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -190,6 +190,7 @@
         () -> context.configuration().permission().permitted(),
         context.metrics(),
         context.tracing(),
+        context.bodies(),
         context.settings().maxBodyBytes());
   }
 
@@ -206,6 +207,9 @@
 
   private void passOnMembers() {
     ImmutableList<Member> others = context.control().members();
+    context.metrics().membersAlive(liveVms().size());
+    context.metrics().keysUsable(context.configuration().permission().permitted());
+    context.metrics().usageUnprotected(usage.unprotected());
     serving.setMembers(vmIds(others.stream().filter(Member::takesNewWork)), vmIds(others.stream()));
   }
 
@@ -363,7 +367,10 @@
         .put("dataCentre", context.settings().dataCentre())
         .put("ready", ready())
         .put("configurationVersion", context.configuration().current().version())
-        .put("requestsInFlight", active.count());
+        .put("requestsInFlight", active.count())
+        .put("membersAlive", liveVms().size())
+        .put("keyedRoutes", context.configuration().permission().reason().name())
+        .put("usageUnprotected", usage.unprotected());
   }
 
   private Completable close() {
--- a/node/src/main/java/io/briarward/node/NodeContext.java
+++ b/node/src/main/java/io/briarward/node/NodeContext.java
@@ -3,6 +3,7 @@
 import io.briarward.node.configuration.ConfigurationHolder;
 import io.briarward.node.configuration.ConfigurationStore;
 import io.briarward.node.configuration.ControlService;
+import io.briarward.node.http.BodyReader;
 import io.briarward.node.peer.PeerNetwork;
 import io.briarward.node.platform.ObjectStore;
 import io.briarward.node.platform.ReportSink;
@@ -43,6 +44,11 @@
     Metrics metrics,
     Tracing tracing) {
 
+  /** Returns what reads the bodies of requests. */
+  public BodyReader bodies() {
+    return new BodyReader(scheduler, settings.bodyTimeoutMillis());
+  }
+
   /** Returns the time of the monotonic clock in milliseconds. */
   public long nowMillis() {
     return scheduler.now(TimeUnit.MILLISECONDS);
--- a/node/src/main/java/io/briarward/node/live/LiveContext.java
+++ b/node/src/main/java/io/briarward/node/live/LiveContext.java
@@ -1,6 +1,7 @@
 package io.briarward.node.live;
 
 import io.briarward.node.admission.AdmissionGate;
+import io.briarward.node.http.BodyReader;
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.telemetry.Tracing;
 import io.reactivex.rxjava3.core.Scheduler;
@@ -24,6 +25,7 @@
     BooleanSupplier keysUsable,
     Metrics metrics,
     Tracing tracing,
+    BodyReader bodies,
     long maxBodyBytes) {
 
   /** Returns the time of the node's monotonic clock in milliseconds. */
--- a/node/src/main/java/io/briarward/node/live/LiveProxy.java
+++ b/node/src/main/java/io/briarward/node/live/LiveProxy.java
@@ -6,7 +6,6 @@
 import io.briarward.core.idempotency.IdempotencyDecision;
 import io.briarward.core.idempotency.IdempotencyRecord;
 import io.briarward.node.configuration.ConfigurationHolder;
-import io.briarward.node.http.BodyReader;
 import io.briarward.node.http.HttpAnswers;
 import io.briarward.node.platform.TableService;
 import io.opentelemetry.api.trace.Span;
@@ -112,7 +111,9 @@
     boolean small = length.filter(bytes -> bytes <= REPLAYABLE_BODY_BYTES).isPresent();
     if (idempotencyKey.isPresent()) {
       var unused =
-          BodyReader.read(request, KEYED_BODY_BYTES)
+          context
+              .bodies()
+              .read(request, KEYED_BODY_BYTES)
               .subscribe(
                   body -> claim(request, live.withBody(body), span, idempotencyKey.get()),
                   error -> refuse(request, span, error));
@@ -121,7 +122,9 @@
       start(request, live.withBody(Buffer.buffer()), span, AnswerObserver.NONE);
     } else if (small) {
       var unused =
-          BodyReader.read(request, REPLAYABLE_BODY_BYTES)
+          context
+              .bodies()
+              .read(request, REPLAYABLE_BODY_BYTES)
               .subscribe(
                   body -> start(request, live.withBody(body), span, AnswerObserver.NONE),
                   error -> refuse(request, span, error));
--- a/node/src/main/java/io/briarward/node/operate/OperatorApi.java
+++ b/node/src/main/java/io/briarward/node/operate/OperatorApi.java
@@ -15,7 +15,6 @@
 import io.briarward.core.forwarding.HeaderRules;
 import io.briarward.node.NodeContext;
 import io.briarward.node.configuration.VersionedConfiguration;
-import io.briarward.node.http.BodyReader;
 import io.briarward.node.http.HttpAnswers;
 import io.briarward.node.platform.JsonHttpClient;
 import io.reactivex.rxjava3.core.Single;
@@ -99,7 +98,9 @@
 
   private Single<ObjectNode> apply(HttpServerRequest request) {
     long expectedVersion = expectedVersion(request);
-    return BodyReader.read(request, MAX_CONFIGURATION_BYTES)
+    return context
+        .bodies()
+        .read(request, MAX_CONFIGURATION_BYTES)
         .map(Buffer::toString)
         .map(ConfigurationCodec::parse)
         .flatMap(next -> context.configurationStore().replace(next, expectedVersion))
--- a/node/src/main/java/io/briarward/node/rollout/RolloutApi.java
+++ b/node/src/main/java/io/briarward/node/rollout/RolloutApi.java
@@ -40,9 +40,15 @@
 
   private final RolloutService service;
   private final TrainerAuthentication authentication;
+  private final BodyReader bodies;
   private final long maxBodyBytes;
 
-  RolloutApi(RolloutService service, TrainerAuthentication authentication, long maxBodyBytes) {
+  RolloutApi(
+      RolloutService service,
+      TrainerAuthentication authentication,
+      BodyReader bodies,
+      long maxBodyBytes) {
+    this.bodies = bodies;
     this.service = service;
     this.authentication = authentication;
     this.maxBodyBytes = maxBodyBytes;
@@ -176,7 +182,8 @@
 
   /** Reads the body; one that holds the caller's key is refused, since prompts go upstream. */
   private Single<Buffer> body(HttpServerRequest request, Caller caller) {
-    return BodyReader.read(request, maxBodyBytes)
+    return bodies
+        .read(request, maxBodyBytes)
         .doOnSuccess(
             body -> {
               String text = body.toString(StandardCharsets.UTF_8);
--- a/node/src/main/java/io/briarward/node/rollout/RolloutService.java
+++ b/node/src/main/java/io/briarward/node/rollout/RolloutService.java
@@ -95,6 +95,7 @@
         this,
         new TrainerAuthentication(
             node.configuration(), () -> node.control().permission().permitted()),
+        node.bodies(),
         node.settings().maxBodyBytes());
   }
 
--- a/node/src/main/java/io/briarward/node/settings/NodeSettings.java
+++ b/node/src/main/java/io/briarward/node/settings/NodeSettings.java
@@ -21,9 +21,6 @@
   @Option(name = "--data-centre", required = true, metaVar = "ID", usage = "this VM's data centre")
   private String dataCentre = "";
 
-  @Option(name = "--region", metaVar = "ID", usage = "the region of this VM's data centre")
-  private String region = "default";
-
   @Option(
       name = "--host",
       metaVar = "IP",
@@ -95,7 +92,7 @@
   @Option(name = "--max-header-bytes", usage = "largest size of a request's headers")
   private int maxHeaderBytes = 32 << 10;
 
-  @Option(name = "--body-timeout-millis", usage = "longest pause within a request's body")
+  @Option(name = "--body-timeout-millis", usage = "longest time to read a body ahead")
   private long bodyTimeoutMillis = 30_000;
 
   @Option(name = "--max-concurrent", usage = "most live requests that run at once on this node")
@@ -124,7 +121,6 @@
   public NodeSettings check() {
     require(ID.matcher(vmId).matches(), "--vm-id", vmId, "[a-z0-9._-]{1,63}");
     require(ID.matcher(dataCentre).matches(), "--data-centre", dataCentre, "[a-z0-9._-]{1,63}");
-    require(ID.matcher(region).matches(), "--region", region, "[a-z0-9._-]{1,63}");
     require(InetAddresses.isInetAddress(host), "--host", host, "an IP number");
     requirePort("--http-port", httpPort);
     requirePort("--operator-port", operatorPort);
@@ -167,10 +163,6 @@
     return dataCentre;
   }
 
-  public String region() {
-    return region;
-  }
-
   public String host() {
     return host;
   }
--- a/node/src/main/java/io/briarward/node/telemetry/Metrics.java
+++ b/node/src/main/java/io/briarward/node/telemetry/Metrics.java
@@ -35,6 +35,21 @@
           .name("briarward_configuration_version")
           .help("Version of the configuration in force on this node.")
           .register(registry);
+  private final Gauge membersAlive =
+      Gauge.builder()
+          .name("briarward_members_alive")
+          .help("VMs that this node thinks alive, itself included.")
+          .register(registry);
+  private final Gauge keysUsable =
+      Gauge.builder()
+          .name("briarward_keys_usable")
+          .help("1 while this node may serve routes that need a key, 0 otherwise.")
+          .register(registry);
+  private final Gauge usageUnprotected =
+      Gauge.builder()
+          .name("briarward_usage_unprotected")
+          .help("Answers since the start whose usage had no copy outside this VM when they left.")
+          .register(registry);
   private final Histogram durationSeconds =
       Histogram.builder()
           .name("briarward_request_duration_seconds")
@@ -75,6 +90,21 @@
     configurationVersion.set((double) version);
   }
 
+  /** Sets the number of VMs thought alive. */
+  public void membersAlive(int count) {
+    membersAlive.set(count);
+  }
+
+  /** Sets whether routes that need a key may be served. */
+  public void keysUsable(boolean usable) {
+    keysUsable.set(usable ? 1 : 0);
+  }
+
+  /** Sets the number of answers whose usage had no copy. */
+  public void usageUnprotected(long count) {
+    usageUnprotected.set((double) count);
+  }
+
   /** Returns all metrics in Prometheus's text format. */
   public String scrape() {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/node/src/test/java/io/briarward/node/rollout/RolloutApiTest.java
+++ b/node/src/test/java/io/briarward/node/rollout/RolloutApiTest.java
@@ -17,6 +17,7 @@
 import io.briarward.core.rollout.RolloutSpec;
 import io.briarward.node.configuration.ConfigurationHolder;
 import io.briarward.node.configuration.VersionedConfiguration;
+import io.briarward.node.http.BodyReader;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.processors.PublishProcessor;
@@ -60,7 +61,11 @@
     ConfigurationHolder holder = ConfigurationHolder.create();
     holder.update(new VersionedConfiguration(1, configuration()));
     RolloutApi api =
-        new RolloutApi(service, new TrainerAuthentication(holder, () -> true), MAX_BODY_BYTES);
+        new RolloutApi(
+            service,
+            new TrainerAuthentication(holder, () -> true),
+            new BodyReader(Schedulers.computation(), 30_000),
+            MAX_BODY_BYTES);
     server =
         vertx
             .createHttpServer()
