--- a/core/src/main/java/io/briarward/core/usage/CopySender.java
+++ b/core/src/main/java/io/briarward/core/usage/CopySender.java
@@ -50,6 +50,11 @@
     return new CopySender(settings, incarnation, ledger);
   }
 
+  /** Returns whether any peer is to keep copies. */
+  public boolean hasPeers() {
+    return !peers.isEmpty();
+  }
+
   /** Sets the peers; one that is new gets everything that the table service does not have. */
   public void setPeers(ImmutableSet<String> ids) {
     peers.keySet().retainAll(ids);
--- a/core/src/main/java/io/briarward/core/usage/UsageSettings.java
+++ b/core/src/main/java/io/briarward/core/usage/UsageSettings.java
@@ -38,7 +38,7 @@
   private static final long WINDOW_MILLIS = 300_000;
   private static final long FLUSH_MILLIS = 30_000;
   private static final long SEAL_DELAY_MILLIS = 1_000;
-  private static final long COPY_GAP_MILLIS = 20;
+  private static final long COPY_GAP_MILLIS = 10;
   private static final long COPY_TIMEOUT_MILLIS = 50;
   private static final long COPY_AGE_MILLIS = 45_000;
   private static final long DEAD_AFTER_MILLIS = 90_000;
--- a/node/src/main/java/io/briarward/node/peer/NettyPeerNetwork.java
+++ b/node/src/main/java/io/briarward/node/peer/NettyPeerNetwork.java
@@ -239,8 +239,6 @@
   }
 
   private PeerMessage.Builder stamp(PeerMessage message) {
-    return message.toBuilder()
-        .setSenderVmId(settings.vmId())
-        .setSenderIncarnation(settings.incarnation());
+    return message.toBuilder().setSenderVmId(settings.vmId());
   }
 }
--- a/node/src/main/java/io/briarward/node/usage/UsageMeter.java
+++ b/node/src/main/java/io/briarward/node/usage/UsageMeter.java
@@ -139,9 +139,12 @@
     waiting.put(sequence, durable);
     sendCopies();
     sendAfterGap();
-    return durable
-        .timeout(COPY_WAIT_MILLIS, TimeUnit.MILLISECONDS, scheduler, fallBack(sequence, durable))
-        .doFinally(() -> waiting.remove(sequence));
+    Completable fallBack = fallBack(sequence, durable);
+    Completable wait =
+        sender.hasPeers()
+            ? durable.timeout(COPY_WAIT_MILLIS, TimeUnit.MILLISECONDS, scheduler, fallBack)
+            : fallBack;
+    return wait.doFinally(() -> waiting.remove(sequence));
   }
 
   /** Seals every window, after the last record; completes when the table service has them. */
--- a/wire/src/main/java/io/briarward/wire/proto/Peer.java
+++ b/wire/src/main/java/io/briarward/wire/proto/Peer.java
@@ -42,17 +42,17 @@
     java.lang.String[] descriptorData = {
       "\n\npeer.proto\022\tbriarward\032\017admission.proto" +
       "\032\023configuration.proto\032\020membership.proto\032" +
-      "\rrollout.proto\032\013usage.proto\"\347\002\n\013PeerMess" +
-      "age\022\024\n\014sender_vm_id\030\001 \001(\t\022\032\n\022sender_inca" +
-      "rnation\030\002 \001(\t\022\026\n\016correlation_id\030\003 \001(\004\022\016\n" +
-      "\006answer\030\004 \001(\010\0222\n\nmembership\030\n \001(\0132\034.bria" +
-      "rward.MembershipMessageH\000\0228\n\rconfigurati" +
-      "on\030\013 \001(\0132\037.briarward.ConfigurationMessag" +
-      "eH\000\022(\n\005usage\030\014 \001(\0132\027.briarward.UsageMess" +
-      "ageH\000\0220\n\tadmission\030\r \001(\0132\033.briarward.Adm" +
-      "issionMessageH\000\022,\n\007rollout\030\016 \001(\0132\031.briar" +
-      "ward.RolloutMessageH\000B\006\n\004bodyB\033\n\027io.bria" +
-      "rward.wire.protoP\001b\006proto3"
+      "\rrollout.proto\032\013usage.proto\"\321\002\n\013PeerMess" +
+      "age\022\024\n\014sender_vm_id\030\001 \001(\t\022\026\n\016correlation" +
+      "_id\030\003 \001(\004\022\016\n\006answer\030\004 \001(\010\0222\n\nmembership\030" +
+      "\n \001(\0132\034.briarward.MembershipMessageH\000\0228\n" +
+      "\rconfiguration\030\013 \001(\0132\037.briarward.Configu" +
+      "rationMessageH\000\022(\n\005usage\030\014 \001(\0132\027.briarwa" +
+      "rd.UsageMessageH\000\0220\n\tadmission\030\r \001(\0132\033.b" +
+      "riarward.AdmissionMessageH\000\022,\n\007rollout\030\016" +
+      " \001(\0132\031.briarward.RolloutMessageH\000B\006\n\004bod" +
+      "yJ\004\010\002\020\003B\033\n\027io.briarward.wire.protoP\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -68,7 +68,7 @@
     internal_static_briarward_PeerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_briarward_PeerMessage_descriptor,
-        new java.lang.String[] { "SenderVmId", "SenderIncarnation", "CorrelationId", "Answer", "Membership", "Configuration", "Usage", "Admission", "Rollout", "Body", });
+        new java.lang.String[] { "SenderVmId", "CorrelationId", "Answer", "Membership", "Configuration", "Usage", "Admission", "Rollout", "Body", });
     descriptor.resolveAllFeaturesImmutable();
     io.briarward.wire.proto.Admission.getDescriptor();
     io.briarward.wire.proto.Configuration.getDescriptor();
--- a/wire/src/main/java/io/briarward/wire/proto/PeerMessage.java
+++ b/wire/src/main/java/io/briarward/wire/proto/PeerMessage.java
@@ -33,7 +33,6 @@
   }
   private PeerMessage() {
     senderVmId_ = "";
-    senderIncarnation_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -141,45 +140,6 @@
     }
   }
 
-  public static final int SENDER_INCARNATION_FIELD_NUMBER = 2;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object senderIncarnation_ = "";
-  /**
-   * <code>string sender_incarnation = 2;</code>
-   * @return The senderIncarnation.
-   */
-  @java.lang.Override
-  public java.lang.String getSenderIncarnation() {
-    java.lang.Object ref = senderIncarnation_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      senderIncarnation_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string sender_incarnation = 2;</code>
-   * @return The bytes for senderIncarnation.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getSenderIncarnationBytes() {
-    java.lang.Object ref = senderIncarnation_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      senderIncarnation_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
   public static final int CORRELATION_ID_FIELD_NUMBER = 3;
   private long correlationId_ = 0L;
   /**
@@ -382,9 +342,6 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(senderVmId_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, senderVmId_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(senderIncarnation_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 2, senderIncarnation_);
-    }
     if (correlationId_ != 0L) {
       output.writeUInt64(3, correlationId_);
     }
@@ -413,9 +370,6 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(senderVmId_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, senderVmId_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(senderIncarnation_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, senderIncarnation_);
-    }
     if (correlationId_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, correlationId_);
@@ -470,8 +424,6 @@
 
     if (!getSenderVmId()
         .equals(other.getSenderVmId())) return false;
-    if (!getSenderIncarnation()
-        .equals(other.getSenderIncarnation())) return false;
     if (getCorrelationId()
         != other.getCorrelationId()) return false;
     if (getAnswer()
@@ -514,8 +466,6 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + SENDER_VM_ID_FIELD_NUMBER;
     hash = (53 * hash) + getSenderVmId().hashCode();
-    hash = (37 * hash) + SENDER_INCARNATION_FIELD_NUMBER;
-    hash = (53 * hash) + getSenderIncarnation().hashCode();
     hash = (37 * hash) + CORRELATION_ID_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getCorrelationId());
@@ -682,7 +632,6 @@
       super.clear();
       bitField0_ = 0;
       senderVmId_ = "";
-      senderIncarnation_ = "";
       correlationId_ = 0L;
       answer_ = false;
       if (membershipBuilder_ != null) {
@@ -740,12 +689,9 @@
         result.senderVmId_ = senderVmId_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.senderIncarnation_ = senderIncarnation_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
         result.correlationId_ = correlationId_;
       }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
+      if (((from_bitField0_ & 0x00000004) != 0)) {
         result.answer_ = answer_;
       }
     }
@@ -792,11 +738,6 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (!other.getSenderIncarnation().isEmpty()) {
-        senderIncarnation_ = other.senderIncarnation_;
-        bitField0_ |= 0x00000002;
-        onChanged();
-      }
       if (other.getCorrelationId() != 0L) {
         setCorrelationId(other.getCorrelationId());
       }
@@ -857,19 +798,14 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 18: {
-              senderIncarnation_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
             case 24: {
               correlationId_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
+              bitField0_ |= 0x00000002;
               break;
             } // case 24
             case 32: {
               answer_ = input.readBool();
-              bitField0_ |= 0x00000008;
+              bitField0_ |= 0x00000004;
               break;
             } // case 32
             case 82: {
@@ -1011,78 +947,6 @@
       return this;
     }
 
-    private java.lang.Object senderIncarnation_ = "";
-    /**
-     * <code>string sender_incarnation = 2;</code>
-     * @return The senderIncarnation.
-     */
-    public java.lang.String getSenderIncarnation() {
-      java.lang.Object ref = senderIncarnation_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        senderIncarnation_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string sender_incarnation = 2;</code>
-     * @return The bytes for senderIncarnation.
-     */
-    public com.google.protobuf.ByteString
-        getSenderIncarnationBytes() {
-      java.lang.Object ref = senderIncarnation_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        senderIncarnation_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string sender_incarnation = 2;</code>
-     * @param value The senderIncarnation to set.
-     * @return This builder for chaining.
-     */
-    public Builder setSenderIncarnation(
-        java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      senderIncarnation_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string sender_incarnation = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearSenderIncarnation() {
-      senderIncarnation_ = getDefaultInstance().getSenderIncarnation();
-      bitField0_ = (bitField0_ & ~0x00000002);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string sender_incarnation = 2;</code>
-     * @param value The bytes for senderIncarnation to set.
-     * @return This builder for chaining.
-     */
-    public Builder setSenderIncarnationBytes(
-        com.google.protobuf.ByteString value) {
-      java.util.Objects.requireNonNull(value);
-      checkByteStringIsUtf8(value);
-      senderIncarnation_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-
     private long correlationId_ ;
     /**
      * <pre>
@@ -1108,7 +972,7 @@
     public Builder setCorrelationId(long value) {
 
       correlationId_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
@@ -1121,7 +985,7 @@
      * @return This builder for chaining.
      */
     public Builder clearCorrelationId() {
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000002);
       correlationId_ = 0L;
       onChanged();
       return this;
@@ -1152,7 +1016,7 @@
     public Builder setAnswer(boolean value) {
 
       answer_ = value;
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
@@ -1165,7 +1029,7 @@
      * @return This builder for chaining.
      */
     public Builder clearAnswer() {
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000004);
       answer_ = false;
       onChanged();
       return this;
--- a/wire/src/main/java/io/briarward/wire/proto/PeerMessageOrBuilder.java
+++ b/wire/src/main/java/io/briarward/wire/proto/PeerMessageOrBuilder.java
@@ -22,18 +22,6 @@
   com.google.protobuf.ByteString
       getSenderVmIdBytes();
 
-  /**
-   * <code>string sender_incarnation = 2;</code>
-   * @return The senderIncarnation.
-   */
-  java.lang.String getSenderIncarnation();
-  /**
-   * <code>string sender_incarnation = 2;</code>
-   * @return The bytes for senderIncarnation.
-   */
-  com.google.protobuf.ByteString
-      getSenderIncarnationBytes();
-
   /**
    * <pre>
    * Pairs an answer with its request; 0 on messages that expect no answer.
