--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -206,10 +206,10 @@
   }
 
   private void passOnMembers() {
-    ImmutableList<Member> others = context.control().members();
     context.metrics().membersAlive(liveVms().size());
     context.metrics().keysUsable(context.configuration().permission().permitted());
     context.metrics().usageUnprotected(usage.unprotected());
+    ImmutableList<Member> others = context.control().members();
     serving.setMembers(vmIds(others.stream().filter(Member::takesNewWork)), vmIds(others.stream()));
   }
 
