Allow the bill of requests that ran and were answered too late

Ruled out: a doubled record, since the plain service ran the request and the caller's due time passed before its usage record was durable. A request that ran is rightly billed. Change: the bill may exceed what was answered by requests, but only by as many as callers of that organisation saw late; without a late one it must be equal, which a test checks.

--- a/experiments/src/main/java/io/briarward/experiments/demo/Demo.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/Demo.java
@@ -72,7 +72,7 @@
         UsageCheck.delivered(live, TubeMill.TRAINER, stepCheck.deliveredTokens());
     ImmutableSortedMap<String, UsageCheck.Amounts> billed =
         new UsageCheck(http, settings).awaitBilled(delivered);
-    UsageCheck.compare(billed, delivered, findings);
+    UsageCheck.compare(UsageCheck.withoutLate(billed, delivered, live), delivered, findings);
     checkReports();
     print(step, stepCheck, live);
     printUsage(records, delivered, billed);
--- a/experiments/src/main/java/io/briarward/experiments/demo/UsageCheck.java
+++ b/experiments/src/main/java/io/briarward/experiments/demo/UsageCheck.java
@@ -56,6 +56,27 @@
     return ImmutableSortedMap.copyOf(byOrganisation);
   }
 
+  /**
+   * Returns the bill without live requests that ran and whose answer came after the due time, at
+   * most as many as callers saw late.
+   */
+  static ImmutableSortedMap<String, Amounts> withoutLate(
+      Map<String, Amounts> billed, Map<String, Amounts> delivered, List<LiveCallers.Outcome> live) {
+    Map<String, Amounts> remaining = new TreeMap<>(billed);
+    for (LiveCallers.Outcome outcome : live) {
+      String organisation = outcome.organisation();
+      Amounts bill = remaining.getOrDefault(organisation, Amounts.ZERO);
+      Amounts due = delivered.getOrDefault(organisation, Amounts.ZERO);
+      boolean late = outcome.verdict() == LiveCallers.Verdict.LATE;
+      if (late && bill.liveRequests() > due.liveRequests()) {
+        long tokens = outcome.streamed() ? due.liveTokens() : bill.liveTokens();
+        remaining.put(
+            organisation, new Amounts(bill.liveRequests() - 1, tokens, bill.rolloutTokens()));
+      }
+    }
+    return ImmutableSortedMap.copyOf(remaining);
+  }
+
   /** Records each organisation that was billed something else than was delivered. */
   static void compare(
       Map<String, Amounts> billed, Map<String, Amounts> delivered, Findings findings) {
--- a/experiments/src/test/java/io/briarward/experiments/demo/UsageCheckTest.java
+++ b/experiments/src/test/java/io/briarward/experiments/demo/UsageCheckTest.java
@@ -27,4 +27,17 @@
 
     assertThat(findings.faults()).hasSize(1);
   }
+
+  @Test
+  void billOfOneRequestMoreThanWasAnsweredNeedsOneThatWasLate() {
+    LiveCallers.Outcome late =
+        new LiveCallers.Outcome("mill", false, LiveCallers.Verdict.LATE, 0, "");
+    ImmutableMap<String, UsageCheck.Amounts> billed =
+        ImmutableMap.of("mill", new UsageCheck.Amounts(2, 0, 0));
+    ImmutableMap<String, UsageCheck.Amounts> due =
+        ImmutableMap.of("mill", new UsageCheck.Amounts(1, 0, 0));
+
+    assertThat(UsageCheck.withoutLate(billed, due, ImmutableList.of(late))).isEqualTo(due);
+    assertThat(UsageCheck.withoutLate(billed, due, ImmutableList.of())).isEqualTo(billed);
+  }
 }
