--- a/cli/src/main/java/io/briarward/cli/Main.java
+++ b/cli/src/main/java/io/briarward/cli/Main.java
@@ -20,6 +20,7 @@
           .put("get", GetCommand::new)
           .put("keys", KeysCommand::new)
           .put("node", NodeCommand::new)
+          .put("platform-node", PlatformNodeCommand::new)
           .put("standin", StandinCommand::new)
           .put("status", StatusCommand::new)
           .put("version", VersionCommand::new)
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/batch/BatchItem.java
@@ -0,0 +1,45 @@
+package io.briarward.core.batch;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.io.BaseEncoding;
+
+/**
+ * One item of a batch.
+ *
+ * @param id unique to the item; the same id may come again in a later batch
+ * @param group the items of a group share their prompt
+ * @param path the path of the request that runs the item
+ * @param headers the headers of that request
+ * @param bodyBase64 the body of that request
+ * @param tokenCount the prompt tokens and the largest number of generated tokens
+ */
+public record BatchItem(
+    String id,
+    String group,
+    String path,
+    ImmutableMap<String, String> headers,
+    String bodyBase64,
+    int tokenCount) {
+
+  /**
+   * Checks the fields.
+   *
+   * @throws IllegalArgumentException if the body is not Base64
+   */
+  public BatchItem {
+    checkArgument(!id.isEmpty(), "id is empty");
+    checkNotNull(group, "group");
+    checkArgument(path.startsWith("/"), "path is %s, expected a leading slash", path);
+    checkNotNull(headers, "headers");
+    checkArgument(BaseEncoding.base64().canDecode(bodyBase64), "body of %s is not Base64", id);
+    checkArgument(tokenCount >= 0, "tokenCount is %s, expected >= 0", tokenCount);
+  }
+
+  /** Returns the decoded body. */
+  public byte[] body() {
+    return BaseEncoding.base64().decode(bodyBase64);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -0,0 +1,167 @@
+package io.briarward.core.batch;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Decides which item of a batch runs next, and collects the text of each until it can be listed.
+ *
+ * <p>Items run in the order of the submission, in which the items of a group stand together and
+ * groups carried over from an earlier batch come first. An item whose run broke off goes on after
+ * its last event, before items that have not begun. Not thread-safe.
+ */
+public final class BatchRun {
+  /** How long an item waits after a run that broke off, in milliseconds; enough to reset it. */
+  private static final long RETRY_DELAY_MILLIS = 20;
+
+  private final BatchSpec spec;
+  private final int maxAttempts;
+  private final Map<String, ItemProgress> items = new LinkedHashMap<>();
+  private final ArrayDeque<ItemResult> finished = new ArrayDeque<>();
+  private int running;
+
+  private BatchRun(BatchSpec spec, BatchTerms terms, ImmutableSet<String> listed) {
+    this.spec = checkNotNull(spec, "spec");
+    this.maxAttempts = terms.maxAttempts();
+    for (BatchItem item : spec.items()) {
+      if (!listed.contains(item.id())) {
+        items.put(item.id(), new ItemProgress(item, terms.singleVersion()));
+      }
+    }
+  }
+
+  /**
+   * Returns a run of the items that are not listed yet.
+   *
+   * @param listed the ids of the items that have a result
+   */
+  public static BatchRun create(BatchSpec spec, BatchTerms terms, ImmutableSet<String> listed) {
+    return new BatchRun(spec, terms, listed);
+  }
+
+  /**
+   * What to send to a sampler.
+   *
+   * @param resumeAfter the id of the last event that is known
+   */
+  public record Dispatch(BatchItem item, OptionalLong resumeAfter) {}
+
+  /** Returns the item that is to start next, without starting it. */
+  public Optional<BatchItem> next(long nowMillis) {
+    return items.values().stream()
+        .filter(progress -> progress.mayStart(nowMillis))
+        .findFirst()
+        .map(ItemProgress::item);
+  }
+
+  /** Starts an item that {@link #next} returned. */
+  public Dispatch start(String itemId) {
+    ItemProgress progress = progress(itemId);
+    checkArgument(progress.state() == ItemProgress.State.WAITING, "%s is not waiting", itemId);
+    progress.start();
+    running++;
+    return new Dispatch(progress.item(), progress.lastEventId());
+  }
+
+  /**
+   * Notes the version that a run begins with.
+   *
+   * @return whether the run may go on; otherwise it is to be ended and reported as broken
+   */
+  public boolean onVersion(String itemId, long version) {
+    return progress(itemId).onVersion(version, spec.minVersion());
+  }
+
+  /**
+   * Adds an event.
+   *
+   * @return whether the run may go on; otherwise it is to be ended and reported as broken
+   */
+  public boolean onEvent(String itemId, SampleEvent event) {
+    return progress(itemId).onEvent(event);
+  }
+
+  /** Notes that an item's stream is complete. */
+  public void onComplete(String itemId) {
+    running--;
+    finished.add(progress(itemId).finish());
+    items.remove(itemId);
+  }
+
+  /** Notes that a run broke off or was refused, which does not count as a failure of the item. */
+  public void onBroken(String itemId, long nowMillis) {
+    running--;
+    progress(itemId).waitUntil(nowMillis + RETRY_DELAY_MILLIS);
+  }
+
+  /** Notes that a sampler failed to run an item, which is lost once it failed too often. */
+  public void onFailed(String itemId, long nowMillis) {
+    running--;
+    ItemProgress progress = progress(itemId);
+    progress.onFailure();
+    if (progress.failures() >= maxAttempts) {
+      lose(progress);
+    } else {
+      progress.waitUntil(nowMillis + RETRY_DELAY_MILLIS);
+    }
+  }
+
+  /** Notes that an item can never be done. */
+  public void onImpossible(String itemId) {
+    running--;
+    lose(progress(itemId));
+  }
+
+  /** Gives up all items that do not run; runs that end later than that are given up as they end. */
+  public void giveUpWaiting() {
+    ImmutableList.copyOf(items.values()).stream()
+        .filter(progress -> progress.state() == ItemProgress.State.WAITING)
+        .forEach(this::lose);
+  }
+
+  /** Returns the number of items that run. */
+  public int running() {
+    return running;
+  }
+
+  /** Returns the number of items without a result. */
+  public int unfinished() {
+    return items.size();
+  }
+
+  /** Returns whether results wait to be listed. */
+  public boolean hasResults() {
+    return !finished.isEmpty();
+  }
+
+  /** Returns the next results to be listed, without removing them. */
+  public ImmutableList<ItemResult> results(int limit) {
+    return finished.stream().limit(limit).collect(ImmutableList.toImmutableList());
+  }
+
+  /** Removes results that were listed. */
+  public void removeResults(int count) {
+    for (int i = 0; i < count; i++) {
+      finished.remove();
+    }
+  }
+
+  private void lose(ItemProgress progress) {
+    finished.add(progress.lose());
+    items.remove(progress.item().id());
+  }
+
+  private ItemProgress progress(String itemId) {
+    ItemProgress progress = items.get(itemId);
+    checkArgument(progress != null, "%s is not open", itemId);
+    return progress;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/briarward/core/batch/EventStreamParser.java
@@ -0,0 +1,108 @@
+package io.briarward.core.batch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Longs;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+
+/**
+ * Splits a sampler's event stream into events as its bytes arrive.
+ *
+ * <p>An event counts only once the blank line that ends it has arrived. Not thread-safe.
+ */
+public final class EventStreamParser {
+  private static final int MAX_LINE_BYTES = 1 << 20; // Far above one event of any model.
+
+  private final String versionField;
+  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private final List<String> data = new ArrayList<>();
+  private Long id;
+  private OptionalLong version = OptionalLong.empty();
+
+  private EventStreamParser(String versionField) {
+    this.versionField = checkNotNull(versionField, "versionField");
+  }
+
+  /**
+   * Returns a parser at the start of a stream.
+   *
+   * @param versionField the name of the field that tells a new version of the weights
+   */
+  public static EventStreamParser create(String versionField) {
+    return new EventStreamParser(versionField);
+  }
+
+  /**
+   * Takes the next bytes and returns the events that they complete.
+   *
+   * @throws IllegalArgumentException if the bytes are no event stream
+   */
+  public ImmutableList<SampleEvent> feed(byte[] bytes) {
+    ImmutableList.Builder<SampleEvent> events = ImmutableList.builder();
+    for (byte next : bytes) {
+      if (next != '\n') {
+        line.write(next);
+        if (line.size() > MAX_LINE_BYTES) {
+          throw new IllegalArgumentException("a line is longer than " + MAX_LINE_BYTES + " bytes");
+        }
+      } else {
+        onLine(stripCarriageReturn(line.toString(StandardCharsets.UTF_8)), events);
+        line.reset();
+      }
+    }
+    return events.build();
+  }
+
+  /** Returns whether the stream stands between two events. */
+  public boolean atBoundary() {
+    return line.size() == 0 && data.isEmpty() && id == null;
+  }
+
+  private void onLine(String text, ImmutableList.Builder<SampleEvent> events) {
+    if (text.isEmpty()) {
+      endEvent(events);
+      return;
+    }
+    int colon = text.indexOf(':');
+    String field = colon < 0 ? text : text.substring(0, colon);
+    String value = colon < 0 ? "" : text.substring(colon + 1);
+    if (value.startsWith(" ")) {
+      value = value.substring(1);
+    }
+    if (field.equals("data")) {
+      data.add(value);
+    } else if (field.equals("id")) {
+      id = number(field, value);
+    } else if (field.equals(versionField)) {
+      version = OptionalLong.of(number(field, value));
+    }
+  }
+
+  private void endEvent(ImmutableList.Builder<SampleEvent> events) {
+    if (id != null) {
+      events.add(new SampleEvent(id, version, String.join("\n", data)));
+    } else if (!data.isEmpty()) {
+      throw new IllegalArgumentException("an event has no id");
+    }
+    id = null;
+    version = OptionalLong.empty();
+    data.clear();
+  }
+
+  private static long number(String field, String value) {
+    Long parsed = Longs.tryParse(value.trim());
+    if (parsed == null) {
+      throw new IllegalArgumentException(field + " is not a number");
+    }
+    return parsed;
+  }
+
+  private static String stripCarriageReturn(String text) {
+    return text.endsWith("\r") ? text.substring(0, text.length() - 1) : text;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -0,0 +1,422 @@
+package io.briarward.node.batch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.briarward.core.batch.BatchHead;
+import io.briarward.core.batch.BatchItem;
+import io.briarward.core.batch.BatchRun;
+import io.briarward.core.batch.BatchSpec;
+import io.briarward.core.batch.ItemResult;
+import io.briarward.core.batch.SampleEvent;
+import io.briarward.core.fleet.FleetRoute;
+import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.platform.CommitResult;
+import io.briarward.core.platform.Row;
+import io.briarward.core.platform.Transaction;
+import io.briarward.node.batch.BatchStore.StoredHead;
+import io.briarward.node.batch.SamplerClient.Ending;
+import io.reactivex.rxjava3.core.Single;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs the items of one batch and lists their results, as long as this process owns the batch.
+ *
+ * <p>Confined to the event loop.
+ */
+final class BatchOwner {
+  /** The largest number of results in one transaction; a transaction takes 100 entries. */
+  private static final int MAX_RESULTS_PER_COMMIT = 60;
+
+  /** The largest size of the outputs in one transaction, in characters; the limit is 1 MB. */
+  private static final int MAX_COMMIT_CHARS = 400_000;
+
+  /** The least time between two transactions of a batch, in milliseconds. */
+  private static final long COMMIT_GAP_MILLIS = 80;
+
+  /** How long to wait after a call of the store that failed, in milliseconds. */
+  private static final long STORE_RETRY_MILLIS = 200;
+
+  /** How long a call of the store may take, in milliseconds. */
+  private static final long STORE_TIMEOUT_MILLIS = 2_000;
+
+  /**
+   * How long a run may bring nothing, in milliseconds; above the load of new weights, during which
+   * runs stand still.
+   */
+  private static final long STALL_MILLIS = 3_000;
+
+  /** How long a sampler that refused an item gets nothing from this node, in milliseconds. */
+  private static final long REFUSAL_PAUSE_MILLIS = 100;
+
+  private final BatchContext context;
+  private final BatchSpec spec;
+  private final BatchRun run;
+  private final Map<String, Active> active = new HashMap<>();
+  private StoredHead head;
+  private boolean stopped;
+  private boolean draining;
+  private boolean committing;
+  private long nextCommitMillis = Long.MIN_VALUE;
+
+  private static final class Active {
+    final UpstreamEntry sampler;
+    final long startedAtMillis;
+    long progressAtMillis;
+    SamplerClient.Run run;
+
+    Active(UpstreamEntry sampler, long nowMillis) {
+      this.sampler = sampler;
+      this.startedAtMillis = nowMillis;
+      this.progressAtMillis = nowMillis;
+    }
+  }
+
+  BatchOwner(BatchContext context, BatchSpec spec, StoredHead head, ImmutableSet<String> listed) {
+    this.context = checkNotNull(context, "context");
+    this.spec = checkNotNull(spec, "spec");
+    this.head = checkNotNull(head, "head");
+    this.run = BatchRun.create(spec, head.head().terms(), listed);
+  }
+
+  BatchSpec spec() {
+    return spec;
+  }
+
+  /** Returns whether nothing is left to do for this process. */
+  boolean stopped() {
+    return stopped;
+  }
+
+  /** Starts no further item; what runs goes on and is listed. */
+  void drain() {
+    draining = true;
+  }
+
+  /** Returns whether all that ran is listed. */
+  boolean drained() {
+    return stopped || (active.isEmpty() && !run.hasResults() && !committing);
+  }
+
+  /** Takes a head that another process wrote. */
+  void onHead(StoredHead newer) {
+    if (newer.rowVersion() <= head.rowVersion() || committing) {
+      return;
+    }
+    takeHead(newer);
+  }
+
+  /** Gives the batch up, so that another node takes it over at once. */
+  Single<Boolean> release() {
+    if (stopped || !head.head().open()) {
+      return Single.just(false);
+    }
+    BatchHead next = head.head().withOwner(Optional.empty(), context.nextToken());
+    stop("released");
+    return context.store().replace(head, next, ImmutableList.of()).map(CommitResult::committed);
+  }
+
+  /** Starts what may start, ends what stalls and lists what is finished. */
+  void step() {
+    if (stopped) {
+      return;
+    }
+    endStalledRuns();
+    if (context.storeMillis() >= head.head().giveUpAtMillis()) {
+      run.giveUpWaiting();
+    } else if (!draining) {
+      startItems();
+    }
+    commit();
+  }
+
+  /** Ends all runs; nothing more is listed. */
+  void stop(String reason) {
+    if (stopped) {
+      return;
+    }
+    stopped = true;
+    active.values().forEach(
+        each -> {
+          each.run.cancel();
+          context.balancer().onReleased(each.sampler.id());
+        });
+    active.clear();
+    context
+        .log()
+        .info(
+            "batch-stopped",
+            "batch",
+            spec.id(),
+            "reason",
+            reason,
+            "listed",
+            head.head().listed(),
+            "total",
+            head.head().total(),
+            "ageMillis",
+            context.storeMillis() - head.head().acceptedAtMillis());
+  }
+
+  private void startItems() {
+    long nowMillis = context.nowMillis();
+    while (true) {
+      Optional<BatchItem> next = run.next(nowMillis);
+      if (next.isEmpty()) {
+        return;
+      }
+      Optional<UpstreamEntry> sampler = chooseSampler(next.get(), nowMillis);
+      if (sampler.isEmpty()) {
+        return;
+      }
+      start(next.get(), sampler.get(), nowMillis);
+      if (stopped) {
+        return;
+      }
+    }
+  }
+
+  private Optional<UpstreamEntry> chooseSampler(BatchItem item, long nowMillis) {
+    return context
+        .balancer()
+        .choose(
+            service(item),
+            ImmutableSet.of(),
+            entry ->
+                context.balancer().inFlight(entry.id()) < entry.slots()
+                    && spec.model()
+                        .map(model -> entry.version(model) >= spec.minVersion())
+                        .orElse(true),
+            nowMillis);
+  }
+
+  /** Returns the service that the item's path leads to now. */
+  private String service(BatchItem item) {
+    BatchHead current = head.head();
+    return context
+        .configuration()
+        .flatMap(configuration -> configuration.route(current.terms().host(), item.path()))
+        .map(route -> serviceOf(route))
+        .orElse(current.terms().service());
+  }
+
+  private static String serviceOf(FleetRoute route) {
+    return route.targets().get(0).service();
+  }
+
+  private void start(BatchItem item, UpstreamEntry sampler, long nowMillis) {
+    BatchRun.Dispatch dispatch = run.start(item.id());
+    Active started = new Active(sampler, nowMillis);
+    active.put(item.id(), started);
+    context.balancer().onSent(sampler.id());
+    long leftMillis = Math.max(1, head.head().giveUpAtMillis() - context.storeMillis());
+    started.run =
+        context
+            .samplers()
+            .run(
+                new SamplerClient.ItemCall(
+                    dispatch.item(),
+                    head.head().organisation(),
+                    head.head().terms().host(),
+                    sampler,
+                    dispatch.resumeAfter(),
+                    leftMillis),
+                listener(item.id(), started));
+  }
+
+  private SamplerClient.Listener listener(String itemId, Active started) {
+    return new SamplerClient.Listener() {
+      @Override
+      public boolean onVersion(long version) {
+        started.progressAtMillis = context.nowMillis();
+        return run.onVersion(itemId, version);
+      }
+
+      @Override
+      public boolean onEvent(SampleEvent event) {
+        started.progressAtMillis = context.nowMillis();
+        return run.onEvent(itemId, event);
+      }
+
+      @Override
+      public void onEnd(Ending ending, String cause) {
+        if (active.get(itemId) == started) {
+          active.remove(itemId);
+          BatchOwner.this.onEnd(itemId, started, ending, cause);
+        }
+      }
+    };
+  }
+
+  private void onEnd(String itemId, Active ended, Ending ending, String cause) {
+    long nowMillis = context.nowMillis();
+    String samplerId = ended.sampler.id();
+    switch (ending) {
+      case COMPLETE -> {
+        context.balancer().onAnswered(samplerId, nowMillis - ended.startedAtMillis);
+        run.onComplete(itemId);
+      }
+      case BROKEN -> {
+        context.balancer().onFailed(samplerId, nowMillis);
+        run.onBroken(itemId, nowMillis);
+      }
+      case NOT_RUN -> {
+        context.balancer().onRefused(samplerId, nowMillis, REFUSAL_PAUSE_MILLIS);
+        run.onBroken(itemId, nowMillis);
+      }
+      case FAILED -> {
+        context.balancer().onReleased(samplerId);
+        run.onFailed(itemId, nowMillis);
+      }
+      case IMPOSSIBLE -> {
+        context.balancer().onReleased(samplerId);
+        run.onImpossible(itemId);
+      }
+    }
+    if (ending != Ending.COMPLETE) {
+      context
+          .log()
+          .info(
+              "item-attempt",
+              "item",
+              itemId,
+              "batch",
+              spec.id(),
+              "sampler",
+              samplerId,
+              "outcome",
+              ending,
+              "cause",
+              cause);
+    }
+    context.requestStep();
+  }
+
+  private void endStalledRuns() {
+    long nowMillis = context.nowMillis();
+    for (Map.Entry<String, Active> entry : ImmutableList.copyOf(active.entrySet())) {
+      Active each = entry.getValue();
+      if (nowMillis - each.progressAtMillis >= STALL_MILLIS) {
+        each.run.cancel();
+        active.remove(entry.getKey());
+        onEnd(entry.getKey(), each, Ending.BROKEN, "nothing in " + STALL_MILLIS + " ms");
+      }
+    }
+  }
+
+  private void commit() {
+    if (committing || !run.hasResults() || context.nowMillis() < nextCommitMillis) {
+      return;
+    }
+    committing = true;
+    ImmutableList<ItemResult> results = bounded(run.results(MAX_RESULTS_PER_COMMIT));
+    BatchHead next = head.head().withListed(results.size(), context.nextToken());
+    var unused =
+        Single.concatEager(
+                results.stream()
+                    .map(result -> context.store().toRow(spec.id(), result))
+                    .toList())
+            .toList()
+            .timeout(STORE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
+            .observeOn(context.scheduler())
+            .subscribe(
+                rows -> send(next, ImmutableList.copyOf(rows)),
+                error -> {
+                  committing = false;
+                  nextCommitMillis = context.nowMillis() + STORE_RETRY_MILLIS;
+                  context.log().warn(
+                      "output-write-failed", "batch", spec.id(), "cause", error.toString());
+                });
+  }
+
+  private static ImmutableList<ItemResult> bounded(ImmutableList<ItemResult> results) {
+    int chars = 0;
+    int count = 0;
+    for (ItemResult result : results) {
+      chars += result.output().length();
+      if (count > 0 && chars > MAX_COMMIT_CHARS) {
+        break;
+      }
+      count++;
+    }
+    return results.subList(0, count);
+  }
+
+  /**
+   * Sends a transaction until its outcome is known.
+   *
+   * <p>A lost answer leaves open whether it was applied, so the very same one is sent again: it
+   * takes effect once, and the token in the head tells whose write is there.
+   */
+  private void send(BatchHead next, ImmutableList<JsonNode> rows) {
+    if (stopped) {
+      return;
+    }
+    var unused =
+        context
+            .store()
+            .replace(head, next, rows)
+            .timeout(STORE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
+            .observeOn(context.scheduler())
+            .subscribe(
+                result -> onCommitted(next, rows, result),
+                error -> {
+                  context
+                      .log()
+                      .warn("listing-unclear", "batch", spec.id(), "cause", error.toString());
+                  var again =
+                      context
+                          .scheduler()
+                          .scheduleDirect(
+                              () -> send(next, rows), STORE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+                });
+  }
+
+  private void onCommitted(BatchHead next, ImmutableList<JsonNode> rows, CommitResult result) {
+    if (result instanceof CommitResult.Committed committed) {
+      onListed(next, rows, committed.versions().get(BatchStore.headKey(spec.id())));
+      return;
+    }
+    Optional<Row> present =
+        ((CommitResult.Conflict) result).conflicts().get(BatchStore.headKey(spec.id()));
+    if (present == null || present.isEmpty()) {
+      committing = false;
+      stop("head removed");
+      return;
+    }
+    StoredHead there = StoredHead.of(present.get());
+    if (there.head().token().equals(next.token())) {
+      onListed(next, rows, there.rowVersion());
+    } else {
+      committing = false;
+      takeHead(there);
+    }
+  }
+
+  private void onListed(BatchHead next, ImmutableList<JsonNode> rows, Long rowVersion) {
+    committing = false;
+    run.removeResults(rows.size());
+    nextCommitMillis = context.nowMillis() + COMMIT_GAP_MILLIS;
+    head = new StoredHead(next, rowVersion == null ? Transaction.ABSENT : rowVersion);
+    context.onOwnHead(head);
+    if (!next.open()) {
+      stop("complete");
+    }
+  }
+
+  private void takeHead(StoredHead newer) {
+    head = newer;
+    if (newer.head().ended()) {
+      stop("ended");
+    } else if (!newer.head().owner().equals(Optional.of(context.incarnation()))) {
+      stop("taken over by " + newer.head().owner().orElse("nobody"));
+    } else if (!newer.head().open()) {
+      stop("complete");
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/batch/BatchStore.java
@@ -0,0 +1,154 @@
+package io.briarward.node.batch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.batch.BatchHead;
+import io.briarward.core.batch.BatchSpec;
+import io.briarward.core.batch.ItemResult;
+import io.briarward.core.platform.CommitResult;
+import io.briarward.core.platform.Row;
+import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.Transaction;
+import io.briarward.node.platform.JsonHttpClient;
+import io.briarward.node.platform.ObjectStore;
+import io.briarward.node.platform.TableService;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/** Where batches lie: submissions as objects, heads and results as rows. */
+final class BatchStore {
+  /** The table with the head of each batch. */
+  static final String HEADS = "batch-heads";
+
+  private static final String RESULTS = "batch-results";
+
+  /** Results above this size in bytes are kept as objects; rows take 64 KiB. */
+  private static final int MAX_ROW_BYTES = 48 << 10;
+
+  /** The largest number of rows read at once; results of that number stay near 1 MB. */
+  private static final int READ_ROWS = 60;
+
+  private final TableService tables;
+  private final ObjectStore objects;
+  private final BatchCodec codec;
+
+  BatchStore(TableService tables, ObjectStore objects, BatchCodec codec) {
+    this.tables = checkNotNull(tables, "tables");
+    this.objects = checkNotNull(objects, "objects");
+    this.codec = checkNotNull(codec, "codec");
+  }
+
+  /** A head and the version of its row. */
+  record StoredHead(BatchHead head, long rowVersion) {
+    static StoredHead of(Row row) {
+      return new StoredHead(BatchHead.parse(row.value()), row.version());
+    }
+  }
+
+  Single<Boolean> putSubmission(String id, Buffer bytes) {
+    return objects.putIfAbsent("batch-" + id, bytes);
+  }
+
+  Single<Optional<BatchSpec>> submission(String id) {
+    return objects.get("batch-" + id).map(found -> found.map(bytes -> codec.decode(id, bytes)));
+  }
+
+  Single<Optional<StoredHead>> head(String id) {
+    return tables.read(headKey(id)).map(row -> row.map(StoredHead::of));
+  }
+
+  /** Inserts a head; a conflict holds the head that is there. */
+  Single<CommitResult> insert(BatchHead head) {
+    RowKey key = headKey(head.id());
+    return tables.commit(
+        Transaction.builder().requireAbsent(key).put(key, head.toJson()).build());
+  }
+
+  /** Replaces a head on condition that it is unchanged, and adds results after those it lists. */
+  Single<CommitResult> replace(
+      StoredHead expected, BatchHead next, ImmutableList<JsonNode> resultRows) {
+    RowKey key = headKey(next.id());
+    Transaction.Builder transaction =
+        Transaction.builder()
+            .requireVersion(key, expected.rowVersion())
+            .put(key, next.toJson());
+    int position = expected.head().listed();
+    for (JsonNode row : resultRows) {
+      transaction.put(RowKey.of(RESULTS, resultKey(next.id(), position)), row);
+      position++;
+    }
+    return tables.commit(transaction.build());
+  }
+
+  /** Returns the row's value of a result, whose output is moved to an object if it is large. */
+  Single<JsonNode> toRow(String batchId, ItemResult result) {
+    JsonNode json = result.toJson();
+    byte[] bytes = json.toString().getBytes(StandardCharsets.UTF_8);
+    if (bytes.length <= MAX_ROW_BYTES) {
+      return Single.just(json);
+    }
+    String object = "output-" + batchId + "-" + result.itemId();
+    return objects
+        .putIfAbsent(object, Buffer.buffer(bytes))
+        .map(
+            written ->
+                JsonNodeFactory.instance
+                    .objectNode()
+                    .put("itemId", result.itemId())
+                    .put("object", object));
+  }
+
+  /** Returns results from a position on; fewer than there are if they are many. */
+  Single<ImmutableList<ItemResult>> results(String batchId, int from) {
+    return tables
+        .scan(RESULTS, batchId + "/", resultKey(batchId, from - 1), READ_ROWS)
+        .flatMap(this::resolve);
+  }
+
+  /** Returns the ids of all listed items. */
+  Single<ImmutableList<String>> listedIds(String batchId, int from) {
+    return tables
+        .scan(RESULTS, batchId + "/", resultKey(batchId, from - 1), READ_ROWS)
+        .flatMap(
+            rows -> {
+              ImmutableList<String> ids =
+                  rows.stream()
+                      .map(row -> row.value().path("itemId").asText())
+                      .collect(ImmutableList.toImmutableList());
+              if (rows.size() < READ_ROWS) {
+                return Single.just(ids);
+              }
+              return listedIds(batchId, from + rows.size())
+                  .map(rest -> ImmutableList.<String>builder().addAll(ids).addAll(rest).build());
+            });
+  }
+
+  private Single<ImmutableList<ItemResult>> resolve(ImmutableList<Row> rows) {
+    return Single.concatEager(rows.stream().map(row -> resolve(row.value())).toList())
+        .toList()
+        .map(ImmutableList::copyOf);
+  }
+
+  private Single<ItemResult> resolve(JsonNode value) {
+    if (!value.has("object")) {
+      return Single.just(ItemResult.parse(value));
+    }
+    return objects
+        .get(value.path("object").asText())
+        .map(bytes -> ItemResult.parse(JsonHttpClient.parse(bytes.orElseThrow())));
+  }
+
+
+  static RowKey headKey(String id) {
+    return RowKey.of(HEADS, id);
+  }
+
+  private static String resultKey(String batchId, int position) {
+    return String.format("%s/%07d", batchId, position + 1);
+  }
+}
--- a/node/src/main/java/io/briarward/node/duty/LeaseLoop.java
+++ b/node/src/main/java/io/briarward/node/duty/LeaseLoop.java
@@ -15,7 +15,7 @@
 import java.util.function.Consumer;
 
 /** Carries out the store operations of one lease. To be used on the scheduler's thread only. */
-final class LeaseLoop {
+public final class LeaseLoop {
   private final TableService tables;
   private final Scheduler scheduler;
   private final LeaseMachine machine;
@@ -29,27 +29,47 @@
 
   static LeaseLoop create(
       TableService tables, Scheduler scheduler, String duty, String incarnation) {
-    LeaseMachine machine = LeaseMachine.create(LeaseSettings.defaults(), duty, incarnation);
+    return create(tables, scheduler, LeaseSettings.defaults(), duty, incarnation);
+  }
+
+  /**
+   * Returns a loop that holds nothing yet.
+   *
+   * @param duty the key of the lease's row
+   * @param incarnation unique to this process
+   */
+  public static LeaseLoop create(
+      TableService tables,
+      Scheduler scheduler,
+      LeaseSettings settings,
+      String duty,
+      String incarnation) {
+    LeaseMachine machine = LeaseMachine.create(settings, duty, incarnation);
     return new LeaseLoop(tables, scheduler, machine);
   }
 
-  Optional<LeaseGuard> guard() {
+  /** Returns the permission to act, if the lease is held and enough of it is left. */
+  public Optional<LeaseGuard> guard() {
     return machine.guard(nowMillis());
   }
 
-  void setCandidate(boolean candidate) {
+  /** Sets whether to take the lease when it is free. */
+  public void setCandidate(boolean candidate) {
     machine.setCandidate(candidate);
   }
 
-  void release() {
+  /** Gives the lease up, once nothing that was sent under it waits for its answer. */
+  public void release() {
     machine.release();
   }
 
-  boolean released() {
+  /** Returns whether a release is settled or nothing was held. */
+  public boolean released() {
     return machine.released(nowMillis());
   }
 
-  void onStaleFencingNumber() {
+  /** Treats the lease as lost. */
+  public void onStaleFencingNumber() {
     machine.onStaleFencingNumber();
   }
 
@@ -58,7 +78,8 @@
     slot.offer(work, outcome);
   }
 
-  void step() {
+  /** Carries out the next operation, if one is due. */
+  public void step() {
     LeaseAction action = slot.poll(machine, nowMillis());
     if (action instanceof LeaseAction.Read read) {
       StoreCalls.subscribe(
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/gateway/FleetState.java
@@ -0,0 +1,209 @@
+package io.briarward.node.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.briarward.core.fleet.FleetConfiguration;
+import io.briarward.core.fleet.UpstreamBalancer;
+import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.platform.Row;
+import io.briarward.node.platform.ChangeFeed.Change;
+import io.briarward.node.telemetry.EventLog;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What this node believes of the deployment: its configuration, its upstreams and the announced
+ * versions of weights. Confined to the event loop.
+ */
+public final class FleetState {
+  /**
+   * How long an upstream whose entry lapsed while the store was away is kept after its return, in
+   * milliseconds. Entries of live upstreams are back within two seconds.
+   */
+  private static final long LAPSED_ENTRY_MILLIS = 2_000;
+
+  private final FleetDecoder decoder;
+  private final Scheduler scheduler;
+  private final EventLog log;
+  private final UpstreamBalancer balancer;
+  private final Map<String, Long> announced = new HashMap<>();
+  private final Map<String, Disposable> lapsing = new HashMap<>();
+  private Optional<FleetConfiguration> configuration = Optional.empty();
+  private long regainedAtMillis = Long.MIN_VALUE / 2;
+  private boolean upstreamsKnown;
+
+  private FleetState(
+      FleetDecoder decoder, Scheduler scheduler, EventLog log, String localDataCentre) {
+    this.decoder = checkNotNull(decoder, "decoder");
+    this.scheduler = checkNotNull(scheduler, "scheduler");
+    this.log = checkNotNull(log, "log");
+    this.balancer = UpstreamBalancer.create(localDataCentre);
+  }
+
+  /** Returns a state that knows nothing yet. */
+  public static FleetState create(
+      FleetDecoder decoder, Scheduler scheduler, EventLog log, String localDataCentre) {
+    return new FleetState(decoder, scheduler, log, localDataCentre);
+  }
+
+  /** Returns the newest configuration. */
+  public Optional<FleetConfiguration> configuration() {
+    return configuration;
+  }
+
+  /** Returns the upstreams. */
+  public UpstreamBalancer balancer() {
+    return balancer;
+  }
+
+  /** Returns the newest announced version of each model. */
+  public ImmutableMap<String, Long> announced() {
+    return ImmutableMap.copyOf(announced);
+  }
+
+  /** Returns whether both the configuration and the upstreams were read. */
+  public boolean known() {
+    return configuration.isPresent() && upstreamsKnown;
+  }
+
+  /** Returns what follows the operators' table. */
+  public TableWatch.Listener operatorRows() {
+    return new TableWatch.Listener() {
+      @Override
+      public void onSnapshot(ImmutableList<Row> rows) {
+        rows.forEach(row -> onOperatorRow(row));
+      }
+
+      @Override
+      public void onChanges(ImmutableList<Change> changes) {
+        changes.forEach(change -> change.row().ifPresent(row -> onOperatorRow(row)));
+      }
+    };
+  }
+
+  /** Returns what follows the upstreams' table. */
+  public TableWatch.Listener upstreamRows() {
+    return new TableWatch.Listener() {
+      @Override
+      public void onSnapshot(ImmutableList<Row> rows) {
+        upstreamsKnown = true;
+        ImmutableSet<String> present =
+            rows.stream().map(Row::key).collect(ImmutableSet.toImmutableSet());
+        rows.forEach(row -> onUpstreamRow(row));
+        balancer.entries().stream()
+            .map(UpstreamEntry::id)
+            .filter(id -> !present.contains(id))
+            .forEach(FleetState.this::onUpstreamRemoved);
+      }
+
+      @Override
+      public void onChanges(ImmutableList<Change> changes) {
+        for (Change change : changes) {
+          change
+              .row()
+              .ifPresentOrElse(
+                  FleetState.this::onUpstreamRow, () -> onUpstreamRemoved(change.key()));
+        }
+      }
+
+      @Override
+      public void onRegained() {
+        regainedAtMillis = nowMillis();
+      }
+    };
+  }
+
+  private void onOperatorRow(Row row) {
+    try {
+      if (row.key().equals(decoder.configurationKey())) {
+        install(decoder.configuration(row.value()));
+      } else {
+        decoder.announcement(row.key(), row.value()).ifPresent(this::onAnnouncement);
+      }
+    } catch (IllegalArgumentException e) {
+      log.warn("operator-row-rejected", "key", row.key(), "cause", e.getMessage());
+    }
+  }
+
+  private void install(FleetConfiguration next) {
+    if (configuration.filter(current -> current.version() >= next.version()).isPresent()) {
+      return;
+    }
+    configuration = Optional.of(next);
+    log.info(
+        "configuration",
+        "version",
+        next.version(),
+        "routes",
+        next.routes().size(),
+        "keys",
+        next.organisationByKey().size());
+  }
+
+  private void onAnnouncement(FleetDecoder.Announcement announcement) {
+    long before = announced.getOrDefault(announcement.model(), 0L);
+    if (announcement.version() > before) {
+      announced.put(announcement.model(), announcement.version());
+      log.info(
+          "weights-announced", "model", announcement.model(), "version", announcement.version());
+    }
+  }
+
+  private void onUpstreamRow(Row row) {
+    Optional<UpstreamEntry> decoded = decoder.upstream(row.key(), row.value());
+    if (decoded.isEmpty()) {
+      log.warn("upstream-row-rejected", "upstream", row.key(), "rowVersion", row.version());
+      balancer.remove(row.key());
+      return;
+    }
+    UpstreamEntry entry = decoded.get();
+    lapsing.getOrDefault(entry.id(), Disposable.disposed()).dispose();
+    Optional<UpstreamEntry> before = balancer.entry(entry.id());
+    if (!before.equals(decoded)) {
+      log.info(
+          "upstream",
+          "upstream",
+          entry.id(),
+          "service",
+          entry.service(),
+          "dataCentre",
+          entry.dataCentre(),
+          "leaving",
+          entry.leaving(),
+          "versions",
+          entry.modelVersions(),
+          "rowVersion",
+          row.version());
+    }
+    balancer.put(entry);
+  }
+
+  private void onUpstreamRemoved(String id) {
+    long sinceRegainedMillis = nowMillis() - regainedAtMillis;
+    if (sinceRegainedMillis >= LAPSED_ENTRY_MILLIS) {
+      log.info("upstream-gone", "upstream", id);
+      balancer.remove(id);
+      return;
+    }
+    Disposable removal =
+        scheduler.scheduleDirect(
+            () -> {
+              log.info("upstream-gone", "upstream", id, "lapsed", true);
+              balancer.remove(id);
+            },
+            LAPSED_ENTRY_MILLIS - sinceRegainedMillis,
+            TimeUnit.MILLISECONDS);
+    lapsing.put(id, removal);
+  }
+
+  private long nowMillis() {
+    return scheduler.now(TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -0,0 +1,379 @@
+package io.briarward.node.gateway;
+
+import com.google.common.collect.ImmutableSet;
+import io.briarward.core.errors.ErrorKind;
+import io.briarward.core.errors.Failure;
+import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.forwarding.HeaderRules;
+import io.briarward.node.gateway.UpstreamProtocol.AnswerKind;
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One live request on its way to an upstream and back.
+ *
+ * <p>The answer of an idempotent request is read whole before it is passed on, so that one that
+ * breaks off can be asked for again. Other answers are passed on as they arrive.
+ */
+final class ForwardedExchange {
+  /** When a caller is to come back after no upstream could take its request, in milliseconds. */
+  private static final long RETRY_AFTER_MILLIS = 300;
+
+  /** How long an upstream that is full gets nothing from this node, in milliseconds. */
+  private static final long REFUSAL_PAUSE_MILLIS = 50;
+
+  /** How often a request may be refused by upstreams that did not run it. */
+  private static final int MAX_REFUSALS = 6;
+
+  /**
+   * The least time that an upstream has for an idempotent request before another one is asked, in
+   * milliseconds; above the slowest answers of an undisturbed upstream.
+   */
+  private static final long MIN_ATTEMPT_MILLIS = 300;
+
+  private final LiveForwarder.Context context;
+  private final HttpServerRequest downstream;
+  private final LiveCall call;
+  private final Runnable onFinished;
+  private final Set<String> tried = new HashSet<>();
+  private final String service;
+  private Optional<Attempt> current = Optional.empty();
+  private Disposable deadline = Disposable.disposed();
+  private Disposable attemptTimeout = Disposable.disposed();
+  private int attempts;
+  private int refusals;
+  private boolean mayHaveRun;
+  private boolean finished;
+
+  ForwardedExchange(
+      LiveForwarder.Context context,
+      HttpServerRequest downstream,
+      LiveCall call,
+      Runnable onFinished) {
+    this.context = context;
+    this.downstream = downstream;
+    this.call = call;
+    this.onFinished = onFinished;
+    this.service = call.route().service(ThreadLocalRandom.current().nextDouble());
+  }
+
+  private record Attempt(
+      UpstreamEntry upstream, HttpClientRequest request, long sentAtMillis, long sentAtWallMillis) {
+  }
+
+  void start() {
+    downstream.response().closeHandler(unused -> onCallerGone());
+    downstream.response().exceptionHandler(unused -> onCallerGone());
+    long leftMillis = Math.max(0, call.deadlineMillis() - context.nowMillis());
+    deadline =
+        context
+            .scheduler()
+            .scheduleDirect(this::onDeadline, leftMillis, TimeUnit.MILLISECONDS);
+    attempt();
+  }
+
+  private void attempt() {
+    ImmutableSet<String> excluded = ImmutableSet.copyOf(tried);
+    Optional<UpstreamEntry> chosen =
+        context
+            .balancer()
+            .choose(service, excluded, upstream -> true, context.nowMillis())
+            .or(() -> context.balancer().chooseAny(service, excluded));
+    if (chosen.isEmpty()) {
+      giveUp("no upstream of " + service + " takes work");
+      return;
+    }
+    UpstreamEntry upstream = chosen.get();
+    tried.add(upstream.id());
+    context.balancer().onSent(upstream.id());
+    context
+        .connections()
+        .open(upstream, call.method(), call.uri())
+        .onSuccess(request -> send(upstream, request))
+        .onFailure(cause -> onConnectFailed(upstream, cause));
+  }
+
+  private void send(UpstreamEntry upstream, HttpClientRequest request) {
+    long nowMillis = context.nowMillis();
+    if (finished || nowMillis >= call.deadlineMillis()) {
+      request.reset();
+      context.balancer().onReleased(upstream.id());
+      return;
+    }
+    attempts++;
+    Attempt attempt = new Attempt(upstream, request, nowMillis, System.currentTimeMillis());
+    current = Optional.of(attempt);
+    context
+        .upstreamProtocol()
+        .writeHeaders(request, call, upstream, call.deadlineMillis() - nowMillis);
+    request
+        .response()
+        .onSuccess(response -> onResponse(attempt, response))
+        .onFailure(cause -> onBroken(attempt, cause.toString()));
+    request.end(call.body());
+    if (mayTryAgain()) {
+      long limitMillis = Math.max(MIN_ATTEMPT_MILLIS, 2 * call.route().goalMillis());
+      attemptTimeout =
+          context
+              .scheduler()
+              .scheduleDirect(
+                  () -> onSilent(attempt), limitMillis, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private boolean mayTryAgain() {
+    return call.route().repeatable() && attempts < call.route().maxAttempts();
+  }
+
+  private void onConnectFailed(UpstreamEntry upstream, Throwable cause) {
+    context.balancer().onFailed(upstream.id(), context.nowMillis());
+    logAttempt(upstream, "connect-failed", cause.toString());
+    if (!finished) {
+      attempt();
+    }
+  }
+
+  private void onResponse(Attempt attempt, HttpClientResponse response) {
+    if (!isCurrent(attempt)) {
+      return;
+    }
+    AnswerKind kind = context.upstreamProtocol().classify(response, call);
+    if (kind == AnswerKind.NOT_RUN) {
+      onNotRun(attempt, response.statusCode());
+    } else if (kind == AnswerKind.FOREIGN) {
+      onBroken(attempt, "answer of another request");
+    } else if (call.route().repeatable()) {
+      response
+          .body()
+          .onSuccess(body -> onWhole(attempt, response, body))
+          .onFailure(cause -> onBroken(attempt, cause.toString()));
+    } else {
+      stream(attempt, response);
+    }
+  }
+
+  private void onNotRun(Attempt attempt, int status) {
+    attemptTimeout.dispose();
+    current = Optional.empty();
+    attempts--;
+    refusals++;
+    context
+        .balancer()
+        .onRefused(attempt.upstream().id(), context.nowMillis(), REFUSAL_PAUSE_MILLIS);
+    logAttempt(attempt.upstream(), "not-run", "status " + status);
+    if (refusals < MAX_REFUSALS) {
+      attempt();
+    } else {
+      giveUp("upstreams of " + service + " are full");
+    }
+  }
+
+  private void onWhole(Attempt attempt, HttpClientResponse response, Buffer body) {
+    if (!isCurrent(attempt)) {
+      return;
+    }
+    countRun(attempt);
+    if (response.statusCode() >= 500 && mayTryAgain()) {
+      endAttempt(attempt);
+      logAttempt(attempt.upstream(), "failed", "status " + response.statusCode());
+      context.balancer().onFailed(attempt.upstream().id(), context.nowMillis());
+      attempt();
+      return;
+    }
+    endAttempt(attempt);
+    context
+        .balancer()
+        .onAnswered(attempt.upstream().id(), context.nowMillis() - attempt.sentAtMillis());
+    HttpServerResponse answer = downstream.response();
+    writeHead(answer, response);
+    answer.end(body);
+    finish("ok", attempt.upstream().id());
+  }
+
+  private void stream(Attempt attempt, HttpClientResponse response) {
+    countRun(attempt);
+    HttpServerResponse answer = downstream.response();
+    writeHead(answer, response);
+    Optional.ofNullable(response.getHeader("Content-Length"))
+        .ifPresentOrElse(
+            length -> answer.putHeader("Content-Length", length), () -> answer.setChunked(true));
+    response
+        .pipe()
+        .endOnFailure(false)
+        .to(answer)
+        .onSuccess(
+            unused -> {
+              if (isCurrent(attempt)) {
+                endAttempt(attempt);
+                context
+                    .balancer()
+                    .onAnswered(
+                        attempt.upstream().id(), context.nowMillis() - attempt.sentAtMillis());
+                finish("ok", attempt.upstream().id());
+              }
+            })
+        .onFailure(cause -> onBroken(attempt, cause.toString()));
+  }
+
+  private static void writeHead(HttpServerResponse answer, HttpClientResponse response) {
+    answer.setStatusCode(response.statusCode());
+    HeaderRules.toCaller(response.headers())
+        .forEach(header -> answer.headers().add(header.getKey(), header.getValue()));
+  }
+
+  private void onBroken(Attempt attempt, String cause) {
+    if (!isCurrent(attempt)) {
+      return;
+    }
+    countRun(attempt);
+    abandon(attempt, "broken", cause);
+    context.balancer().onFailed(attempt.upstream().id(), context.nowMillis());
+    if (downstream.response().headWritten()) {
+      // Part of an answer must not look whole, so its connection is broken.
+      var unused = downstream.connection().close();
+      finish("broken", attempt.upstream().id());
+    } else if (mayTryAgain()) {
+      attempt();
+    } else {
+      giveUp("the upstream broke off");
+    }
+  }
+
+  private void onSilent(Attempt attempt) {
+    if (isCurrent(attempt)) {
+      mayHaveRun = true;
+      abandon(attempt, "silent", "no answer in " + (context.nowMillis() - attempt.sentAtMillis()));
+      context.balancer().onFailed(attempt.upstream().id(), context.nowMillis());
+      attempt();
+    }
+  }
+
+  private void abandon(Attempt attempt, String outcome, String cause) {
+    endAttempt(attempt);
+    attempt.request().reset();
+    logAttempt(attempt.upstream(), outcome, cause);
+  }
+
+  private void endAttempt(Attempt attempt) {
+    if (isCurrent(attempt)) {
+      attemptTimeout.dispose();
+      current = Optional.empty();
+    }
+  }
+
+  private boolean isCurrent(Attempt attempt) {
+    return !finished && current.filter(each -> each == attempt).isPresent();
+  }
+
+  private void countRun(Attempt attempt) {
+    mayHaveRun = true;
+    call.organisation()
+        .ifPresent(organisation -> context.runs().onRun(organisation, attempt.sentAtWallMillis()));
+  }
+
+  private void giveUp(String detail) {
+    if (mayHaveRun) {
+      fail(Failure.unknown(ErrorKind.UPSTREAM_FAILED, detail));
+    } else {
+      fail(Failure.notRun(ErrorKind.NO_UPSTREAM, detail, RETRY_AFTER_MILLIS));
+    }
+  }
+
+  private void onDeadline() {
+    if (finished) {
+      return;
+    }
+    if (mayHaveRun || current.isPresent()) {
+      fail(Failure.unknown(ErrorKind.DEADLINE_EXCEEDED, "no whole answer within the due time"));
+    } else {
+      fail(
+          Failure.notRun(
+              ErrorKind.NO_UPSTREAM, "no upstream within the due time", RETRY_AFTER_MILLIS));
+    }
+  }
+
+  private void onCallerGone() {
+    if (!finished) {
+      finish("caller-gone", current.map(attempt -> attempt.upstream().id()).orElse("none"));
+    }
+  }
+
+  private void fail(Failure failure) {
+    String upstream = current.map(attempt -> attempt.upstream().id()).orElse("none");
+    if (downstream.response().headWritten()) {
+      var unused = downstream.connection().close();
+    } else {
+      context.callerProtocol().fail(downstream, failure);
+    }
+    finish(failure.kind().label(), upstream);
+  }
+
+  private void finish(String outcome, String upstream) {
+    if (finished) {
+      return;
+    }
+    finished = true;
+    deadline.dispose();
+    attemptTimeout.dispose();
+    current.ifPresent(
+        attempt -> {
+          attempt.request().reset();
+          context.balancer().onReleased(attempt.upstream().id());
+        });
+    current = Optional.empty();
+    long tookMillis = context.nowMillis() - call.arrivedAtMillis();
+    context.metrics().requestFinished(service, outcome, tookMillis / 1e3);
+    context
+        .log()
+        .info(
+            "request",
+            "id",
+            call.id(),
+            "route",
+            call.route().name(),
+            "service",
+            service,
+            "upstream",
+            upstream,
+            "outcome",
+            outcome,
+            "attempts",
+            attempts,
+            "refusals",
+            refusals,
+            "tookMillis",
+            tookMillis,
+            "leftMillis",
+            call.deadlineMillis() - context.nowMillis());
+    onFinished.run();
+  }
+
+  private void logAttempt(UpstreamEntry upstream, String outcome, String cause) {
+    context
+        .log()
+        .info(
+            "attempt",
+            "id",
+            call.id(),
+            "upstream",
+            upstream.id(),
+            "attempt",
+            attempts,
+            "outcome",
+            outcome,
+            "cause",
+            cause);
+    if (!finished) {
+      context.metrics().retried(service);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/gateway/GatewayPorts.java
@@ -0,0 +1,37 @@
+package io.briarward.node.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.briarward.node.batch.BatchCodec;
+import io.briarward.node.batch.SamplerClient;
+import io.briarward.node.platform.ChangeFeed;
+import io.briarward.node.platform.ObjectStore;
+import io.briarward.node.platform.TableService;
+import io.briarward.node.platform.UsageReports;
+
+/** What a gateway needs of the world outside, each with its own protocol. */
+public record GatewayPorts(
+    TableService tables,
+    ChangeFeed feed,
+    ObjectStore objects,
+    UsageReports reports,
+    FleetDecoder decoder,
+    BatchCodec batchCodec,
+    SamplerClient samplers,
+    SamplerOrders orders,
+    UpstreamProtocol upstreamProtocol,
+    CallerProtocol callerProtocol) {
+  /** Checks the fields. */
+  public GatewayPorts {
+    checkNotNull(tables, "tables");
+    checkNotNull(feed, "feed");
+    checkNotNull(objects, "objects");
+    checkNotNull(reports, "reports");
+    checkNotNull(decoder, "decoder");
+    checkNotNull(batchCodec, "batchCodec");
+    checkNotNull(samplers, "samplers");
+    checkNotNull(orders, "orders");
+    checkNotNull(upstreamProtocol, "upstreamProtocol");
+    checkNotNull(callerProtocol, "callerProtocol");
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/gateway/LiveForwarder.java
@@ -0,0 +1,67 @@
+package io.briarward.node.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.briarward.core.fleet.UpstreamBalancer;
+import io.briarward.node.telemetry.EventLog;
+import io.briarward.node.telemetry.Metrics;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.concurrent.TimeUnit;
+
+/** Sends live requests to upstreams and their answers back. Confined to the event loop. */
+public final class LiveForwarder {
+  /**
+   * What all exchanges share.
+   *
+   * @param runs counts the requests that began to run
+   */
+  record Context(
+      Scheduler scheduler,
+      UpstreamBalancer balancer,
+      UpstreamConnections connections,
+      UpstreamProtocol upstreamProtocol,
+      CallerProtocol callerProtocol,
+      RunMeter runs,
+      Metrics metrics,
+      EventLog log) {
+    Context {
+      checkNotNull(scheduler, "scheduler");
+      checkNotNull(balancer, "balancer");
+      checkNotNull(connections, "connections");
+      checkNotNull(upstreamProtocol, "upstreamProtocol");
+      checkNotNull(callerProtocol, "callerProtocol");
+      checkNotNull(runs, "runs");
+      checkNotNull(metrics, "metrics");
+      checkNotNull(log, "log");
+    }
+
+    long nowMillis() {
+      return scheduler.now(TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private final Context context;
+  private int inFlight;
+
+  LiveForwarder(Context context) {
+    this.context = checkNotNull(context, "context");
+  }
+
+  /** Returns the number of requests without an answer. */
+  public int inFlight() {
+    return inFlight;
+  }
+
+  /** Answers a request whose body was read. */
+  public void forward(HttpServerRequest downstream, LiveCall call) {
+    inFlight++;
+    context.metrics().inFlight(inFlight);
+    new ForwardedExchange(context, downstream, call, this::onFinished).start();
+  }
+
+  private void onFinished() {
+    inFlight--;
+    context.metrics().inFlight(inFlight);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/gateway/UsageStore.java
@@ -0,0 +1,114 @@
+package io.briarward.node.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+import io.briarward.core.platform.CommitResult;
+import io.briarward.core.platform.Row;
+import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.Transaction;
+import io.briarward.node.platform.TableService;
+import io.reactivex.rxjava3.core.Single;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** The rows of usage: each process's counts, and the frozen figures of each window. */
+final class UsageStore {
+  private static final String COUNTS = "usage-counts";
+  private static final String FROZEN = "usage-frozen";
+  private static final int MAX_ROWS = 90; // A transaction takes 100 entries.
+
+  private final TableService tables;
+
+  UsageStore(TableService tables) {
+    this.tables = checkNotNull(tables, "tables");
+  }
+
+  Single<CommitResult> putCounts(
+      long window, String incarnation, ImmutableMap<String, Long> counts) {
+    return tables.commit(
+        Transaction.builder().put(countsKey(window, incarnation), print(counts)).build());
+  }
+
+  /**
+   * Returns the figures of a window, which this call fixes if they are not yet.
+   *
+   * <p>The row is written only if it is absent, so every process reports the same figures.
+   */
+  Single<ImmutableMap<String, Long>> freeze(long window) {
+    return tables
+        .read(frozenKey(window))
+        .flatMap(
+            frozen ->
+                frozen.isPresent()
+                    ? Single.just(parse(frozen.get().value()))
+                    : sum(window).flatMap(figures -> freeze(window, figures)));
+  }
+
+  private Single<ImmutableMap<String, Long>> freeze(
+      long window, ImmutableMap<String, Long> figures) {
+    RowKey key = frozenKey(window);
+    return tables
+        .commit(Transaction.builder().requireAbsent(key).put(key, print(figures)).build())
+        .map(
+            result -> {
+              if (result instanceof CommitResult.Conflict conflict) {
+                Optional<Row> present = conflict.conflicts().get(key);
+                return parse(present.orElseThrow().value());
+              }
+              return figures;
+            });
+  }
+
+  /** Removes all rows of a window. */
+  Single<CommitResult> remove(long window) {
+    return counts(window)
+        .flatMap(
+            rows -> {
+              Transaction.Builder transaction = Transaction.builder().delete(frozenKey(window));
+              rows.forEach(row -> transaction.delete(RowKey.of(COUNTS, row.key())));
+              return tables.commit(transaction.build());
+            });
+  }
+
+  private Single<ImmutableMap<String, Long>> sum(long window) {
+    return counts(window)
+        .map(
+            rows -> {
+              TreeMap<String, Long> sums = new TreeMap<>();
+              for (Row row : rows) {
+                parse(row.value()).forEach((name, count) -> sums.merge(name, count, Long::sum));
+              }
+              return ImmutableSortedMap.copyOf(sums);
+            });
+  }
+
+  private Single<ImmutableList<Row>> counts(long window) {
+    return tables.scan(COUNTS, window + "/", window + "/", MAX_ROWS);
+  }
+
+  private static RowKey countsKey(long window, String incarnation) {
+    return RowKey.of(COUNTS, window + "/" + incarnation);
+  }
+
+  private static RowKey frozenKey(long window) {
+    return RowKey.of(FROZEN, Long.toString(window));
+  }
+
+  private static JsonNode print(ImmutableMap<String, Long> counts) {
+    ObjectNode json = JsonNodeFactory.instance.objectNode();
+    counts.forEach(json::put);
+    return json;
+  }
+
+  private static ImmutableMap<String, Long> parse(JsonNode json) {
+    ImmutableMap.Builder<String, Long> counts = ImmutableMap.builder();
+    json.fields().forEachRemaining(field -> counts.put(field.getKey(), field.getValue().asLong()));
+    return counts.buildOrThrow();
+  }
+}
