--- a/core/src/main/java/io/briarward/core/fleet/FleetService.java
+++ b/core/src/main/java/io/briarward/core/fleet/FleetService.java
@@ -15,10 +15,7 @@
  * @param scaling the limits in which its upstreams may be ordered
  */
 public record FleetService(
-    String name,
-    int maxConnections,
-    ImmutableList<String> models,
-    Optional<Scaling> scaling) {
+    String name, int maxConnections, ImmutableList<String> models, Optional<Scaling> scaling) {
 
   /**
    * The limits for ordering upstreams.
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -91,9 +91,7 @@
       Predicate<UpstreamEntry> allowed,
       long nowMillis) {
     return shortestWait(
-        service,
-        excluded,
-        entry -> !paused(entry.id(), nowMillis) && allowed.test(entry));
+        service, excluded, entry -> !paused(entry.id(), nowMillis) && allowed.test(entry));
   }
 
   /** Chooses an upstream of a service even if it failed just now. */
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/batch/BatchHeadTest.java
@@ -0,0 +1,45 @@
+package io.briarward.core.batch;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class BatchHeadTest {
+  private static final BatchHead HEAD =
+      new BatchHead(
+          "batch",
+          "nadi-mill",
+          new BatchTerms("host", "route", "service", 3, 7_500, 40_000, true),
+          10,
+          4,
+          false,
+          Optional.of("node-1"),
+          123,
+          "node-1#7");
+
+  @Test
+  void survivesItsJsonForm() {
+    assertThat(BatchHead.parse(HEAD.toJson())).isEqualTo(HEAD);
+    BatchHead released = HEAD.withOwner(Optional.empty(), "t");
+    assertThat(BatchHead.parse(released.toJson())).isEqualTo(released);
+  }
+
+  @Test
+  void isOpenUntilEndedOrWhollyListed() {
+    assertThat(HEAD.open()).isTrue();
+    assertThat(HEAD.withEnded("t").open()).isFalse();
+    assertThat(HEAD.withListed(6, "t").open()).isFalse();
+    assertThat(HEAD.giveUpAtMillis()).isEqualTo(40_123);
+  }
+
+  @Test
+  void rejectsRowsOfOtherWriters() {
+    assertThrows(
+        IllegalArgumentException.class,
+        () -> BatchHead.parse(JsonNodeFactory.instance.objectNode().put("id", "x")));
+    assertThrows(IllegalArgumentException.class, () -> HEAD.withListed(7, "t"));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/batch/BatchRunTest.java
@@ -0,0 +1,146 @@
+package io.briarward.core.batch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+
+class BatchRunTest {
+  private static final BatchSpec SPEC =
+      new BatchSpec(
+          "batch", Optional.of("model"), 5, 1, ImmutableList.of(item("a"), item("b"), item("c")));
+
+  private static BatchItem item(String id) {
+    return new BatchItem(id, "group", "/x/" + id, ImmutableMap.of(), "", 10);
+  }
+
+  private static BatchTerms terms(boolean singleVersion) {
+    return new BatchTerms("host", "route", "service", 2, 7_500, 40_000, singleVersion);
+  }
+
+  private static BatchRun run(boolean singleVersion) {
+    return BatchRun.create(SPEC, terms(singleVersion), ImmutableSet.of());
+  }
+
+  private static SampleEvent event(long id, String data) {
+    return new SampleEvent(id, OptionalLong.empty(), data);
+  }
+
+  private static String next(BatchRun run, long nowMillis) {
+    return run.next(nowMillis).map(BatchItem::id).orElse("none");
+  }
+
+  @Test
+  void itemsStartInOrder() {
+    BatchRun run = run(false);
+    assertThat(next(run, 0)).isEqualTo("a");
+    run.start("a");
+    assertThat(next(run, 0)).isEqualTo("b");
+    assertThat(run.running()).isEqualTo(1);
+  }
+
+  @Test
+  void listedItemsDoNotRunAgain() {
+    BatchRun run = BatchRun.create(SPEC, terms(false), ImmutableSet.of("a", "c"));
+    assertThat(next(run, 0)).isEqualTo("b");
+    run.start("b");
+    assertThat(run.next(0)).isEmpty();
+  }
+
+  @Test
+  void wholeStreamBecomesTheResult() {
+    BatchRun run = run(false);
+    run.start("a");
+    assertThat(run.onVersion("a", 5)).isTrue();
+    assertThat(run.onEvent("a", event(1, "x"))).isTrue();
+    assertThat(run.onEvent("a", new SampleEvent(2, OptionalLong.of(6), "y"))).isTrue();
+    assertThat(run.onEvent("a", event(3, "z"))).isTrue();
+    run.onComplete("a");
+    assertThat(run.results(10))
+        .containsExactly(new ItemResult("a", true, "x\ny\nz", ImmutableList.of(5L, 6L)));
+  }
+
+  @Test
+  void brokenRunGoesOnAfterItsLastEvent() {
+    BatchRun run = run(false);
+    run.start("a");
+    run.onVersion("a", 5);
+    run.onEvent("a", event(1, "x"));
+    run.onBroken("a", 0);
+    assertThat(next(run, 0)).isEqualTo("b");
+    assertThat(next(run, 1_000)).isEqualTo("a");
+    assertThat(run.start("a").resumeAfter()).isEqualTo(OptionalLong.of(1));
+    run.onVersion("a", 6);
+    assertThat(run.onEvent("a", event(2, "y"))).isTrue();
+    run.onComplete("a");
+    assertThat(run.results(1).get(0).output()).isEqualTo("x\ny");
+    assertThat(run.results(1).get(0).versions()).containsExactly(5L, 6L).inOrder();
+  }
+
+  @Test
+  void singleVersionStartsAnewAfterBreak() {
+    BatchRun run = run(true);
+    run.start("a");
+    run.onVersion("a", 5);
+    run.onEvent("a", event(1, "x"));
+    run.onBroken("a", 0);
+    assertThat(run.start("a").resumeAfter()).isEqualTo(OptionalLong.empty());
+    assertThat(run.onVersion("a", 6)).isTrue();
+    assertThat(run.onEvent("a", event(1, "y"))).isTrue();
+    assertThat(run.onEvent("a", new SampleEvent(2, OptionalLong.of(7), "z"))).isFalse();
+  }
+
+  @Test
+  void versionBelowTheBoundIsRefused() {
+    BatchRun run = run(false);
+    run.start("a");
+    assertThat(run.onVersion("a", 4)).isFalse();
+  }
+
+  @Test
+  void missingAndRepeatedEventsAreRefused() {
+    BatchRun run = run(false);
+    run.start("a");
+    run.onVersion("a", 5);
+    run.onEvent("a", event(1, "x"));
+    assertThat(run.onEvent("a", event(3, "z"))).isFalse();
+    assertThat(run.onEvent("a", event(1, "x"))).isFalse();
+  }
+
+  @Test
+  void itemIsLostAfterTooManyFailuresOnly() {
+    BatchRun run = run(false);
+    run.start("a");
+    run.onFailed("a", 0);
+    assertThat(run.hasResults()).isFalse();
+    run.start("a");
+    run.onBroken("a", 0);
+    run.start("a");
+    run.onFailed("a", 0);
+    assertThat(run.results(10)).containsExactly(ItemResult.lost("a"));
+    assertThat(run.unfinished()).isEqualTo(2);
+  }
+
+  @Test
+  void impossibleItemIsLostAtOnce() {
+    BatchRun run = run(false);
+    run.start("b");
+    run.onImpossible("b");
+    assertThat(run.results(10)).containsExactly(ItemResult.lost("b"));
+  }
+
+  @Test
+  void givingUpLeavesRunningItemsAlone() {
+    BatchRun run = run(false);
+    run.start("a");
+    run.giveUpWaiting();
+    assertThat(run.results(10)).containsExactly(ItemResult.lost("b"), ItemResult.lost("c"));
+    assertThat(run.running()).isEqualTo(1);
+    run.removeResults(2);
+    assertThat(run.hasResults()).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
@@ -0,0 +1,104 @@
+package io.briarward.core.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class UpstreamBalancerTest {
+  private final UpstreamBalancer balancer = UpstreamBalancer.create("nadi");
+
+  private static UpstreamEntry entry(String id, boolean leaving, long bornMillis) {
+    return new UpstreamEntry(
+        id, "orders", "nadi", "10.0.0.1", 80, bornMillis, 4, leaving, false, ImmutableMap.of());
+  }
+
+  @BeforeEach
+  void addTwo() {
+    balancer.put(entry("a", false, 1));
+    balancer.put(entry("b", false, 1));
+  }
+
+  private Optional<String> choose(long nowMillis) {
+    return balancer
+        .choose("orders", ImmutableSet.of(), entry -> true, nowMillis)
+        .map(UpstreamEntry::id);
+  }
+
+  @Test
+  void requestsSpreadByWhatIsInFlight() {
+    Map<String, Integer> counts = new HashMap<>();
+    for (int i = 0; i < 8; i++) {
+      String id = choose(0).orElseThrow();
+      balancer.onSent(id);
+      counts.merge(id, 1, Integer::sum);
+    }
+    assertThat(counts).containsExactly("a", 4, "b", 4);
+  }
+
+  @Test
+  void leavingUpstreamGetsNothing() {
+    balancer.put(entry("a", true, 1));
+    balancer.put(entry("b", true, 1));
+    assertThat(choose(0)).isEmpty();
+    assertThat(balancer.chooseAny("orders", ImmutableSet.of())).isEmpty();
+  }
+
+  @Test
+  void failedUpstreamRestsAndReturns() {
+    balancer.remove("b");
+    balancer.onSent("a");
+    balancer.onFailed("a", 1_000);
+    assertThat(choose(1_000)).isEmpty();
+    assertThat(balancer.chooseAny("orders", ImmutableSet.of())).isPresent();
+    assertThat(choose(1_500)).hasValue("a");
+  }
+
+  @Test
+  void failuresInRowRestLonger() {
+    balancer.remove("b");
+    balancer.onSent("a");
+    balancer.onFailed("a", 0);
+    balancer.onSent("a");
+    balancer.onFailed("a", 500);
+    assertThat(choose(1_400)).isEmpty();
+    assertThat(choose(1_500)).hasValue("a");
+  }
+
+  @Test
+  void answerEndsTheRest() {
+    balancer.remove("b");
+    balancer.onSent("a");
+    balancer.onSent("a");
+    balancer.onFailed("a", 0);
+    balancer.onAnswered("a", 20);
+    assertThat(choose(1)).hasValue("a");
+  }
+
+  @Test
+  void slowUpstreamGetsLess() {
+    balancer.onSent("a");
+    balancer.onAnswered("a", 400);
+    balancer.onSent("b");
+    balancer.onAnswered("b", 20);
+    for (int i = 0; i < 8; i++) {
+      assertThat(choose(0)).hasValue("b");
+      balancer.onSent("b");
+    }
+  }
+
+  @Test
+  void restartedUpstreamHasNoHistory() {
+    balancer.remove("b");
+    balancer.onSent("a");
+    balancer.onFailed("a", 0);
+    balancer.put(entry("a", false, 2));
+    assertThat(choose(1)).hasValue("a");
+    assertThat(balancer.inFlight("a")).isEqualTo(0);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/lease/SuspensionDetectorTest.java
@@ -0,0 +1,29 @@
+package io.briarward.core.lease;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class SuspensionDetectorTest {
+  private final SuspensionDetector detector = SuspensionDetector.create();
+
+  @Test
+  void equalRatesAreNoSuspension() {
+    assertThat(detector.suspended(0, 1_000_000)).isFalse();
+    assertThat(detector.suspended(9_000, 1_009_000)).isFalse();
+  }
+
+  @Test
+  void wallClockThatRanAheadIsOneSuspension() {
+    detector.suspended(0, 1_000_000);
+    assertThat(detector.suspended(50, 1_004_050)).isTrue();
+    assertThat(detector.suspended(100, 1_004_100)).isFalse();
+  }
+
+  @Test
+  void adjustmentsAndBackwardStepsAreNoSuspension() {
+    detector.suspended(0, 1_000_000);
+    assertThat(detector.suspended(50, 1_000_250)).isFalse();
+    assertThat(detector.suspended(100, 990_000)).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/briarward/core/weights/VersionOrdersTest.java
@@ -0,0 +1,84 @@
+package io.briarward.core.weights;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.briarward.core.fleet.UpstreamEntry;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class VersionOrdersTest {
+  private static final ImmutableMap<String, Long> ANNOUNCED = ImmutableMap.of("m", 3L);
+
+  private final VersionOrders orders = VersionOrders.create();
+
+  private static UpstreamEntry sampler(String id, long version, boolean leaving) {
+    return new UpstreamEntry(
+        id, "llm", "nadi", "10.0.0.1", 80, 1, 8, leaving, false, ImmutableMap.of("m", version));
+  }
+
+  private static List<UpstreamEntry> samplers(int count, long version) {
+    List<UpstreamEntry> samplers = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      samplers.add(sampler("s" + i, version, false));
+    }
+    return samplers;
+  }
+
+  private ImmutableList<String> next(List<UpstreamEntry> samplers, long nowMillis) {
+    return orders.next(samplers, ANNOUNCED, nowMillis).stream()
+        .map(order -> order.sampler().id())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  @Test
+  void fewLoadAtOnce() {
+    assertThat(next(samplers(6, 2), 0)).hasSize(2);
+    assertThat(next(samplers(6, 2), 10)).isEmpty();
+  }
+
+  @Test
+  void largeServicesLoadMoreAtOnce() {
+    assertThat(next(samplers(32, 2), 0)).hasSize(9);
+  }
+
+  @Test
+  void finishedLoadsMakeRoom() {
+    List<UpstreamEntry> samplers = samplers(3, 2);
+    assertThat(next(samplers, 0)).containsExactly("s0", "s1");
+    samplers.set(0, sampler("s0", 3, false));
+    assertThat(next(samplers, 10)).containsExactly("s2");
+  }
+
+  @Test
+  void oldestWeightsGoFirst() {
+    List<UpstreamEntry> samplers = samplers(3, 2);
+    samplers.set(2, sampler("s2", 1, false));
+    assertThat(next(samplers, 0)).containsExactly("s2", "s0").inOrder();
+  }
+
+  @Test
+  void leavingAndCurrentSamplersGetNoOrder() {
+    assertThat(next(ImmutableList.of(sampler("a", 3, false), sampler("b", 2, true)), 0)).isEmpty();
+  }
+
+  @Test
+  void rejectedOrderIsDecidedOnAgain() {
+    ImmutableList<UpstreamEntry> one = ImmutableList.of(sampler("a", 2, false));
+    VersionOrders.Order order = orders.next(one, ANNOUNCED, 0).get(0);
+    orders.onRejected(order, 10, 400);
+    assertThat(next(one, 409)).isEmpty();
+    assertThat(next(one, 410)).containsExactly("a");
+  }
+
+  @Test
+  void restartedSamplerIsOrderedAgain() {
+    assertThat(next(ImmutableList.of(sampler("a", 2, false)), 0)).containsExactly("a");
+    UpstreamEntry restarted =
+        new UpstreamEntry(
+            "a", "llm", "nadi", "10.0.0.1", 80, 2, 8, false, false, ImmutableMap.of("m", 2L));
+    assertThat(next(ImmutableList.of(restarted), 1)).containsExactly("a");
+  }
+}
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -141,11 +141,13 @@
       return;
     }
     stopped = true;
-    active.values().forEach(
-        each -> {
-          each.run.cancel();
-          context.balancer().onReleased(each.sampler.id());
-        });
+    active
+        .values()
+        .forEach(
+            each -> {
+              each.run.cancel();
+              context.balancer().onReleased(each.sampler.id());
+            });
     active.clear();
     context
         .log()
@@ -277,6 +279,7 @@
         context.balancer().onReleased(samplerId);
         run.onImpossible(itemId);
       }
+      default -> throw new AssertionError(ending);
     }
     if (ending != Ending.COMPLETE) {
       context
@@ -318,9 +321,7 @@
     BatchHead next = head.head().withListed(results.size(), context.nextToken());
     var unused =
         Single.concatEager(
-                results.stream()
-                    .map(result -> context.store().toRow(spec.id(), result))
-                    .toList())
+                results.stream().map(result -> context.store().toRow(spec.id(), result)).toList())
             .toList()
             .timeout(STORE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
             .observeOn(context.scheduler())
@@ -329,8 +330,9 @@
                 error -> {
                   committing = false;
                   nextCommitMillis = context.nowMillis() + STORE_RETRY_MILLIS;
-                  context.log().warn(
-                      "output-write-failed", "batch", spec.id(), "cause", error.toString());
+                  context
+                      .log()
+                      .warn("output-write-failed", "batch", spec.id(), "cause", error.toString());
                 });
   }
 
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -125,16 +125,7 @@
       String incarnation) {
     BatchService service =
         new BatchService(
-            tables,
-            objects,
-            feed,
-            codec,
-            samplers,
-            scheduler,
-            fleet,
-            nodes,
-            log,
-            incarnation);
+            tables, objects, feed, codec, samplers, scheduler, fleet, nodes, log, incarnation);
     service.stepping = every(scheduler, STEP_MILLIS, service::step);
     service.takeovers = every(scheduler, TAKEOVER_MILLIS, service::takeOver);
     return service;
--- a/node/src/main/java/io/briarward/node/batch/BatchStore.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchStore.java
@@ -65,8 +65,7 @@
   /** Inserts a head; a conflict holds the head that is there. */
   Single<CommitResult> insert(BatchHead head) {
     RowKey key = headKey(head.id());
-    return tables.commit(
-        Transaction.builder().requireAbsent(key).put(key, head.toJson()).build());
+    return tables.commit(Transaction.builder().requireAbsent(key).put(key, head.toJson()).build());
   }
 
   /** Replaces a head on condition that it is unchanged, and adds results after those it lists. */
@@ -74,9 +73,7 @@
       StoredHead expected, BatchHead next, ImmutableList<JsonNode> resultRows) {
     RowKey key = headKey(next.id());
     Transaction.Builder transaction =
-        Transaction.builder()
-            .requireVersion(key, expected.rowVersion())
-            .put(key, next.toJson());
+        Transaction.builder().requireVersion(key, expected.rowVersion()).put(key, next.toJson());
     int position = expected.head().listed();
     for (JsonNode row : resultRows) {
       transaction.put(RowKey.of(RESULTS, resultKey(next.id(), position)), row);
@@ -143,7 +140,6 @@
         .map(bytes -> ItemResult.parse(JsonHttpClient.parse(bytes.orElseThrow())));
   }
 
-
   static RowKey headKey(String id) {
     return RowKey.of(HEADS, id);
   }
--- a/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
+++ b/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
@@ -120,8 +120,7 @@
       FleetState fleet,
       SamplerOrders samplers,
       UsageReports reports) {
-    ControlDuty duty =
-        new ControlDuty(settings, tables, scheduler, log, fleet, samplers, reports);
+    ControlDuty duty = new ControlDuty(settings, tables, scheduler, log, fleet, samplers, reports);
     duty.stepping = duty.every(STEP_MILLIS, duty::step);
     duty.writing = duty.every(USAGE_WRITE_MILLIS, duty::writeCounts);
     return duty;
@@ -346,8 +345,7 @@
   }
 
   private <T> Single<T> bounded(Single<T> call) {
-    return call.timeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler)
-        .observeOn(scheduler);
+    return call.timeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler).observeOn(scheduler);
   }
 
   private long nowMillis() {
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -67,17 +67,17 @@
   }
 
   private record Attempt(
-      UpstreamEntry upstream, HttpClientRequest request, long sentAtMillis, long sentAtWallMillis) {
-  }
+      UpstreamEntry upstream,
+      HttpClientRequest request,
+      long sentAtMillis,
+      long sentAtWallMillis) {}
 
   void start() {
     downstream.response().closeHandler(unused -> onCallerGone());
     downstream.response().exceptionHandler(unused -> onCallerGone());
     long leftMillis = Math.max(0, call.deadlineMillis() - context.nowMillis());
     deadline =
-        context
-            .scheduler()
-            .scheduleDirect(this::onDeadline, leftMillis, TimeUnit.MILLISECONDS);
+        context.scheduler().scheduleDirect(this::onDeadline, leftMillis, TimeUnit.MILLISECONDS);
     attempt();
   }
 
@@ -125,8 +125,7 @@
       attemptTimeout =
           context
               .scheduler()
-              .scheduleDirect(
-                  () -> onSilent(attempt), limitMillis, TimeUnit.MILLISECONDS);
+              .scheduleDirect(() -> onSilent(attempt), limitMillis, TimeUnit.MILLISECONDS);
     }
   }
 
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -66,7 +66,6 @@
     this.settings = checkNotNull(settings, "settings");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = EventLog.create(scheduler);
-    String incarnation = settings.nodeName() + "-" + UUID.randomUUID();
     this.fleet = FleetState.create(ports.decoder(), scheduler, log, settings.dataCentre());
     parts.push(
         TableWatch.start(
@@ -84,6 +83,7 @@
             ports.decoder().upstreamTable(),
             FEED_PAUSE_MILLIS,
             fleet.upstreamRows()));
+    String incarnation = settings.nodeName() + "-" + UUID.randomUUID();
     this.nodes =
         NodeRegistry.start(
             ports.tables(), ports.feed(), scheduler, log, settings.nodeName(), incarnation);
--- a/node/src/main/java/io/briarward/node/gateway/TableWatch.java
+++ b/node/src/main/java/io/briarward/node/gateway/TableWatch.java
@@ -112,8 +112,7 @@
               .subscribe(this::onChanges, this::onFailure);
     } else {
       pending =
-          bounded(feed.snapshot(table), timeoutMillis)
-              .subscribe(this::onSnapshot, this::onFailure);
+          bounded(feed.snapshot(table), timeoutMillis).subscribe(this::onSnapshot, this::onFailure);
     }
   }
 
