--- /dev/null
+++ b/node/src/test/java/io/briarward/node/batch/BatchWorld.java
@@ -0,0 +1,160 @@
+package io.briarward.node.batch;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.briarward.core.batch.BatchItem;
+import io.briarward.core.batch.BatchSpec;
+import io.briarward.core.batch.BatchTerms;
+import io.briarward.core.batch.ItemResult;
+import io.briarward.node.batch.BatchService.ResultPage;
+import io.briarward.node.batch.BatchService.Submitted;
+import io.briarward.node.gateway.FleetState;
+import io.briarward.node.gateway.NodeRegistry;
+import io.briarward.node.gateway.TableWatch;
+import io.briarward.node.telemetry.EventLog;
+import io.briarward.node.testing.FixedFleet;
+import io.briarward.node.testing.MemoryStore;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.observers.TestObserver;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+/** Nodes that share a store, in virtual time. */
+final class BatchWorld {
+  static final String ORGANISATION = "nadi-mill";
+  static final BatchTerms TERMS =
+      new BatchTerms(FixedFleet.HOST, "batches", FixedFleet.SAMPLERS, 3, 7_500, 40_000, false);
+  private static final long STEP_MILLIS = 10;
+  private static final int MAX_STEPS = 2_000;
+
+  final TestScheduler scheduler = new TestScheduler();
+  final MemoryStore store = MemoryStore.create(scheduler);
+  final FakeSamplers samplers = new FakeSamplers(scheduler);
+  private int incarnations;
+
+  /** One process. */
+  final class Process {
+    final String incarnation;
+    final NodeRegistry nodes;
+    final BatchService batches;
+    private final List<AutoCloseable> parts = new ArrayList<>();
+
+    Process(String name) {
+      incarnations++;
+      incarnation = name + "-" + incarnations;
+      EventLog log = EventLog.create(scheduler);
+      FixedFleet decoder = new FixedFleet();
+      FleetState fleet = FleetState.create(decoder, scheduler, log, "nadi");
+      parts.add(
+          TableWatch.start(
+              store, scheduler, log, decoder.operatorTable(), 20, fleet.operatorRows()));
+      parts.add(
+          TableWatch.start(
+              store, scheduler, log, decoder.upstreamTable(), 20, fleet.upstreamRows()));
+      nodes = NodeRegistry.start(store, store, scheduler, log, name, incarnation);
+      batches =
+          BatchService.start(
+              store,
+              store,
+              store,
+              BatchWorld::decode,
+              samplers,
+              scheduler,
+              fleet,
+              nodes,
+              log,
+              incarnation);
+      parts.add(nodes);
+      parts.add(batches);
+    }
+
+    /** Ends the process without a word to anyone. */
+    void kill() {
+      for (AutoCloseable part : parts) {
+        try {
+          part.close();
+        } catch (Exception e) {
+          throw new IllegalStateException(e);
+        }
+      }
+    }
+
+    Submitted submit(BatchSpec spec) {
+      return await(batches.submit(spec, encode(spec), ORGANISATION, TERMS));
+    }
+
+    Optional<ResultPage> results(String id, int after) {
+      return await(batches.results(id, ORGANISATION, after, 0));
+    }
+  }
+
+  BatchWorld() {
+    FixedFleet fleet = new FixedFleet();
+    store.put(fleet.operatorTable(), fleet.configurationKey(), FixedFleet.configurationRow(1));
+    store.put(fleet.upstreamTable(), "s1", FixedFleet.samplerRow(1, false));
+    store.put(fleet.upstreamTable(), "s2", FixedFleet.samplerRow(1, false));
+  }
+
+  Process start(String name) {
+    Process process = new Process(name);
+    advance(200);
+    return process;
+  }
+
+  void advance(long millis) {
+    for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
+      scheduler.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Advances the time until a call is answered; fails as the call does. */
+  <T> T await(Single<T> call) {
+    TestObserver<T> observer = call.test();
+    for (int steps = 0; steps < MAX_STEPS && observer.values().isEmpty(); steps++) {
+      observer.assertNoErrors();
+      advance(STEP_MILLIS);
+    }
+    return observer.values().get(0);
+  }
+
+  static BatchSpec spec(String id, int items) {
+    return new BatchSpec(
+        id,
+        Optional.of("m"),
+        1,
+        0,
+        IntStream.range(0, items)
+            .mapToObj(
+                i ->
+                    new BatchItem(
+                        id + "-item" + i, "g" + i / 4, "/b/" + i, ImmutableMap.of(), "", 10))
+            .collect(ImmutableList.toImmutableList()));
+  }
+
+  private static Buffer encode(BatchSpec spec) {
+    return Buffer.buffer(Integer.toString(spec.items().size()));
+  }
+
+  private static BatchSpec decode(String id, Buffer bytes) {
+    return spec(id, Integer.parseInt(bytes.toString()));
+  }
+
+  /** Returns all results that a process lists. */
+  static ImmutableList<ItemResult> all(Process process, String id) {
+    ImmutableList.Builder<ItemResult> results = ImmutableList.builder();
+    int after = 0;
+    while (true) {
+      ResultPage page = process.results(id, after).orElseThrow();
+      if (page.results().isEmpty()) {
+        return results.build();
+      }
+      results.addAll(page.results());
+      after = page.next();
+    }
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/batch/FakeSamplers.java
@@ -0,0 +1,71 @@
+package io.briarward.node.batch;
+
+import io.briarward.core.batch.SampleEvent;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** Samplers that answer in virtual time. */
+final class FakeSamplers implements SamplerClient {
+  private static final long RUN_MILLIS = 100;
+  private static final int EVENTS = 3;
+
+  private final Scheduler scheduler;
+  private final List<ItemCall> calls = new ArrayList<>();
+  private Function<ItemCall, Ending> endings = call -> Ending.COMPLETE;
+  private int running;
+
+  FakeSamplers(Scheduler scheduler) {
+    this.scheduler = scheduler;
+  }
+
+  /** Decides how each run ends; a broken one ends after its first event. */
+  void decideEndings(Function<ItemCall, Ending> decision) {
+    endings = decision;
+  }
+
+  List<ItemCall> calls() {
+    return calls;
+  }
+
+  int running() {
+    return running;
+  }
+
+  /** Returns the output of an item that ran whole. */
+  static String output(String itemId) {
+    return itemId + "-1\n" + itemId + "-2\n" + itemId + "-3";
+  }
+
+  @Override
+  public Run run(ItemCall call, Listener listener) {
+    calls.add(call);
+    running++;
+    Disposable end =
+        scheduler.scheduleDirect(() -> finish(call, listener), RUN_MILLIS, TimeUnit.MILLISECONDS);
+    return () -> {
+      running--;
+      end.dispose();
+    };
+  }
+
+  private void finish(ItemCall call, Listener listener) {
+    running--;
+    Ending ending = endings.apply(call);
+    boolean streams = ending == Ending.COMPLETE || ending == Ending.BROKEN;
+    if (streams && !listener.onVersion(call.sampler().version("m"))) {
+      listener.onEnd(Ending.NOT_RUN, "version");
+      return;
+    }
+    long first = call.resumeAfter().orElse(0) + 1;
+    long last = ending == Ending.COMPLETE ? EVENTS : Math.min(first, EVENTS);
+    for (long id = first; streams && id <= last; id++) {
+      listener.onEvent(new SampleEvent(id, OptionalLong.empty(), call.item().id() + "-" + id));
+    }
+    listener.onEnd(ending, "scripted");
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
@@ -0,0 +1,199 @@
+package io.briarward.node.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.node.gateway.SamplerOrders.LoadOrder;
+import io.briarward.node.gateway.SamplerOrders.RunningWork;
+import io.briarward.node.gateway.SamplerOrders.Status;
+import io.briarward.node.platform.UsageReports;
+import io.briarward.node.telemetry.EventLog;
+import io.briarward.node.testing.FixedFleet;
+import io.briarward.node.testing.MemoryStore;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ControlDutyTest {
+  private static final long LEASE_MILLIS = 3_000;
+
+  /** A window that does not end while a test runs, since windows follow the wall clock. */
+  private static final long WINDOW_MILLIS = TimeUnit.DAYS.toMillis(365);
+
+  private final TestScheduler scheduler = new TestScheduler();
+  private final MemoryStore store = MemoryStore.create(scheduler);
+  private final FixedFleet decoder = new FixedFleet();
+  private final List<LoadOrder> orders = new ArrayList<>();
+  private final Map<Long, List<ImmutableMap<String, Long>>> reports = new HashMap<>();
+  private boolean answersLost;
+
+  private final SamplerOrders samplers =
+      new SamplerOrders() {
+        @Override
+        public Single<Status> status(UpstreamEntry sampler) {
+          long accepted =
+              orders.stream().filter(o -> o.sampler().id().equals(sampler.id())).count();
+          return Single.just(new Status(false, accepted, sampler.modelVersions()));
+        }
+
+        @Override
+        public Single<Boolean> load(LoadOrder order) {
+          orders.add(order);
+          if (answersLost) {
+            return Single.never();
+          }
+          store.put(
+              decoder.upstreamTable(),
+              order.sampler().id(),
+              FixedFleet.samplerRow(order.version(), false));
+          return Single.just(true);
+        }
+      };
+
+  private final UsageReports sink =
+      (window, requests, holder, fencingNumber) ->
+          Completable.fromAction(
+              () -> reports.computeIfAbsent(window, key -> new ArrayList<>()).add(requests));
+
+  private final class Node {
+    final ControlDuty duty;
+    private final List<AutoCloseable> parts = new ArrayList<>();
+
+    Node(String name) {
+      EventLog log = EventLog.create(scheduler);
+      FleetState fleet = FleetState.create(decoder, scheduler, log, "nadi");
+      parts.add(
+          TableWatch.start(
+              store, scheduler, log, decoder.operatorTable(), 20, fleet.operatorRows()));
+      parts.add(
+          TableWatch.start(
+              store, scheduler, log, decoder.upstreamTable(), 20, fleet.upstreamRows()));
+      duty =
+          ControlDuty.start(
+              new ControlDuty.Settings(name, name + "-1", LEASE_MILLIS, WINDOW_MILLIS),
+              store,
+              scheduler,
+              log,
+              fleet,
+              samplers,
+              sink);
+      parts.add(duty);
+    }
+
+    void kill() throws Exception {
+      for (AutoCloseable part : parts) {
+        part.close();
+      }
+    }
+  }
+
+  @BeforeEach
+  void addSamplers() {
+    store.put(decoder.operatorTable(), decoder.configurationKey(), FixedFleet.configurationRow(1));
+    for (int i = 0; i < 4; i++) {
+      store.put(decoder.upstreamTable(), "s" + i, FixedFleet.samplerRow(1, false));
+    }
+  }
+
+  private void announce(long version) {
+    store.put(decoder.operatorTable(), "m", FixedFleet.configurationRow(version));
+  }
+
+  private void advance(long millis) {
+    for (long passed = 0; passed < millis; passed += 10) {
+      scheduler.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  @Test
+  void everySamplerIsOrderedOnceForAnAnnouncement() {
+    new Node("a");
+    new Node("b");
+    advance(6_000);
+    announce(2);
+    advance(3_000);
+    assertThat(orders).hasSize(4);
+    assertThat(orders.stream().map(order -> order.sampler().id()).distinct().count()).isEqualTo(4);
+    assertThat(orders.stream().map(LoadOrder::holder).distinct().count()).isEqualTo(1);
+    assertThat(orders.get(0).runningWork()).isEqualTo(RunningWork.KEEP);
+  }
+
+  @Test
+  void successorHasHigherNumberAndWaitsOutTheLease() throws Exception {
+    Node first = new Node("a");
+    advance(6_000);
+    new Node("b");
+    announce(2);
+    advance(100);
+    final long firstNumber = orders.get(0).fencingNumber();
+    answersLost = true;
+    announce(3);
+    advance(100);
+    first.kill();
+    int before = orders.size();
+    advance(LEASE_MILLIS);
+    assertThat(orders).hasSize(before);
+    answersLost = false;
+    advance(15_000);
+    LoadOrder last = orders.get(orders.size() - 1);
+    assertThat(last.holder()).isEqualTo("b");
+    assertThat(last.fencingNumber()).isGreaterThan(firstNumber);
+    assertThat(last.version()).isEqualTo(3);
+  }
+
+  @Test
+  void orderWithoutAnswerIsSentAgainWithTheSameExpectation() {
+    new Node("a");
+    advance(6_000);
+    answersLost = true;
+    announce(2);
+    advance(1_500);
+    assertThat(orders).isNotEmpty();
+    answersLost = false;
+    advance(10_000);
+    assertThat(orders.stream().map(order -> order.sampler().id()).distinct().count()).isEqualTo(4);
+  }
+
+  @Test
+  void endedWindowsAreReportedOnceWithTheCountsOfAllNodes() throws Exception {
+    Node a = new Node("a");
+    Node b = new Node("b");
+    advance(6_000);
+    long lastYear = System.currentTimeMillis() - WINDOW_MILLIS;
+    a.duty.runs().onRun("mill", lastYear);
+    b.duty.runs().onRun("mill", lastYear);
+    b.duty.runs().onRun("coatings", lastYear);
+    advance(1_000);
+    long window = Math.floorDiv(lastYear, WINDOW_MILLIS);
+    // The window was frozen and reported before these late counts, so they must not change it.
+    assertThat(reports.get(window)).hasSize(1);
+    a.kill();
+    b.kill();
+    new Node("c");
+    advance(20_000);
+    assertThat(reports.get(window).stream().distinct().count()).isEqualTo(1);
+  }
+
+  @Test
+  void nothingIsSentWhileTheStoreIsAway() {
+    new Node("a");
+    advance(6_000);
+    store.setDown(true);
+    advance(LEASE_MILLIS + 2_000);
+    int before = orders.size();
+    announce(2);
+    advance(5_000);
+    assertThat(orders).hasSize(before);
+    store.setDown(false);
+    advance(10_000);
+    assertThat(orders).hasSize(4);
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/testing/FixedFleet.java
@@ -0,0 +1,94 @@
+package io.briarward.node.testing;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.briarward.core.fleet.FleetConfiguration;
+import io.briarward.core.fleet.FleetRoute;
+import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.node.gateway.FleetDecoder;
+import java.util.Optional;
+
+/** A decoder for rows in a plain form of the tests' own. */
+public final class FixedFleet implements FleetDecoder {
+  /** The service that batches run on. */
+  public static final String SAMPLERS = "samplers";
+
+  /** The host that callers name. */
+  public static final String HOST = "mill.example";
+
+  /** Returns the row of a configuration, of which only the version varies. */
+  public static JsonNode configurationRow(long version) {
+    return JsonNodeFactory.instance.objectNode().put("version", version);
+  }
+
+  /** Returns the row of a sampler with the version of the model {@code m}. */
+  public static JsonNode samplerRow(long version, boolean leaving) {
+    return JsonNodeFactory.instance.objectNode().put("version", version).put("leaving", leaving);
+  }
+
+  @Override
+  public String operatorTable() {
+    return "operators";
+  }
+
+  @Override
+  public String upstreamTable() {
+    return "upstreams";
+  }
+
+  @Override
+  public String configurationKey() {
+    return "configuration";
+  }
+
+  @Override
+  public FleetConfiguration configuration(JsonNode value) {
+    return new FleetConfiguration(
+        value.path("version").asLong(),
+        ImmutableList.of(
+            new FleetRoute(
+                "batches",
+                HOST,
+                "/b/",
+                FleetRoute.Kind.BATCH,
+                ImmutableList.of(new FleetRoute.Target(SAMPLERS, 1)),
+                10_000,
+                500,
+                3,
+                0,
+                false,
+                7_500,
+                40_000,
+                false)),
+        ImmutableMap.of(),
+        ImmutableMap.of("key", "nadi-mill"),
+        true,
+        new FleetConfiguration.CallerLimits(16_384, 1 << 20, 15_000));
+  }
+
+  @Override
+  public Optional<Announcement> announcement(String key, JsonNode value) {
+    return Optional.of(new Announcement(key, value.path("version").asLong()));
+  }
+
+  @Override
+  public Optional<UpstreamEntry> upstream(String id, JsonNode value) {
+    if (!value.has("version")) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new UpstreamEntry(
+            id,
+            SAMPLERS,
+            "nadi",
+            "10.0.0.1",
+            80,
+            1,
+            4,
+            value.path("leaving").asBoolean(),
+            false,
+            ImmutableMap.of("m", value.path("version").asLong())));
+  }
+}
