Share samplers among models, keep submissions in any live part of the store, doubt deaths

Now each sampler follows one model. - a part of the store took no heartbeats while feeds went on; all nodes thought all others dead and took batches from each other. A node now judges others only while its own heartbeats are taken. - a submission's object lay in a silent part, so every repetition was refused. Two further names.

--- a/core/src/main/java/io/briarward/core/batch/BatchHead.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchHead.java
@@ -16,6 +16,7 @@
  *
  * @param id the batch
  * @param organisation who submitted it
+ * @param submission the object that holds what the caller submitted
  * @param terms what the route granted
  * @param total the number of items
  * @param listed the number of results, whose positions are 0 to {@code listed - 1}
@@ -27,6 +28,7 @@
 public record BatchHead(
     String id,
     String organisation,
+    String submission,
     BatchTerms terms,
     int total,
     int listed,
@@ -39,6 +41,7 @@
   public BatchHead {
     checkArgument(!id.isEmpty(), "id is empty");
     checkNotNull(organisation, "organisation");
+    checkArgument(!submission.isEmpty(), "submission is empty");
     checkNotNull(terms, "terms");
     checkArgument(total > 0, "total is %s, expected > 0", total);
     checkArgument(listed >= 0 && listed <= total, "listed is %s, expected 0 to %s", listed, total);
@@ -69,7 +72,16 @@
   private BatchHead copy(
       int newListed, boolean newEnded, Optional<String> newOwner, String newToken) {
     return new BatchHead(
-        id, organisation, terms, total, newListed, newEnded, newOwner, acceptedAtMillis, newToken);
+        id,
+        organisation,
+        submission,
+        terms,
+        total,
+        newListed,
+        newEnded,
+        newOwner,
+        acceptedAtMillis,
+        newToken);
   }
 
   /** Returns when an item may be given up, on the store's clock. */
@@ -84,6 +96,7 @@
             .objectNode()
             .put("id", id)
             .put("organisation", organisation)
+            .put("submission", submission)
             .put("total", total)
             .put("listed", listed)
             .put("ended", ended)
@@ -118,6 +131,7 @@
     return new BatchHead(
         json.path("id").asText(),
         json.path("organisation").asText(),
+        json.path("submission").asText(),
         terms,
         json.path("total").asInt(),
         json.path("listed").asInt(),
--- a/core/src/main/java/io/briarward/core/weights/VersionOrders.java
+++ b/core/src/main/java/io/briarward/core/weights/VersionOrders.java
@@ -3,18 +3,21 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
 import io.briarward.core.fleet.UpstreamEntry;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Decides which samplers are ordered to load announced weights now.
  *
  * <p>Samplers load a few at a time, since loads slow each other down and a loading sampler serves
- * nothing. Those with the oldest weights go first. Not thread-safe.
+ * nothing. Each sampler follows one model; those furthest behind go first, and models that load
+ * nothing yet before others. Not thread-safe.
  */
 public final class VersionOrders {
   /** The share of a service's samplers that may load at once without slowing each other. */
@@ -26,6 +29,7 @@
   private static final long LOAD_TIMEOUT_MILLIS = 6_000;
 
   private final Map<String, Pending> pending = new HashMap<>();
+  private final ModelAssignment assignment = new ModelAssignment();
 
   private VersionOrders() {}
 
@@ -56,33 +60,67 @@
   public ImmutableList<Order> next(
       Collection<UpstreamEntry> samplers, ImmutableMap<String, Long> announced, long nowMillis) {
     forgetSettled(samplers, nowMillis);
+    ImmutableList<UpstreamEntry> staying =
+        samplers.stream()
+            .filter(sampler -> !sampler.leaving())
+            .collect(ImmutableList.toImmutableList());
+    ImmutableMap<String, String> models = assignment.assign(staying, announced);
     ImmutableList.Builder<Order> orders = ImmutableList.builder();
-    announced.forEach(
-        (model, version) -> {
-          ImmutableList<UpstreamEntry> running =
-              samplers.stream()
-                  .filter(sampler -> sampler.version(model) > 0 && !sampler.leaving())
-                  .collect(ImmutableList.toImmutableList());
-          long loading =
-              running.stream().filter(sampler -> pending.containsKey(sampler.id())).count();
-          long room = Math.max(MIN_LOADING, (long) (running.size() * LOADING_SHARE)) - loading;
-          running.stream()
-              .filter(sampler -> sampler.version(model) < version)
+    staying.stream()
+        .filter(sampler -> models.containsKey(sampler.id()))
+        .collect(ImmutableListMultimap.toImmutableListMultimap(UpstreamEntry::service, s -> s))
+        .asMap()
+        .values()
+        .forEach(service -> orders.addAll(nextOfService(service, models, announced, nowMillis)));
+    return orders.build();
+  }
+
+  private ImmutableList<Order> nextOfService(
+      Collection<UpstreamEntry> samplers,
+      ImmutableMap<String, String> models,
+      ImmutableMap<String, Long> announced,
+      long nowMillis) {
+    long loading = samplers.stream().filter(each -> pending.containsKey(each.id())).count();
+    long room = Math.max(MIN_LOADING, (long) (samplers.size() * LOADING_SHARE)) - loading;
+    ImmutableList.Builder<Order> orders = ImmutableList.builder();
+    for (long i = 0; i < room; i++) {
+      Optional<UpstreamEntry> chosen =
+          samplers.stream()
               .filter(sampler -> !pending.containsKey(sampler.id()))
-              .sorted(Comparator.comparingLong(sampler -> sampler.version(model)))
-              .limit(Math.max(0, room))
-              .forEach(
-                  sampler -> {
-                    pending.put(
-                        sampler.id(),
-                        new Pending(
-                            sampler.bornMillis(), model, version, nowMillis + LOAD_TIMEOUT_MILLIS));
-                    orders.add(new Order(sampler, model, version));
-                  });
-        });
+              .filter(sampler -> lag(sampler, models, announced) > 0)
+              .max(
+                  Comparator.comparingLong(
+                          (UpstreamEntry sampler) -> lag(sampler, models, announced))
+                      .thenComparing(
+                          Comparator.comparingLong(
+                                  (UpstreamEntry sampler) -> loading(models.get(sampler.id())))
+                              .reversed()));
+      if (chosen.isEmpty()) {
+        break;
+      }
+      UpstreamEntry sampler = chosen.get();
+      String model = models.get(sampler.id());
+      long version = announced.get(model);
+      pending.put(
+          sampler.id(),
+          new Pending(sampler.bornMillis(), model, version, nowMillis + LOAD_TIMEOUT_MILLIS));
+      orders.add(new Order(sampler, model, version));
+    }
     return orders.build();
   }
 
+  private static long lag(
+      UpstreamEntry sampler,
+      ImmutableMap<String, String> models,
+      ImmutableMap<String, Long> announced) {
+    String model = models.get(sampler.id());
+    return announced.get(model) - sampler.version(model);
+  }
+
+  private long loading(String model) {
+    return pending.values().stream().filter(each -> each.model().equals(model)).count();
+  }
+
   /** Notes that an order was not accepted; it is decided on again after a delay. */
   public void onRejected(Order order, long nowMillis, long delayMillis) {
     pending.computeIfPresent(
--- a/core/src/test/java/io/briarward/core/batch/BatchHeadTest.java
+++ b/core/src/test/java/io/briarward/core/batch/BatchHeadTest.java
@@ -12,6 +12,7 @@
       new BatchHead(
           "batch",
           "nadi-mill",
+          "batch-0",
           new BatchTerms("host", "route", "service", 3, 7_500, 40_000, true),
           10,
           4,
--- a/core/src/test/java/io/briarward/core/weights/VersionOrdersTest.java
+++ b/core/src/test/java/io/briarward/core/weights/VersionOrdersTest.java
@@ -81,4 +81,72 @@
             "a", "llm", "nadi", "10.0.0.1", 80, 2, 8, false, false, ImmutableMap.of("m", 2L));
     assertThat(next(ImmutableList.of(restarted), 1)).containsExactly("a");
   }
+
+  private static UpstreamEntry shared(String id, long first, long second) {
+    return new UpstreamEntry(
+        id,
+        "llm",
+        "nadi",
+        "10.0.0.1",
+        80,
+        1,
+        8,
+        false,
+        false,
+        ImmutableMap.of("m", first, "n", second));
+  }
+
+  @Test
+  void modelsShareTheSamplersAndTheLoads() {
+    List<UpstreamEntry> samplers = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      samplers.add(shared("s" + i, 1, 1));
+    }
+    ImmutableMap<String, Long> both = ImmutableMap.of("m", 2L, "n", 2L);
+    List<VersionOrders.Order> all = new ArrayList<>();
+    for (int round = 0; round < 20; round++) {
+      ImmutableList<VersionOrders.Order> sent = orders.next(samplers, both, round);
+      assertThat(sent.size()).isAtMost(2);
+      all.addAll(sent);
+      for (VersionOrders.Order order : sent) {
+        boolean first = order.model().equals("m");
+        samplers.replaceAll(
+            each ->
+                each.id().equals(order.sampler().id())
+                    ? shared(each.id(), first ? 2 : 1, first ? 1 : 2)
+                    : each);
+      }
+    }
+    assertThat(all).hasSize(8);
+    assertThat(all.stream().filter(order -> order.model().equals("m")).count()).isEqualTo(4);
+    assertThat(all.get(0).model()).isNotEqualTo(all.get(1).model());
+  }
+
+  @Test
+  void slowerModelIsNotStarvedByFasterOne() {
+    List<UpstreamEntry> samplers = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      samplers.add(shared("s" + i, 1, 1));
+    }
+    orders.next(samplers, ImmutableMap.of("m", 2L), 0);
+    ImmutableList<VersionOrders.Order> later =
+        orders.next(samplers, ImmutableMap.of("m", 9L, "n", 2L), 10_000);
+    assertThat(later).hasSize(2);
+    ImmutableList<VersionOrders.Order> last =
+        orders.next(
+            samplers.stream().map(each -> shared(each.id(), 9, 1)).toList(),
+            ImmutableMap.of("m", 9L, "n", 2L),
+            20_000);
+    assertThat(last.stream().map(VersionOrders.Order::model).distinct().toList())
+        .containsExactly("n");
+  }
+
+  @Test
+  void successorKeepsWhatWasLoaded() {
+    List<UpstreamEntry> samplers = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      samplers.add(i < 4 ? shared("s" + i, 5, 1) : shared("s" + i, 1, 5));
+    }
+    assertThat(orders.next(samplers, ImmutableMap.of("m", 5L, "n", 5L), 0)).isEmpty();
+  }
 }
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -94,7 +94,7 @@
     this.nodes = checkNotNull(nodes, "nodes");
     this.log = checkNotNull(log, "log");
     this.incarnation = checkNotNull(incarnation, "incarnation");
-    this.store = new BatchStore(tables, objects, codec);
+    this.store = new BatchStore(scheduler, tables, objects, codec);
     this.context =
         new BatchContext(
             scheduler,
@@ -166,20 +166,10 @@
     if (draining) {
       return Single.just(Submitted.REFUSED);
     }
-    BatchHead head =
-        new BatchHead(
-            spec.id(),
-            organisation,
-            terms,
-            spec.items().size(),
-            0,
-            false,
-            Optional.of(incarnation),
-            nodes.storeMillis(),
-            context.nextToken());
-    return bounded(store.putSubmission(spec.id(), bytes))
-        .retry(WRITE_TRIES - 1)
-        .flatMap(unused -> insert(head, spec, WRITE_TRIES, false))
+    return store
+        .putSubmission(spec.id(), bytes)
+        .observeOn(scheduler)
+        .flatMap(name -> insert(newHead(spec, organisation, terms, name), spec, WRITE_TRIES, false))
         .onErrorReturn(
             error -> {
               log.warn("batch-refused", "batch", spec.id(), "cause", error.toString());
@@ -201,6 +191,21 @@
                     outcome));
   }
 
+  private BatchHead newHead(
+      BatchSpec spec, String organisation, BatchTerms terms, String submission) {
+    return new BatchHead(
+        spec.id(),
+        organisation,
+        submission,
+        terms,
+        spec.items().size(),
+        0,
+        false,
+        Optional.of(incarnation),
+        nodes.storeMillis(),
+        context.nextToken());
+  }
+
   /**
    * Inserts a head, again after a lost answer, which takes effect once.
    *
@@ -305,7 +310,8 @@
             found ->
                 found.isEmpty()
                     ? Single.just(Optional.empty())
-                    : spec(id).map(spec -> spec.flatMap(s -> s.item(itemId)).map(BatchItem::body)));
+                    : spec(found.get())
+                        .map(spec -> spec.flatMap(s -> s.item(itemId)).map(BatchItem::body)));
   }
 
   /**
@@ -389,13 +395,14 @@
             each.map(StoredHead::head).filter(head -> head.organisation().equals(organisation)));
   }
 
-  private Single<Optional<BatchSpec>> spec(String id) {
+  private Single<Optional<BatchSpec>> spec(BatchHead head) {
+    String id = head.id();
     BatchOwner owner = owners.get(id);
     BatchSpec cached = owner != null ? owner.spec() : specs.getIfPresent(id);
     if (cached != null) {
       return Single.just(Optional.of(cached));
     }
-    return bounded(store.submission(id))
+    return bounded(store.submission(head))
         .doOnSuccess(found -> found.ifPresent(spec -> specs.put(id, spec)));
   }
 
@@ -458,7 +465,7 @@
 
   /** Takes over what nobody runs; of the nodes alive, one chosen by hash does so first. */
   private void takeOver() {
-    if (draining || !nodes.reliable() || !fleet.known()) {
+    if (draining || !fleet.known()) {
       return;
     }
     ImmutableSet<String> alive = nodes.alive();
@@ -469,13 +476,18 @@
       }
       if (head.owner().equals(Optional.of(incarnation))) {
         adopt(stored);
-      } else if (head.owner().filter(alive::contains).isEmpty()
+      } else if (unowned(head, alive)
           && DutyCandidates.choose(head.id(), alive, 1).contains(incarnation)) {
         claim(stored);
       }
     }
   }
 
+  /** Returns whether a batch was given up, or its owner is surely not among the living. */
+  private boolean unowned(BatchHead head, ImmutableSet<String> alive) {
+    return head.owner().isEmpty() || (nodes.reliable() && !alive.contains(head.owner().get()));
+  }
+
   private void claim(StoredHead stored) {
     BatchHead next = stored.head().withOwner(Optional.of(incarnation), context.nextToken());
     adopting.add(next.id());
@@ -511,7 +523,7 @@
     adopting.add(id);
     var unused =
         Single.zip(
-                bounded(store.submission(id)),
+                bounded(store.submission(stored.head())),
                 bounded(store.listedIds(id, 0)),
                 (spec, listed) -> {
                   if (spec.isEmpty()) {
--- a/node/src/main/java/io/briarward/node/batch/BatchStore.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchStore.java
@@ -15,10 +15,12 @@
 import io.briarward.node.platform.JsonHttpClient;
 import io.briarward.node.platform.ObjectStore;
 import io.briarward.node.platform.TableService;
+import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /** Where batches lie: submissions as objects, heads and results as rows. */
 final class BatchStore {
@@ -33,11 +35,19 @@
   /** The largest number of rows read at once; results of that number stay near 1 MB. */
   private static final int READ_ROWS = 60;
 
+  /** The number of names under which a submission may lie. */
+  private static final int SUBMISSION_NAMES = 3;
+
+  /** Twenty times the usual time of an answer, so that three tries fit into a caller's wait. */
+  private static final long OBJECT_TIMEOUT_MILLIS = 500;
+
+  private final Scheduler scheduler;
   private final TableService tables;
   private final ObjectStore objects;
   private final BatchCodec codec;
 
-  BatchStore(TableService tables, ObjectStore objects, BatchCodec codec) {
+  BatchStore(Scheduler scheduler, TableService tables, ObjectStore objects, BatchCodec codec) {
+    this.scheduler = checkNotNull(scheduler, "scheduler");
     this.tables = checkNotNull(tables, "tables");
     this.objects = checkNotNull(objects, "objects");
     this.codec = checkNotNull(codec, "codec");
@@ -50,12 +60,31 @@
     }
   }
 
-  Single<Boolean> putSubmission(String id, Buffer bytes) {
-    return objects.putIfAbsent("batch-" + id, bytes);
+  /**
+   * Writes a submission and returns the name of its object.
+   *
+   * <p>Parts of the store may be silent while others answer, so further names are tried.
+   */
+  Single<String> putSubmission(String id, Buffer bytes) {
+    return putSubmission(id, bytes, 0);
   }
 
-  Single<Optional<BatchSpec>> submission(String id) {
-    return objects.get("batch-" + id).map(found -> found.map(bytes -> codec.decode(id, bytes)));
+  private Single<String> putSubmission(String id, Buffer bytes, int attempt) {
+    String name = "batch-" + attempt + "-" + id;
+    Single<String> written =
+        objects
+            .putIfAbsent(name, bytes)
+            .map(unused -> name)
+            .timeout(OBJECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler);
+    return attempt + 1 == SUBMISSION_NAMES
+        ? written
+        : written.onErrorResumeNext(unused -> putSubmission(id, bytes, attempt + 1));
+  }
+
+  Single<Optional<BatchSpec>> submission(BatchHead head) {
+    return objects
+        .get(head.submission())
+        .map(found -> found.map(bytes -> codec.decode(head.id(), bytes)));
   }
 
   Single<Optional<StoredHead>> head(String id) {
--- a/node/src/main/java/io/briarward/node/gateway/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/gateway/NodeRegistry.java
@@ -32,6 +32,8 @@
 
   private static final long HEARTBEAT_MILLIS = 1_000;
 
+  private static final long BEAT_TIMEOUT_MILLIS = 1_000; // The next one is due then.
+
   /** Three missed heartbeats and the time in which a row travels. */
   private static final long DEAD_AFTER_MILLIS = 3_500;
 
@@ -50,6 +52,8 @@
   private TableWatch watch;
   private Disposable beating = Disposable.disposed();
   private long beats;
+  private long beatenAtMillis = Long.MIN_VALUE / 2;
+  private long beatingSinceMillis = Long.MAX_VALUE / 2;
   private boolean sending;
 
   private record Peer(String incarnation, long seenAtMillis) {}
@@ -97,9 +101,16 @@
     return alive.build();
   }
 
-  /** Returns whether the store answers, so that {@link #alive} says something of others. */
+  /**
+   * Returns whether {@link #alive} says something of others.
+   *
+   * <p>The store may take no heartbeats while it answers everything else, so one of this process's
+   * own must have been taken of late. After an outage the others get the time to renew theirs.
+   */
   public boolean reliable() {
-    return watch.ageMillis() < STALE_MILLIS;
+    return watch.ageMillis() < STALE_MILLIS
+        && nowMillis() - beatenAtMillis < STALE_MILLIS
+        && nowMillis() - beatingSinceMillis > DEAD_AFTER_MILLIS;
   }
 
   /** Returns how old the last answer of the store is. */
@@ -167,13 +178,21 @@
     var unused =
         tables
             .commit(transaction)
+            .timeout(BEAT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler)
             .observeOn(scheduler)
             .doFinally(() -> sending = false)
             .subscribe(
-                result -> {},
+                result -> onBeaten(),
                 error -> log.info("heartbeat-failed", "beat", beats, "cause", error.toString()));
   }
 
+  private void onBeaten() {
+    if (nowMillis() - beatenAtMillis >= STALE_MILLIS) {
+      beatingSinceMillis = nowMillis();
+    }
+    beatenAtMillis = nowMillis();
+  }
+
   private long nowMillis() {
     return scheduler.now(TimeUnit.MILLISECONDS);
   }
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -108,6 +108,34 @@
     assertThat(after.subList(0, before.size())).isEqualTo(before);
   }
 
+  @Test
+  void nobodyIsThoughtDeadWhileTheStoreTakesNoHeartbeats() {
+    BatchWorld.Process a = world.start("a");
+    world.start("b");
+    world.advance(5_000);
+    world.store.decideFates(
+        transaction -> touches(transaction, "nodes") ? Fate.LATE : Fate.ANSWERED);
+    world.advance(1_000);
+    world.samplers.decideEndings(call -> Ending.BROKEN);
+    a.submit(BatchWorld.spec("x", ITEMS));
+    world.advance(8_000);
+    assertThat(world.owner("x")).hasValue(a.incarnation);
+    world.store.decideFates(transaction -> Fate.ANSWERED);
+    world.advance(8_000);
+    assertThat(world.owner("x")).hasValue(a.incarnation);
+  }
+
+  @Test
+  void submissionIsKeptElsewhereWhilePartOfTheStoreIsSilent() {
+    world.store.silenceObjects(name -> name.startsWith("batch-0-"));
+    BatchWorld.Process a = world.start("a");
+    assertThat(a.submit(BatchWorld.spec("x", ITEMS))).isEqualTo(Submitted.ACCEPTED);
+    a.kill();
+    BatchWorld.Process b = world.start("b");
+    world.advance(TAKEOVER_MILLIS);
+    assertWhole(BatchWorld.all(b, "x"), ITEMS);
+  }
+
   @Test
   void batchSurvivesTheEndOfAllProcesses() {
     BatchWorld.Process a = world.start("a");
--- a/node/src/test/java/io/briarward/node/batch/BatchWorld.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchWorld.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import io.briarward.core.batch.BatchHead;
 import io.briarward.core.batch.BatchItem;
 import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.batch.BatchTerms;
@@ -122,6 +123,15 @@
     return observer.values().get(0);
   }
 
+  /** Returns the owner that the store names for a batch. */
+  Optional<String> owner(String id) {
+    return store.rows(BatchStore.HEADS).stream()
+        .map(row -> BatchHead.parse(row.value()))
+        .filter(head -> head.id().equals(id))
+        .findFirst()
+        .flatMap(BatchHead::owner);
+  }
+
   static BatchSpec spec(String id, int items) {
     return new BatchSpec(
         id,
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /** A store in memory, in virtual time, with outages, lost answers and late writes. */
@@ -49,6 +50,7 @@
   private final List<Logged> log = new ArrayList<>();
   private final PublishSubject<String> changed = PublishSubject.create();
   private Function<Transaction, Fate> fates = transaction -> Fate.ANSWERED;
+  private Predicate<String> silentObjects = name -> false;
   private boolean down;
   private long version;
 
@@ -68,6 +70,11 @@
     fates = decision;
   }
 
+  /** Decides which objects are not answered for. */
+  public void silenceObjects(Predicate<String> decision) {
+    silentObjects = decision;
+  }
+
   /** Sets whether every call is refused. */
   public void setDown(boolean down) {
     this.down = down;
@@ -175,7 +182,11 @@
 
   @Override
   public Single<Boolean> putIfAbsent(String key, Buffer bytes) {
-    return answer(() -> Single.just(objects.putIfAbsent(key, bytes) == null));
+    return answer(
+        () ->
+            silentObjects.test(key)
+                ? Single.never()
+                : Single.just(objects.putIfAbsent(key, bytes) == null));
   }
 
   @Override
