--- a/core/src/main/java/io/briarward/core/lease/LeaseMachine.java
+++ b/core/src/main/java/io/briarward/core/lease/LeaseMachine.java
@@ -32,6 +32,7 @@
   private final String holder;
 
   private boolean candidate = true;
+  private boolean watching;
   private boolean releasing;
 
   private boolean rowKnown;
@@ -75,6 +76,11 @@
     this.candidate = candidate;
   }
 
+  /** Sets whether to read the row also while no candidate, so as to know how old it is later. */
+  public void setWatching(boolean watching) {
+    this.watching = watching;
+  }
+
   /**
    * Gives the lease up: {@link #guard} is empty from now on, and the row is marked.
    *
@@ -133,7 +139,10 @@
     if (holds(nowMillis)) {
       return keep(nowMillis, work);
     }
-    return candidate ? acquire(nowMillis) : NONE;
+    if (candidate) {
+      return acquire(nowMillis);
+    }
+    return watching && !releasing && nowMillis >= nextReadMillis ? read(nowMillis) : NONE;
   }
 
   /**
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -485,7 +485,10 @@
 
   /** Returns whether a batch was given up, or its owner is surely not among the living. */
   private boolean unowned(BatchHead head, ImmutableSet<String> alive) {
-    return head.owner().isEmpty() || (nodes.reliable() && !alive.contains(head.owner().get()));
+    if (head.owner().isEmpty() || nodes.replaced(head.owner().get())) {
+      return true;
+    }
+    return nodes.reliable() && !alive.contains(head.owner().get());
   }
 
   private void claim(StoredHead stored) {
--- a/node/src/main/java/io/briarward/node/duty/LeaseLoop.java
+++ b/node/src/main/java/io/briarward/node/duty/LeaseLoop.java
@@ -58,6 +58,11 @@
     machine.setCandidate(candidate);
   }
 
+  /** Sets whether to read the row also while no candidate. */
+  public void setWatching(boolean watching) {
+    machine.setWatching(watching);
+  }
+
   /** Gives the lease up, once nothing that was sent under it waits for its answer. */
   public void release() {
     machine.release();
--- a/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
+++ b/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
@@ -41,7 +41,12 @@
   private static final long SETTLE_MILLIS = 3_000;
 
   /** How long a call that is sent under the lease may take, in milliseconds. */
-  private static final long CALL_TIMEOUT_MILLIS = 1_000;
+  private static final long CALL_TIMEOUT_MILLIS = 700;
+
+  /** Four renewals; a successor follows about a second after it lapses. */
+  private static final long LEASE_DURATION_MILLIS = 2_500;
+
+  private static final long LEASE_WATCH_MILLIS = 500; // Small against the duration.
 
   /** How long to wait with an order that a sampler did not accept, in milliseconds. */
   private static final long ORDER_RETRY_MILLIS = 400;
@@ -60,11 +65,12 @@
   private final LeaseLoop lease;
   private final String nodeName;
   private final String incarnation;
-  private final long candidateAtMillis;
+  private final long turnMillis;
   private final SuspensionDetector suspension = SuspensionDetector.create();
   private final VersionOrders orders = VersionOrders.create();
   private Disposable stepping = Disposable.disposed();
   private Disposable writing = Disposable.disposed();
+  private long candidateAtMillis;
   private boolean holding;
   private boolean reporting;
   private boolean stopping;
@@ -105,10 +111,10 @@
     this.counts = WindowCounts.create(settings.usageWindowMillis());
     this.nodeName = settings.nodeName();
     this.incarnation = settings.incarnation();
-    this.lease =
-        LeaseLoop.create(
-            tables, scheduler, leaseSettings(settings.leaseMillis()), DUTY, incarnation);
-    this.candidateAtMillis = nowMillis() + settings.leaseMillis();
+    this.lease = LeaseLoop.create(tables, scheduler, leaseSettings(), DUTY, incarnation);
+    lease.setWatching(true);
+    this.turnMillis = settings.leaseMillis();
+    this.candidateAtMillis = nowMillis() + turnMillis;
   }
 
   /** Starts to compete for the lease. */
@@ -126,11 +132,12 @@
     return duty;
   }
 
-  private static LeaseSettings leaseSettings(long leaseMillis) {
+  /** Returns times that let a successor act soon after a death; orders end within the margin. */
+  private static LeaseSettings leaseSettings() {
     return new LeaseSettings(
-        leaseMillis + CALL_TIMEOUT_MILLIS,
-        leaseMillis / 3,
-        leaseMillis / 3,
+        LEASE_DURATION_MILLIS,
+        LEASE_DURATION_MILLIS / 3,
+        LEASE_WATCH_MILLIS,
         CALL_TIMEOUT_MILLIS,
         CALL_TIMEOUT_MILLIS,
         CALL_TIMEOUT_MILLIS,
@@ -175,11 +182,13 @@
   }
 
   private void step() {
-    // A restarted VM waits, since an order of its last process may be as old as its start.
-    lease.setCandidate(!stopping && nowMillis() >= candidateAtMillis);
+    // No VM holds the lease, loses it to another and takes it back within one turn. A restarted
+    // VM waits too, since an order of its last process may be as old as its start.
+    lease.setCandidate(!stopping && (holding || nowMillis() >= candidateAtMillis));
     Optional<LeaseGuard> guard = guard();
     if (guard.isPresent() != holding) {
       holding = guard.isPresent();
+      candidateAtMillis = nowMillis() + turnMillis;
       log.info(
           holding ? "lease-taken" : "lease-lost",
           "duty",
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -10,7 +10,6 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -83,7 +82,7 @@
             ports.decoder().upstreamTable(),
             FEED_PAUSE_MILLIS,
             fleet.upstreamRows()));
-    String incarnation = settings.nodeName() + "-" + UUID.randomUUID();
+    String incarnation = NodeRegistry.newIncarnation(settings.nodeName());
     this.nodes =
         NodeRegistry.start(
             ports.tables(), ports.feed(), scheduler, log, settings.nodeName(), incarnation);
