--- a/cli/src/main/java/io/briarward/cli/PlatformNodeCommand.java
+++ b/cli/src/main/java/io/briarward/cli/PlatformNodeCommand.java
@@ -4,7 +4,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import org.tinylog.Logger;
 import sun.misc.Signal;
 
@@ -22,17 +24,25 @@
       System.err.println(PlatformNode.SETTINGS_VARIABLE + " is not set, expected a path");
       return ExitCodes.USAGE;
     }
-    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
-    PlatformNode node = PlatformNode.start(vertx, Path.of(path)).blockingGet();
     CountDownLatch stopped = new CountDownLatch(1);
+    AtomicReference<PlatformNode> running = new AtomicReference<>();
+    // A signal that comes before the node runs must not end the process by its default action.
     Signal.handle(
-        new Signal("TERM"),
-        unused -> {
-          var stopping = node.stop().subscribe(stopped::countDown);
-        });
-    Signal.handle(new Signal("HUP"), unused -> node.reload());
+        new Signal("HUP"),
+        unused -> Optional.ofNullable(running.get()).ifPresent(PlatformNode::reload));
+    Signal.handle(new Signal("TERM"), unused -> stop(running.get(), stopped));
+    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+    running.set(PlatformNode.start(vertx, Path.of(path)).blockingGet());
     stopped.await();
     Logger.info("event=exit");
     return ExitCodes.OK;
   }
+
+  private static void stop(PlatformNode node, CountDownLatch stopped) {
+    if (node == null) {
+      Logger.info("event=exit cause=\"stopped while starting\"");
+      System.exit(ExitCodes.OK);
+    }
+    var unused = node.stop().subscribe(stopped::countDown);
+  }
 }
--- a/cli/src/test/java/io/briarward/cli/LayeringTest.java
+++ b/cli/src/test/java/io/briarward/cli/LayeringTest.java
@@ -49,6 +49,15 @@
           .dependOnClassesThat()
           .resideInAPackage("io.briarward.standins..");
 
+  @ArchTest
+  static final ArchRule ONLY_THE_PROGRAM_KNOWS_THE_ADAPTER =
+      noClasses()
+          .that()
+          .resideOutsideOfPackages("io.briarward.platform..", "io.briarward.cli..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("io.briarward.platform..");
+
   @ArchTest
   static final ArchRule CORE_PACKAGES_FORM_NO_CYCLE =
       slices().matching("io.briarward.core.(*)..").should().beFreeOfCycles();
--- a/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
+++ b/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
@@ -51,6 +51,9 @@
   /** How long to wait with an order that a sampler did not accept, in milliseconds. */
   private static final long ORDER_RETRY_MILLIS = 400;
 
+  /** How long to wait after a report that was not taken, in milliseconds; a tenth of its time. */
+  private static final long REPORT_RETRY_MILLIS = 500;
+
   private static final long RELEASE_TIMEOUT_MILLIS = 1_000;
 
   private static final Backoff STORE_BACKOFF = new Backoff(100, 1_000);
@@ -75,6 +78,7 @@
   private boolean reporting;
   private boolean stopping;
   private long nextWindow;
+  private long nextReportMillis = Long.MIN_VALUE;
   private int sent;
 
   /**
@@ -301,7 +305,9 @@
   }
 
   private void reportUsage() {
-    if (reporting || wallMillis() < counts.endMillis(nextWindow) + SETTLE_MILLIS) {
+    if (reporting
+        || nowMillis() < nextReportMillis
+        || wallMillis() < counts.endMillis(nextWindow) + SETTLE_MILLIS) {
       return;
     }
     reporting = true;
@@ -341,8 +347,10 @@
                   nextWindow = window + 1;
                   removeOld(window - WINDOWS_KEPT);
                 },
-                error ->
-                    log.warn("usage-not-reported", "window", window, "cause", error.toString()));
+                error -> {
+                  nextReportMillis = nowMillis() + REPORT_RETRY_MILLIS;
+                  log.warn("usage-not-reported", "window", window, "cause", error.toString());
+                });
   }
 
   private void removeOld(long window) {
