--- a/node/src/main/java/io/briarward/node/batch/BatchContext.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchContext.java
@@ -5,7 +5,7 @@
 import io.briarward.core.fleet.FleetConfiguration;
 import io.briarward.core.fleet.UpstreamBalancer;
 import io.briarward.node.batch.BatchStore.StoredHead;
-import io.briarward.node.gateway.FleetState;
+import io.briarward.node.fleet.FleetState;
 import io.briarward.node.telemetry.EventLog;
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.Optional;
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -15,9 +15,9 @@
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.node.batch.BatchStore.StoredHead;
-import io.briarward.node.gateway.FleetState;
-import io.briarward.node.gateway.NodeRegistry;
-import io.briarward.node.gateway.TableWatch;
+import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.NodeRegistry;
+import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.platform.ChangeFeed;
 import io.briarward.node.platform.ObjectStore;
 import io.briarward.node.platform.PlatformException;
@@ -57,6 +57,8 @@
   /** How often a write whose answer was lost is resolved by sending it again. */
   private static final int WRITE_TRIES = 3;
 
+  private static final long REMOVAL_RETRY_MILLIS = 10_000; // Nothing depends on a quick removal.
+
   private static final int CACHED_SUBMISSIONS = 4; // Each takes some hundred KB.
 
   private final Scheduler scheduler;
@@ -64,12 +66,13 @@
   private final NodeRegistry nodes;
   private final EventLog log;
   private final String incarnation;
+  private final long retentionMillis;
   private final BatchStore store;
   private final BatchContext context;
   private final TableWatch watch;
   private final Map<String, StoredHead> heads = new HashMap<>();
   private final Map<String, BatchOwner> owners = new HashMap<>();
-  private final Set<String> adopting = new HashSet<>();
+  private final Set<String> busy = new HashSet<>();
   private final PublishSubject<String> headChanges = PublishSubject.create();
   private final Cache<String, BatchSpec> specs =
       CacheBuilder.newBuilder().maximumSize(CACHED_SUBMISSIONS).build();
@@ -78,29 +81,56 @@
   private boolean stepRequested;
   private boolean draining;
 
-  private BatchService(
+  /** What a service needs of the world outside. */
+  public record Ports(
       TableService tables,
       ObjectStore objects,
       ChangeFeed feed,
       BatchCodec codec,
-      SamplerClient samplers,
+      SamplerClient samplers) {
+    /** Checks the fields. */
+    public Ports {
+      checkNotNull(tables, "tables");
+      checkNotNull(objects, "objects");
+      checkNotNull(feed, "feed");
+      checkNotNull(codec, "codec");
+      checkNotNull(samplers, "samplers");
+    }
+  }
+
+  /**
+   * How a service is set up.
+   *
+   * @param incarnation unique to this process
+   * @param retentionMillis how long a batch that has ended is kept after it was accepted
+   */
+  public record Settings(String incarnation, long retentionMillis) {
+    /** Checks the fields. */
+    public Settings {
+      checkNotNull(incarnation, "incarnation");
+    }
+  }
+
+  private BatchService(
+      Settings settings,
+      Ports ports,
       Scheduler scheduler,
       FleetState fleet,
       NodeRegistry nodes,
-      EventLog log,
-      String incarnation) {
+      EventLog log) {
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.fleet = checkNotNull(fleet, "fleet");
     this.nodes = checkNotNull(nodes, "nodes");
     this.log = checkNotNull(log, "log");
-    this.incarnation = checkNotNull(incarnation, "incarnation");
-    this.store = new BatchStore(scheduler, tables, objects, codec);
+    this.incarnation = settings.incarnation();
+    this.retentionMillis = settings.retentionMillis();
+    this.store = new BatchStore(scheduler, ports.tables(), ports.objects(), ports.codec());
     this.context =
         new BatchContext(
             scheduler,
             fleet,
             store,
-            samplers,
+            ports.samplers(),
             log,
             incarnation,
             nodes::storeMillis,
@@ -108,24 +138,18 @@
             this::requestStep);
     this.watch =
         TableWatch.start(
-            feed, scheduler, log, BatchStore.HEADS, FEED_PAUSE_MILLIS, new HeadListener());
+            ports.feed(), scheduler, log, BatchStore.HEADS, FEED_PAUSE_MILLIS, new HeadListener());
   }
 
   /** Starts to follow all batches and to run those of this process. */
   public static BatchService start(
-      TableService tables,
-      ObjectStore objects,
-      ChangeFeed feed,
-      BatchCodec codec,
-      SamplerClient samplers,
+      Settings settings,
+      Ports ports,
       Scheduler scheduler,
       FleetState fleet,
       NodeRegistry nodes,
-      EventLog log,
-      String incarnation) {
-    BatchService service =
-        new BatchService(
-            tables, objects, feed, codec, samplers, scheduler, fleet, nodes, log, incarnation);
+      EventLog log) {
+    BatchService service = new BatchService(settings, ports, scheduler, fleet, nodes, log);
     service.stepping = every(scheduler, STEP_MILLIS, service::step);
     service.takeovers = every(scheduler, TAKEOVER_MILLIS, service::takeOver);
     return service;
@@ -414,7 +438,8 @@
 
     @Override
     public void onChanges(ImmutableList<ChangeFeed.Change> changes) {
-      changes.forEach(change -> change.row().ifPresent(this::onRow));
+      changes.forEach(
+          change -> change.row().ifPresentOrElse(this::onRow, () -> heads.remove(change.key())));
     }
 
     private void onRow(Row row) {
@@ -471,7 +496,11 @@
     ImmutableSet<String> alive = nodes.alive();
     for (StoredHead stored : ImmutableList.copyOf(heads.values())) {
       BatchHead head = stored.head();
-      if (!head.open() || owners.containsKey(head.id()) || adopting.contains(head.id())) {
+      if (owners.containsKey(head.id()) || busy.contains(head.id())) {
+        continue;
+      }
+      if (!head.open()) {
+        removeIfOld(stored, alive);
         continue;
       }
       if (head.owner().equals(Optional.of(incarnation))) {
@@ -483,6 +512,36 @@
     }
   }
 
+  /** Removes a batch that nobody asks for any more; of the nodes alive, one chosen by hash does. */
+  private void removeIfOld(StoredHead stored, ImmutableSet<String> alive) {
+    BatchHead head = stored.head();
+    long ageMillis = nodes.storeMillis() - head.acceptedAtMillis();
+    if (ageMillis < Math.max(retentionMillis, head.terms().maxWaitMillis())
+        || !DutyCandidates.choose(head.id(), alive, 1).contains(incarnation)) {
+      return;
+    }
+    busy.add(head.id());
+    var unused =
+        store
+            .remove(stored)
+            .timeout(STORE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler)
+            .observeOn(scheduler)
+            .subscribe(
+                () -> {
+                  busy.remove(head.id());
+                  heads.remove(head.id());
+                  log.info("batch-removed", "batch", head.id(), "ageMillis", ageMillis);
+                },
+                error -> {
+                  var later =
+                      scheduler.scheduleDirect(
+                          () -> busy.remove(head.id()),
+                          REMOVAL_RETRY_MILLIS,
+                          TimeUnit.MILLISECONDS);
+                  log.warn("batch-not-removed", "batch", head.id(), "cause", error.toString());
+                });
+  }
+
   /** Returns whether a batch was given up, or its owner is surely not among the living. */
   private boolean unowned(BatchHead head, ImmutableSet<String> alive) {
     if (head.owner().isEmpty() || nodes.replaced(head.owner().get())) {
@@ -493,7 +552,7 @@
 
   private void claim(StoredHead stored) {
     BatchHead next = stored.head().withOwner(Optional.of(incarnation), context.nextToken());
-    adopting.add(next.id());
+    busy.add(next.id());
     log.info(
         "batch-takeover",
         "batch",
@@ -508,7 +567,7 @@
         nodes.storeAgeMillis());
     var unused =
         bounded(store.replace(stored, next, ImmutableList.of()))
-            .doFinally(() -> adopting.remove(next.id()))
+            .doFinally(() -> busy.remove(next.id()))
             .subscribe(
                 result -> {
                   if (result instanceof CommitResult.Committed committed) {
@@ -523,7 +582,7 @@
   private void adopt(StoredHead stored) {
     String id = stored.head().id();
     remember(stored);
-    adopting.add(id);
+    busy.add(id);
     var unused =
         Single.zip(
                 bounded(store.submission(stored.head())),
@@ -536,7 +595,7 @@
                   }
                   return id;
                 })
-            .doFinally(() -> adopting.remove(id))
+            .doFinally(() -> busy.remove(id))
             .subscribe(
                 done -> {},
                 error -> log.warn("adoption-failed", "batch", id, "cause", error.toString()));
--- a/node/src/main/java/io/briarward/node/batch/BatchStore.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchStore.java
@@ -15,6 +15,8 @@
 import io.briarward.node.platform.JsonHttpClient;
 import io.briarward.node.platform.ObjectStore;
 import io.briarward.node.platform.TableService;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.buffer.Buffer;
@@ -154,6 +156,44 @@
             });
   }
 
+  /**
+   * Removes all that is kept of a batch, the head last, so that a failure leaves it to be found.
+   */
+  Completable remove(StoredHead stored) {
+    BatchHead head = stored.head();
+    RowKey key = headKey(head.id());
+    return removeResults(head.id())
+        .andThen(objects.delete(head.submission()))
+        .andThen(
+            Completable.defer(
+                () ->
+                    tables
+                        .commit(
+                            Transaction.builder()
+                                .requireVersion(key, stored.rowVersion())
+                                .delete(key)
+                                .build())
+                        .ignoreElement()));
+  }
+
+  private Completable removeResults(String batchId) {
+    return tables
+        .scan(RESULTS, batchId + "/", batchId + "/", READ_ROWS)
+        .flatMapCompletable(
+            rows -> {
+              if (rows.isEmpty()) {
+                return Completable.complete();
+              }
+              Transaction.Builder transaction = Transaction.builder();
+              rows.forEach(row -> transaction.delete(RowKey.of(RESULTS, row.key())));
+              return Flowable.fromIterable(rows)
+                  .filter(row -> row.value().has("object"))
+                  .concatMapCompletable(row -> objects.delete(row.value().path("object").asText()))
+                  .andThen(tables.commit(transaction.build()).ignoreElement())
+                  .andThen(Completable.defer(() -> removeResults(batchId)));
+            });
+  }
+
   private Single<ImmutableList<ItemResult>> resolve(ImmutableList<Row> rows) {
     return Single.concatEager(rows.stream().map(row -> resolve(row.value())).toList())
         .toList()
--- a/node/src/main/java/io/briarward/node/gateway/FleetDecoder.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetDecoder.java
@@ -1,4 +1,4 @@
-package io.briarward.node.gateway;
+package io.briarward.node.fleet;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.briarward.core.fleet.FleetConfiguration;
--- a/node/src/main/java/io/briarward/node/gateway/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -1,4 +1,4 @@
-package io.briarward.node.gateway;
+package io.briarward.node.fleet;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
--- a/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
+++ b/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
@@ -12,6 +12,7 @@
 import io.briarward.core.usage.WindowCounts;
 import io.briarward.core.weights.VersionOrders;
 import io.briarward.node.duty.LeaseLoop;
+import io.briarward.node.fleet.FleetState;
 import io.briarward.node.gateway.SamplerOrders.LoadOrder;
 import io.briarward.node.gateway.SamplerOrders.RunningWork;
 import io.briarward.node.platform.TableService;
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -3,6 +3,9 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import io.briarward.node.batch.BatchService;
+import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.NodeRegistry;
+import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.telemetry.Metrics;
 import io.reactivex.rxjava3.core.Completable;
@@ -46,13 +49,15 @@
    * @param leaseMillis the least time between orders of one holder, another and the first again
    * @param usageWindowMillis the length of a window of usage
    * @param stopMillis how long a stop may take
+   * @param retentionMillis how long a batch that has ended is kept after it was accepted
    */
   public record Settings(
       String nodeName,
       String dataCentre,
       long leaseMillis,
       long usageWindowMillis,
-      long stopMillis) {
+      long stopMillis,
+      long retentionMillis) {
     /** Checks the fields. */
     public Settings {
       checkNotNull(nodeName, "nodeName");
@@ -89,16 +94,17 @@
     parts.push(nodes);
     this.batches =
         BatchService.start(
-            ports.tables(),
-            ports.objects(),
-            ports.feed(),
-            ports.batchCodec(),
-            ports.samplers(),
+            new BatchService.Settings(incarnation, settings.retentionMillis()),
+            new BatchService.Ports(
+                ports.tables(),
+                ports.objects(),
+                ports.feed(),
+                ports.batchCodec(),
+                ports.samplers()),
             scheduler,
             fleet,
             nodes,
-            log,
-            incarnation);
+            log);
     parts.push(batches);
     this.control =
         ControlDuty.start(
--- a/node/src/main/java/io/briarward/node/gateway/GatewayPorts.java
+++ b/node/src/main/java/io/briarward/node/gateway/GatewayPorts.java
@@ -4,6 +4,7 @@
 
 import io.briarward.node.batch.BatchCodec;
 import io.briarward.node.batch.SamplerClient;
+import io.briarward.node.fleet.FleetDecoder;
 import io.briarward.node.platform.ChangeFeed;
 import io.briarward.node.platform.ObjectStore;
 import io.briarward.node.platform.TableService;
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -217,4 +217,20 @@
     assertThat(world.await(a.batches.itemBody("x", BatchWorld.ORGANISATION, "x-item0")))
         .isPresent();
   }
+
+  @Test
+  void oldBatchesAreRemovedWhole() {
+    BatchWorld.Process a = world.start("a");
+    BatchWorld.Process b = world.start("b");
+    a.submit(BatchWorld.spec("x", 100));
+    a.submit(BatchWorld.spec("y", ITEMS));
+    world.await(b.batches.end("y", BatchWorld.ORGANISATION));
+    world.advance(BatchWorld.RETENTION_MILLIS - 5_000);
+    assertWhole(BatchWorld.all(b, "x"), 100);
+    world.advance(10_000);
+    assertThat(world.store.rows(BatchStore.HEADS)).isEmpty();
+    assertThat(world.store.rows("batch-results")).isEmpty();
+    assertThat(world.store.objectNames()).isEmpty();
+    assertThat(a.results("x", 0)).isEmpty();
+  }
 }
--- a/node/src/test/java/io/briarward/node/batch/BatchWorld.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchWorld.java
@@ -9,9 +9,9 @@
 import io.briarward.core.batch.ItemResult;
 import io.briarward.node.batch.BatchService.ResultPage;
 import io.briarward.node.batch.BatchService.Submitted;
-import io.briarward.node.gateway.FleetState;
-import io.briarward.node.gateway.NodeRegistry;
-import io.briarward.node.gateway.TableWatch;
+import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.NodeRegistry;
+import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.testing.FixedFleet;
 import io.briarward.node.testing.MemoryStore;
@@ -30,6 +30,7 @@
   static final String ORGANISATION = "nadi-mill";
   static final BatchTerms TERMS =
       new BatchTerms(FixedFleet.HOST, "batches", FixedFleet.SAMPLERS, 3, 7_500, 40_000, false);
+  static final long RETENTION_MILLIS = 60_000;
   private static final long STEP_MILLIS = 10;
   private static final int MAX_STEPS = 2_000;
 
@@ -58,16 +59,12 @@
       nodes = NodeRegistry.start(store, store, scheduler, log, name, incarnation);
       batches =
           BatchService.start(
-              store,
-              store,
-              store,
-              BatchWorld::decode,
-              samplers,
+              new BatchService.Settings(incarnation, RETENTION_MILLIS),
+              new BatchService.Ports(store, store, store, BatchWorld::decode, samplers),
               scheduler,
               fleet,
               nodes,
-              log,
-              incarnation);
+              log);
       parts.add(nodes);
       parts.add(batches);
     }
--- a/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
+++ b/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
@@ -4,6 +4,8 @@
 
 import com.google.common.collect.ImmutableMap;
 import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.gateway.SamplerOrders.LoadOrder;
 import io.briarward.node.gateway.SamplerOrders.RunningWork;
 import io.briarward.node.gateway.SamplerOrders.Status;
--- a/node/src/test/java/io/briarward/node/testing/FixedFleet.java
+++ b/node/src/test/java/io/briarward/node/testing/FixedFleet.java
@@ -7,7 +7,7 @@
 import io.briarward.core.fleet.FleetConfiguration;
 import io.briarward.core.fleet.FleetRoute;
 import io.briarward.core.fleet.UpstreamEntry;
-import io.briarward.node.gateway.FleetDecoder;
+import io.briarward.node.fleet.FleetDecoder;
 import java.util.Optional;
 
 /** A decoder for rows in a plain form of the tests' own. */
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
@@ -96,6 +97,11 @@
     apply(Transaction.builder().delete(RowKey.of(table, key)).build());
   }
 
+  /** Returns the names of all objects. */
+  public ImmutableSet<String> objectNames() {
+    return ImmutableSet.copyOf(objects.keySet());
+  }
+
   /** Returns the rows of a table. */
   public ImmutableList<Row> rows(String table) {
     return tables.scan(table, "", "", 10_000);
