--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -100,7 +100,7 @@
     BatchWorld.Process b = world.start("b");
     a.submit(BatchWorld.spec("x", ITEMS));
     world.advance(250);
-    ImmutableList<ItemResult> before = BatchWorld.all(b, "x");
+    final ImmutableList<ItemResult> before = BatchWorld.all(b, "x");
     a.kill();
     world.advance(TAKEOVER_MILLIS);
     ImmutableList<ItemResult> after = BatchWorld.all(b, "x");
@@ -110,7 +110,7 @@
 
   @Test
   void nobodyIsThoughtDeadWhileTheStoreTakesNoHeartbeats() {
-    BatchWorld.Process a = world.start("a");
+    final BatchWorld.Process a = world.start("a");
     world.start("b");
     world.advance(5_000);
     world.store.decideFates(
@@ -150,7 +150,7 @@
   @Test
   void plannedStopHandsTheBatchOnAtOnce() {
     BatchWorld.Process a = world.start("a");
-    BatchWorld.Process b = world.start("b");
+    final BatchWorld.Process b = world.start("b");
     a.submit(BatchWorld.spec("x", 60));
     world.advance(250);
     var unused = a.batches.drain(2_000).andThen(a.nodes.leave()).subscribe();
--- a/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
+++ b/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
@@ -130,7 +130,7 @@
 
   @Test
   void successorHasHigherNumberAndWaitsOutTheLease() throws Exception {
-    Node first = new Node("a");
+    final Node first = new Node("a");
     advance(6_000);
     new Node("b");
     announce(2);
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -109,22 +109,25 @@
 
   @Override
   public Single<CommitResult> commit(Transaction transaction) {
-    return answer(
-        () ->
-            switch (fates.apply(transaction)) {
-              case ANSWERED -> Single.just(apply(transaction));
-              case REFUSED -> Single.error(new PlatformException(NONE, "refused"));
-              case ANSWER_LOST -> {
-                apply(transaction);
-                yield Single.never();
-              }
-              case LATE -> {
-                var unused =
-                    scheduler.scheduleDirect(
-                        () -> apply(transaction), LATE_MILLIS, TimeUnit.MILLISECONDS);
-                yield Single.never();
-              }
-            });
+    return answer(() -> carryOut(transaction, fates.apply(transaction)));
+  }
+
+  private Single<CommitResult> carryOut(Transaction transaction, Fate fate) {
+    switch (fate) {
+      case ANSWERED:
+        return Single.just(apply(transaction));
+      case REFUSED:
+        return Single.error(new PlatformException(NONE, "refused"));
+      case ANSWER_LOST:
+        apply(transaction);
+        return Single.never();
+      case LATE:
+        var unused =
+            scheduler.scheduleDirect(() -> apply(transaction), LATE_MILLIS, TimeUnit.MILLISECONDS);
+        return Single.never();
+      default:
+        throw new AssertionError(fate);
+    }
   }
 
   private CommitResult apply(Transaction transaction) {
