Make the test of refused heartbeats fail without its rule

With writes that arrive late the other nodes still look alive, so the test passed with the rule taken out. With refused writes it fails without and passes with it.

--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -114,7 +114,7 @@
     world.start("b");
     world.advance(5_000);
     world.store.decideFates(
-        transaction -> touches(transaction, "nodes") ? Fate.LATE : Fate.ANSWERED);
+        transaction -> touches(transaction, "nodes") ? Fate.REFUSED : Fate.ANSWERED);
     world.advance(1_000);
     world.samplers.decideEndings(call -> Ending.BROKEN);
     a.submit(BatchWorld.spec("x", ITEMS));
