Do nothing by the store's clock before it is known

A process that started while the table of nodes could not be read took its own clock for the store's, found every ended batch hours old and removed it. Change: no batch is accepted, given up, taken over or removed before the store's clock is known. The store of the tests now has a clock of its own; BatchServiceTest.nothingIsRemovedOrGivenUpBeforeTheStoresClockIsKnown.

--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -187,7 +187,7 @@
       boolean same = known.head().organisation().equals(organisation);
       return Single.just(same ? Submitted.ACCEPTED : Submitted.REFUSED);
     }
-    if (draining) {
+    if (draining || !nodes.clockKnown()) {
       return Single.just(Submitted.REFUSED);
     }
     return store
@@ -490,7 +490,7 @@
 
   /** Takes over what nobody runs; of the nodes alive, one chosen by hash does so first. */
   private void takeOver() {
-    if (draining || !fleet.known()) {
+    if (draining || !fleet.known() || !nodes.clockKnown()) {
       return;
     }
     ImmutableSet<String> alive = nodes.alive();
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -132,7 +132,12 @@
     return watch.ageMillis();
   }
 
-  /** Returns the time of the store's clock. */
+  /** Returns whether the store's clock is known. */
+  public boolean clockKnown() {
+    return watch.clockKnown();
+  }
+
+  /** Returns the time of the store's clock, once it is known. */
   public long storeMillis() {
     return watch.storeMillis();
   }
--- a/node/src/main/java/io/briarward/node/fleet/TableWatch.java
+++ b/node/src/main/java/io/briarward/node/fleet/TableWatch.java
@@ -94,6 +94,11 @@
     return known() ? nowMillis() - lastContactMillis : Long.MAX_VALUE;
   }
 
+  /** Returns whether the store ever answered, so that its clock is known. */
+  public boolean clockKnown() {
+    return lastContactMillis != Long.MIN_VALUE;
+  }
+
   /** Returns the time of the store's clock, as known from its last answer. */
   public long storeMillis() {
     return nowMillis() + clockOffsetMillis;
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -233,4 +233,20 @@
     assertThat(world.store.objectNames()).isEmpty();
     assertThat(a.results("x", 0)).isEmpty();
   }
+
+  @Test
+  void nothingIsRemovedOrGivenUpBeforeTheStoresClockIsKnown() {
+    BatchWorld.Process a = world.start("a");
+    a.submit(BatchWorld.spec("x", ITEMS));
+    world.advance(DONE_MILLIS);
+    a.kill();
+    world.store.silenceTables(table -> table.equals("nodes"));
+    BatchWorld.Process again = world.start("a");
+    world.advance(DONE_MILLIS);
+    assertThat(world.store.rows(BatchStore.HEADS)).hasSize(1);
+    assertThat(again.submit(BatchWorld.spec("y", ITEMS))).isEqualTo(Submitted.REFUSED);
+    world.store.silenceTables(table -> false);
+    world.advance(DONE_MILLIS);
+    assertWhole(BatchWorld.all(again, "x"), ITEMS);
+  }
 }
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -42,6 +42,7 @@
   }
 
   private static final long ANSWER_MILLIS = 4;
+  private static final long CLOCK_LAG_MILLIS = 1_000_000;
   private static final long LATE_MILLIS = 1_000;
   private static final PlatformException.Effect NONE = PlatformException.Effect.NONE;
 
@@ -51,6 +52,7 @@
   private final List<Logged> log = new ArrayList<>();
   private final PublishSubject<String> changed = PublishSubject.create();
   private Function<Transaction, Fate> fates = transaction -> Fate.ANSWERED;
+  private Predicate<String> silentTables = name -> false;
   private Predicate<String> silentObjects = name -> false;
   private boolean down;
   private long version;
@@ -71,6 +73,11 @@
     fates = decision;
   }
 
+  /** Decides which tables are not read whole. */
+  public void silenceTables(Predicate<String> decision) {
+    silentTables = decision;
+  }
+
   /** Decides which objects are not answered for. */
   public void silenceObjects(Predicate<String> decision) {
     silentObjects = decision;
@@ -156,7 +163,11 @@
 
   @Override
   public Single<Snapshot> snapshot(String table) {
-    return answer(() -> Single.just(new Snapshot(rows(table), version, clockMillis())));
+    return answer(
+        () ->
+            silentTables.test(table)
+                ? Single.never()
+                : Single.just(new Snapshot(rows(table), version, clockMillis())));
   }
 
   @Override
@@ -215,7 +226,8 @@
                 down ? Single.error(new PlatformException(NONE, "the store is down")) : call.get());
   }
 
+  /** Behind the processes' clocks, since no two machines count from the same moment. */
   private long clockMillis() {
-    return scheduler.now(TimeUnit.MILLISECONDS);
+    return scheduler.now(TimeUnit.MILLISECONDS) - CLOCK_LAG_MILLIS;
   }
 }
