--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -114,7 +114,7 @@
     world.start("b");
     world.advance(5_000);
     world.store.decideFates(
-        transaction -> touches(transaction, "nodes") ? Fate.LATE : Fate.ANSWERED);
+        transaction -> touches(transaction, "nodes") ? Fate.REFUSED : Fate.ANSWERED);
     world.advance(1_000);
     world.samplers.decideEndings(call -> Ending.BROKEN);
     a.submit(BatchWorld.spec("x", ITEMS));
@@ -233,4 +233,20 @@
     assertThat(world.store.objectNames()).isEmpty();
     assertThat(a.results("x", 0)).isEmpty();
   }
+
+  @Test
+  void nothingIsRemovedOrGivenUpBeforeTheStoresClockIsKnown() {
+    BatchWorld.Process a = world.start("a");
+    a.submit(BatchWorld.spec("x", ITEMS));
+    world.advance(DONE_MILLIS);
+    a.kill();
+    world.store.silenceTables(table -> table.equals("nodes"));
+    BatchWorld.Process again = world.start("a");
+    world.advance(DONE_MILLIS);
+    assertThat(world.store.rows(BatchStore.HEADS)).hasSize(1);
+    assertThat(again.submit(BatchWorld.spec("y", ITEMS))).isEqualTo(Submitted.REFUSED);
+    world.store.silenceTables(table -> false);
+    world.advance(DONE_MILLIS);
+    assertWhole(BatchWorld.all(again, "x"), ITEMS);
+  }
 }
