--- a/core/src/main/java/io/briarward/core/fleet/FleetConfiguration.java
+++ b/core/src/main/java/io/briarward/core/fleet/FleetConfiguration.java
@@ -62,11 +62,6 @@
     return Optional.ofNullable(best);
   }
 
-  /** Returns the route with the name. */
-  public Optional<FleetRoute> routeNamed(String name) {
-    return routes.stream().filter(route -> route.name().equals(name)).findFirst();
-  }
-
   /** Returns the organisation that holds the key. */
   public Optional<String> organisation(String key) {
     return Optional.ofNullable(organisationByKey.get(key));
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -15,7 +15,6 @@
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
-import io.briarward.core.platform.Transaction;
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.batch.SamplerClient.Ending;
 import io.reactivex.rxjava3.core.Single;
@@ -381,7 +380,7 @@
 
   private void onCommitted(BatchHead next, ImmutableList<JsonNode> rows, CommitResult result) {
     if (result instanceof CommitResult.Committed committed) {
-      onListed(next, rows, committed.versions().get(BatchStore.headKey(spec.id())));
+      onListed(StoredHead.written(next, committed), rows.size());
       return;
     }
     Optional<Row> present =
@@ -393,20 +392,20 @@
     }
     StoredHead there = StoredHead.of(present.get());
     if (there.head().token().equals(next.token())) {
-      onListed(next, rows, there.rowVersion());
+      onListed(there, rows.size());
     } else {
       committing = false;
       takeHead(there);
     }
   }
 
-  private void onListed(BatchHead next, ImmutableList<JsonNode> rows, Long rowVersion) {
+  private void onListed(StoredHead written, int count) {
     committing = false;
-    run.removeResults(rows.size());
+    run.removeResults(count);
     nextCommitMillis = context.nowMillis() + COMMIT_GAP_MILLIS;
-    head = new StoredHead(next, rowVersion == null ? Transaction.ABSENT : rowVersion);
+    head = written;
     context.onOwnHead(head);
-    if (!next.open()) {
+    if (!written.head().open()) {
       stop("complete");
     }
   }
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -256,8 +256,7 @@
 
   private Submitted onInserted(BatchHead head, BatchSpec spec, CommitResult result) {
     if (result instanceof CommitResult.Committed committed) {
-      Long rowVersion = committed.versions().get(BatchStore.headKey(head.id()));
-      run(spec, new StoredHead(head, rowVersion), ImmutableSet.of());
+      run(spec, StoredHead.written(head, committed), ImmutableSet.of());
       return Submitted.ACCEPTED;
     }
     Optional<Row> present =
@@ -362,8 +361,7 @@
         .flatMap(
             result -> {
               if (result instanceof CommitResult.Committed committed) {
-                Long rowVersion = committed.versions().get(BatchStore.headKey(next.id()));
-                remember(new StoredHead(next, rowVersion));
+                remember(StoredHead.written(next, committed));
                 return Single.just(true);
               }
               // The owner listed results meanwhile.
@@ -571,8 +569,7 @@
             .subscribe(
                 result -> {
                   if (result instanceof CommitResult.Committed committed) {
-                    Long rowVersion = committed.versions().get(BatchStore.headKey(next.id()));
-                    adopt(new StoredHead(next, rowVersion));
+                    adopt(StoredHead.written(next, committed));
                   }
                 },
                 error ->
--- a/node/src/main/java/io/briarward/node/batch/BatchStore.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchStore.java
@@ -57,6 +57,11 @@
 
   /** A head and the version of its row. */
   record StoredHead(BatchHead head, long rowVersion) {
+    /** Returns a head as a transaction has just written it. */
+    static StoredHead written(BatchHead head, CommitResult.Committed committed) {
+      return new StoredHead(head, committed.versions().get(headKey(head.id())));
+    }
+
     static StoredHead of(Row row) {
       return new StoredHead(BatchHead.parse(row.value()), row.version());
     }
