--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -41,9 +41,6 @@
   /** How long to wait after a call of the store that failed, in milliseconds. */
   private static final long STORE_RETRY_MILLIS = 200;
 
-  /** How long a call of the store may take, in milliseconds. */
-  private static final long STORE_TIMEOUT_MILLIS = 2_000;
-
   /**
    * How long a run may bring nothing, in milliseconds; above the load of new weights, during which
    * runs stand still.
@@ -322,8 +319,6 @@
         Single.concatEager(
                 results.stream().map(result -> context.store().toRow(spec.id(), result)).toList())
             .toList()
-            .timeout(STORE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
-            .observeOn(context.scheduler())
             .subscribe(
                 rows -> send(next, ImmutableList.copyOf(rows)),
                 error -> {
@@ -362,8 +357,6 @@
         context
             .store()
             .replace(head, next, rows)
-            .timeout(STORE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
-            .observeOn(context.scheduler())
             .subscribe(
                 result -> onCommitted(next, rows, result),
                 error -> {
--- a/node/src/main/java/io/briarward/node/batch/BatchStore.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchStore.java
@@ -24,7 +24,11 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-/** Where batches lie: submissions as objects, heads and results as rows. */
+/**
+ * Where batches lie: submissions as objects, heads and results as rows.
+ *
+ * <p>Every call answers or fails within a bounded time, on the event loop.
+ */
 final class BatchStore {
   /** The table with the head of each batch. */
   static final String HEADS = "batch-heads";
@@ -43,6 +47,9 @@
   /** Twenty times the usual time of an answer, so that three tries fit into a caller's wait. */
   private static final long OBJECT_TIMEOUT_MILLIS = 500;
 
+  /** How long a call may take, in milliseconds; parts of the store may be silent. */
+  private static final long TIMEOUT_MILLIS = 1_500;
+
   private final Scheduler scheduler;
   private final TableService tables;
   private final ObjectStore objects;
@@ -73,7 +80,7 @@
    * <p>Parts of the store may be silent while others answer, so further names are tried.
    */
   Single<String> putSubmission(String id, Buffer bytes) {
-    return putSubmission(id, bytes, 0);
+    return putSubmission(id, bytes, 0).observeOn(scheduler);
   }
 
   private Single<String> putSubmission(String id, Buffer bytes, int attempt) {
@@ -89,19 +96,21 @@
   }
 
   Single<Optional<BatchSpec>> submission(BatchHead head) {
-    return objects
-        .get(head.submission())
-        .map(found -> found.map(bytes -> codec.decode(head.id(), bytes)));
+    return bounded(
+        objects
+            .get(head.submission())
+            .map(found -> found.map(bytes -> codec.decode(head.id(), bytes))));
   }
 
   Single<Optional<StoredHead>> head(String id) {
-    return tables.read(headKey(id)).map(row -> row.map(StoredHead::of));
+    return bounded(tables.read(headKey(id)).map(row -> row.map(StoredHead::of)));
   }
 
   /** Inserts a head; a conflict holds the head that is there. */
   Single<CommitResult> insert(BatchHead head) {
     RowKey key = headKey(head.id());
-    return tables.commit(Transaction.builder().requireAbsent(key).put(key, head.toJson()).build());
+    return bounded(
+        tables.commit(Transaction.builder().requireAbsent(key).put(key, head.toJson()).build()));
   }
 
   /** Replaces a head on condition that it is unchanged, and adds results after those it lists. */
@@ -115,7 +124,7 @@
       transaction.put(RowKey.of(RESULTS, resultKey(next.id(), position)), row);
       position++;
     }
-    return tables.commit(transaction.build());
+    return bounded(tables.commit(transaction.build()));
   }
 
   /** Returns the row's value of a result, whose output is moved to an object if it is large. */
@@ -126,25 +135,31 @@
       return Single.just(json);
     }
     String object = "output-" + batchId + "-" + result.itemId();
-    return objects
-        .putIfAbsent(object, Buffer.buffer(bytes))
-        .map(
-            written ->
-                JsonNodeFactory.instance
-                    .objectNode()
-                    .put("itemId", result.itemId())
-                    .put("object", object));
+    return bounded(
+        objects
+            .putIfAbsent(object, Buffer.buffer(bytes))
+            .map(
+                written ->
+                    JsonNodeFactory.instance
+                        .objectNode()
+                        .put("itemId", result.itemId())
+                        .put("object", object)));
   }
 
   /** Returns results from a position on; fewer than there are if they are many. */
   Single<ImmutableList<ItemResult>> results(String batchId, int from) {
-    return tables
-        .scan(RESULTS, batchId + "/", resultKey(batchId, from - 1), READ_ROWS)
-        .flatMap(this::resolve);
+    return bounded(
+        tables
+            .scan(RESULTS, batchId + "/", resultKey(batchId, from - 1), READ_ROWS)
+            .flatMap(this::resolve));
   }
 
   /** Returns the ids of all listed items. */
-  Single<ImmutableList<String>> listedIds(String batchId, int from) {
+  Single<ImmutableList<String>> listedIds(String batchId) {
+    return bounded(listedIds(batchId, 0));
+  }
+
+  private Single<ImmutableList<String>> listedIds(String batchId, int from) {
     return tables
         .scan(RESULTS, batchId + "/", resultKey(batchId, from - 1), READ_ROWS)
         .flatMap(
@@ -165,6 +180,12 @@
    * Removes all that is kept of a batch, the head last, so that a failure leaves it to be found.
    */
   Completable remove(StoredHead stored) {
+    return removeAll(stored)
+        .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler)
+        .observeOn(scheduler);
+  }
+
+  private Completable removeAll(StoredHead stored) {
     BatchHead head = stored.head();
     RowKey key = headKey(head.id());
     return removeResults(head.id())
@@ -214,6 +235,10 @@
         .map(bytes -> ItemResult.parse(JsonHttpClient.parse(bytes.orElseThrow())));
   }
 
+  private <T> Single<T> bounded(Single<T> call) {
+    return call.timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler).observeOn(scheduler);
+  }
+
   static RowKey headKey(String id) {
     return RowKey.of(HEADS, id);
   }
