--- /dev/null
+++ b/node/src/main/java/io/briarward/node/gateway/LoadOrderSender.java
@@ -0,0 +1,136 @@
+package io.briarward.node.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import io.briarward.core.fleet.FleetRoute;
+import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.lease.LeaseGuard;
+import io.briarward.core.weights.VersionOrders;
+import io.briarward.node.fleet.FleetState;
+import io.briarward.node.gateway.SamplerOrders.LoadOrder;
+import io.briarward.node.gateway.SamplerOrders.RunningWork;
+import io.briarward.node.telemetry.EventLog;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Orders samplers to load the versions that trainers announced, under a lease.
+ *
+ * <p>A sampler is asked for its state first, so that an order that was carried out although its
+ * answer was lost is not sent again. Confined to the event loop.
+ */
+final class LoadOrderSender {
+  /** How long to wait with an order that a sampler did not accept, in milliseconds. */
+  private static final long RETRY_MILLIS = 400;
+
+  private final SamplerOrders samplers;
+  private final FleetState fleet;
+  private final Scheduler scheduler;
+  private final EventLog log;
+  private final String nodeName;
+  private final SendPermission permission;
+  private final VersionOrders orders = VersionOrders.create();
+  private int pending;
+
+  LoadOrderSender(
+      SamplerOrders samplers,
+      FleetState fleet,
+      Scheduler scheduler,
+      EventLog log,
+      String nodeName,
+      SendPermission permission) {
+    this.samplers = checkNotNull(samplers, "samplers");
+    this.fleet = checkNotNull(fleet, "fleet");
+    this.scheduler = checkNotNull(scheduler, "scheduler");
+    this.log = checkNotNull(log, "log");
+    this.nodeName = checkNotNull(nodeName, "nodeName");
+    this.permission = checkNotNull(permission, "permission");
+  }
+
+  /** Returns how many orders are being sent. */
+  int pending() {
+    return pending;
+  }
+
+  /** Sends the orders that are due. */
+  void step() {
+    ImmutableList<UpstreamEntry> entries = ImmutableList.copyOf(fleet.balancer().entries());
+    for (VersionOrders.Order order : orders.next(entries, fleet.announced(), nowMillis())) {
+      pending++;
+      var unused =
+          permission
+              .bounded(samplers.status(order.sampler()))
+              .flatMap(status -> send(order, status))
+              .doFinally(() -> pending--)
+              .subscribe(
+                  accepted -> onAnswered(order, accepted ? "accepted" : "not-accepted"),
+                  error -> onAnswered(order, error.toString()));
+    }
+  }
+
+  private Single<Boolean> send(VersionOrders.Order order, SamplerOrders.Status status) {
+    if (status.modelVersions().getOrDefault(order.model(), 0L) >= order.version()) {
+      return Single.just(true);
+    }
+    Optional<LeaseGuard> guard = permission.guard();
+    if (status.busy() || guard.isEmpty()) {
+      return Single.just(false);
+    }
+    LoadOrder load =
+        new LoadOrder(
+            order.sampler(),
+            order.model(),
+            order.version(),
+            runningWork(order.sampler().service()),
+            status.acceptedOrders(),
+            nodeName,
+            guard.get().fencingNumber());
+    log.info(
+        "order-sent",
+        "sampler",
+        order.sampler().id(),
+        "model",
+        order.model(),
+        "version",
+        order.version(),
+        "acceptedOrders",
+        status.acceptedOrders(),
+        "fencingNumber",
+        load.fencingNumber());
+    return permission.bounded(samplers.load(load));
+  }
+
+  private void onAnswered(VersionOrders.Order order, String outcome) {
+    log.info(
+        "order-answered",
+        "sampler",
+        order.sampler().id(),
+        "model",
+        order.model(),
+        "version",
+        order.version(),
+        "outcome",
+        outcome);
+    if (!outcome.equals("accepted")) {
+      orders.onRejected(order, nowMillis(), RETRY_MILLIS);
+    }
+  }
+
+  /** Lets runs go on under new weights unless some result must have a single version. */
+  private RunningWork runningWork(String service) {
+    boolean singleVersion =
+        fleet.configuration().stream()
+            .flatMap(configuration -> configuration.routes().stream())
+            .filter(FleetRoute::singleVersion)
+            .flatMap(route -> route.targets().stream())
+            .anyMatch(target -> target.service().equals(service));
+    return singleVersion ? RunningWork.FINISH : RunningWork.KEEP;
+  }
+
+  private long nowMillis() {
+    return scheduler.now(TimeUnit.MILLISECONDS);
+  }
+}
