--- /dev/null
+++ b/node/src/test/java/io/briarward/node/batch/BatchProperties.java
@@ -0,0 +1,11 @@
+package io.briarward.node.batch;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class BatchProperties {
+  @Property(seed = "901", tries = 60)
+  void acceptedBatchesAreRunOnceListedAndNeverChanged(@ForAll long seed) {
+    new BatchHistory(seed).play();
+  }
+}
--- a/node/src/test/java/io/briarward/node/batch/BatchWorld.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchWorld.java
@@ -141,7 +141,7 @@
             .collect(ImmutableList.toImmutableList()));
   }
 
-  private static Buffer encode(BatchSpec spec) {
+  static Buffer encode(BatchSpec spec) {
     return Buffer.buffer(Integer.toString(spec.items().size()));
   }
 
