--- a/core/src/main/java/io/briarward/core/batch/BatchItem.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchItem.java
@@ -14,7 +14,8 @@
  * @param path the path of the request that runs the item
  * @param headers the headers of that request
  * @param bodyBase64 the body of that request
- * @param tokenCount the prompt tokens and the largest number of generated tokens
+ * @param expectedTokens the caller's estimate of the generated tokens, which is often far off; 0 if
+ *     it gave none
  */
 public record BatchItem(
     String id,
@@ -22,7 +23,7 @@
     String path,
     ImmutableMap<String, String> headers,
     String bodyBase64,
-    int tokenCount) {
+    int expectedTokens) {
 
   /**
    * Checks the fields.
@@ -35,7 +36,7 @@
     checkArgument(path.startsWith("/"), "path is %s, expected a leading slash", path);
     checkNotNull(headers, "headers");
     checkArgument(BaseEncoding.base64().canDecode(bodyBase64), "body of %s is not Base64", id);
-    checkArgument(tokenCount >= 0, "tokenCount is %s, expected >= 0", tokenCount);
+    checkArgument(expectedTokens >= 0, "expectedTokens is %s, expected >= 0", expectedTokens);
   }
 
   /** Returns the decoded body. */
--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -6,17 +6,21 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Decides which item of a batch runs next, and collects the text of each until it can be listed.
  *
- * <p>Items run in the order of the submission, in which the items of a group stand together and
- * groups carried over from an earlier batch come first. An item whose run broke off goes on after
- * its last event, before items that have not begun. Not thread-safe.
+ * <p>Items start in the order of their expected length, the longest first. A group counts once all
+ * its items are listed, lengths differ a hundredfold, and the longest takes most of the time that a
+ * batch has, so a group whose longest item started late would be late too. Items that are expected
+ * to be equally long start in the order of the submission. An item whose run broke off goes on
+ * after its last event. Not thread-safe.
  */
 public final class BatchRun {
   /** How long an item waits after a run that broke off, in milliseconds; enough to reset it. */
@@ -31,11 +35,22 @@
   private BatchRun(BatchSpec spec, BatchTerms terms, ImmutableSet<String> listed) {
     this.spec = checkNotNull(spec, "spec");
     this.maxAttempts = terms.maxAttempts();
-    for (BatchItem item : spec.items()) {
-      if (!listed.contains(item.id())) {
-        items.put(item.id(), new ItemProgress(item, terms.singleVersion()));
-      }
-    }
+    ToDoubleFunction<BatchItem> length = expectedLength(spec.items());
+    spec.items().stream()
+        .filter(item -> !listed.contains(item.id()))
+        .sorted(Comparator.comparingDouble(length).reversed())
+        .forEach(item -> items.put(item.id(), new ItemProgress(item, terms.singleVersion())));
+  }
+
+  /** Returns the estimate of an item, or the mean of the others' if it has none. */
+  private static ToDoubleFunction<BatchItem> expectedLength(ImmutableList<BatchItem> items) {
+    double meanTokens =
+        items.stream()
+            .mapToInt(BatchItem::expectedTokens)
+            .filter(tokens -> tokens > 0)
+            .average()
+            .orElse(0);
+    return item -> item.expectedTokens() > 0 ? item.expectedTokens() : meanTokens;
   }
 
   /**
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -16,8 +16,9 @@
  * Chooses the upstream with the shortest expected wait among those that take work.
  *
  * <p>A wait is the work in flight from this node for each slot, times the upstream's recent time
- * for a request. An upstream that fails gets no work for a while that doubles with each failure in
- * a row. Not thread-safe.
+ * for a request or, where requests differ in size, for a unit of their work. An upstream that fails
+ * gets no work for a while that doubles with each failure in a row. One that refused gets a single
+ * request after a pause, and more once that is taken. Not thread-safe.
  */
 public final class UpstreamBalancer {
   /** The first pause after a failure; about the time in which a crashed process restarts. */
@@ -91,7 +92,9 @@
       Predicate<UpstreamEntry> allowed,
       long nowMillis) {
     return shortestWait(
-        service, excluded, entry -> !paused(entry.id(), nowMillis) && allowed.test(entry));
+        service,
+        excluded,
+        entry -> !paused(entry.id(), nowMillis) && !awaitsProbe(entry.id()) && allowed.test(entry));
   }
 
   /** Chooses an upstream of a service even if it failed just now. */
@@ -109,14 +112,26 @@
 
   /** Counts a request as in flight. */
   public void onSent(String id) {
-    state(id).inFlight++;
+    State state = state(id);
+    state.inFlight++;
+    state.probeSent = state.refused;
+  }
+
+  /** Notes that an upstream began to work on a request. */
+  public void onAccepted(String id) {
+    state(id).refused = false;
   }
 
-  /** Gives a request back that the upstream answered. */
+  /**
+   * Gives a request back that the upstream answered.
+   *
+   * @param durationMillis how long the request took, or a unit of its work
+   */
   public void onAnswered(String id, long durationMillis) {
     State state = state(id);
     state.giveBack();
     state.failures = 0;
+    state.refused = false;
     state.pausedUntilMillis = Long.MIN_VALUE;
     state.durationMillis =
         state.durationMillis == 0
@@ -126,13 +141,17 @@
 
   /** Gives a request back that was ended for a reason that says nothing of the upstream. */
   public void onReleased(String id) {
-    state(id).giveBack();
+    State state = state(id);
+    state.giveBack();
+    state.probeSent = false;
   }
 
   /** Gives a request back that the upstream refused without running it. */
   public void onRefused(String id, long nowMillis, long pauseMillis) {
     State state = state(id);
     state.giveBack();
+    state.refused = true;
+    state.probeSent = false;
     state.pausedUntilMillis = Math.max(state.pausedUntilMillis, nowMillis + pauseMillis);
   }
 
@@ -143,9 +162,16 @@
     long pauseMillis =
         Math.min(MAX_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(state.failures, 10));
     state.failures++;
+    state.refused = false;
     state.pausedUntilMillis = nowMillis + pauseMillis;
   }
 
+  /** Returns whether an upstream that refused has a request by which it shows if it takes more. */
+  private boolean awaitsProbe(String id) {
+    State state = states.get(id);
+    return state != null && state.refused && state.probeSent;
+  }
+
   /** Returns whether an upstream gets no work for now. */
   public boolean paused(String id, long nowMillis) {
     State state = states.get(id);
@@ -168,6 +194,8 @@
   private static final class State {
     int inFlight;
     int failures;
+    boolean refused;
+    boolean probeSent;
     long pausedUntilMillis = Long.MIN_VALUE;
     double durationMillis;
 
--- a/core/src/test/java/io/briarward/core/batch/BatchRunTest.java
+++ b/core/src/test/java/io/briarward/core/batch/BatchRunTest.java
@@ -5,6 +5,8 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
@@ -15,7 +17,11 @@
           "batch", Optional.of("model"), 5, 1, ImmutableList.of(item("a"), item("b"), item("c")));
 
   private static BatchItem item(String id) {
-    return new BatchItem(id, "group", "/x/" + id, ImmutableMap.of(), "", 10);
+    return item(id, 10);
+  }
+
+  private static BatchItem item(String id, int expectedTokens) {
+    return new BatchItem(id, "group", "/x/" + id, ImmutableMap.of(), "", expectedTokens);
   }
 
   private static BatchTerms terms(boolean singleVersion) {
@@ -43,6 +49,36 @@
     assertThat(run.running()).isEqualTo(1);
   }
 
+  @Test
+  void longestItemsStartFirstAndUnknownOnesCountAsMean() {
+    BatchSpec spec =
+        new BatchSpec(
+            "batch",
+            Optional.of("model"),
+            5,
+            1,
+            ImmutableList.of(
+                item("short", 10), item("unknown", 0), item("long", 900), item("medium", 290)));
+    BatchRun run = BatchRun.create(spec, terms(false), ImmutableSet.of());
+    List<String> order = new ArrayList<>();
+    for (Optional<BatchItem> next = run.next(0); next.isPresent(); next = run.next(0)) {
+      order.add(next.get().id());
+      run.start(next.get().id());
+    }
+    assertThat(order).containsExactly("long", "unknown", "medium", "short").inOrder();
+  }
+
+  @Test
+  void brokenRunGoesOnBeforeShorterItems() {
+    BatchSpec spec =
+        new BatchSpec(
+            "batch", Optional.of("model"), 5, 1, ImmutableList.of(item("b", 10), item("a", 90)));
+    BatchRun run = BatchRun.create(spec, terms(false), ImmutableSet.of());
+    run.start("a");
+    run.onBroken("a", 0);
+    assertThat(next(run, 100)).isEqualTo("a");
+  }
+
   @Test
   void listedItemsDoNotRunAgain() {
     BatchRun run = BatchRun.create(SPEC, terms(false), ImmutableSet.of("a", "c"));
--- a/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
@@ -101,4 +101,38 @@
     assertThat(choose(1)).hasValue("a");
     assertThat(balancer.inFlight("a")).isEqualTo(0);
   }
+
+  @Test
+  void upstreamThatRefusedGetsOneRequestUntilItTakesIt() {
+    balancer.remove("b");
+    balancer.onSent("a");
+    balancer.onRefused("a", 0, 100);
+    assertThat(choose(50)).isEmpty();
+    assertThat(choose(100)).hasValue("a");
+    balancer.onSent("a");
+    assertThat(choose(110)).isEmpty();
+    balancer.onAccepted("a");
+    assertThat(choose(110)).hasValue("a");
+  }
+
+  @Test
+  void secondRefusalPausesAgain() {
+    balancer.remove("b");
+    balancer.onSent("a");
+    balancer.onRefused("a", 0, 100);
+    balancer.onSent("a");
+    balancer.onRefused("a", 110, 100);
+    assertThat(choose(200)).isEmpty();
+    assertThat(choose(210)).hasValue("a");
+  }
+
+  @Test
+  void abandonedProbeLeavesRoomForAnother() {
+    balancer.remove("b");
+    balancer.onSent("a");
+    balancer.onRefused("a", 0, 100);
+    balancer.onSent("a");
+    balancer.onReleased("a");
+    assertThat(choose(120)).hasValue("a");
+  }
 }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -64,6 +64,7 @@
     final UpstreamEntry sampler;
     final long startedAtMillis;
     long progressAtMillis;
+    int events;
     SamplerClient.Run run;
 
     Active(UpstreamEntry sampler, long nowMillis) {
@@ -84,6 +85,11 @@
     return spec;
   }
 
+  /** Returns when the batch was accepted, on the store's clock. */
+  long acceptedAtMillis() {
+    return head.head().acceptedAtMillis();
+  }
+
   /** Returns whether nothing is left to do for this process. */
   boolean stopped() {
     return stopped;
@@ -232,12 +238,14 @@
       @Override
       public boolean onVersion(long version) {
         started.progressAtMillis = context.nowMillis();
+        context.balancer().onAccepted(started.sampler.id());
         return run.onVersion(itemId, version);
       }
 
       @Override
       public boolean onEvent(SampleEvent event) {
         started.progressAtMillis = context.nowMillis();
+        started.events++;
         return run.onEvent(itemId, event);
       }
 
@@ -256,7 +264,10 @@
     String samplerId = ended.sampler.id();
     switch (ending) {
       case COMPLETE -> {
-        context.balancer().onAnswered(samplerId, nowMillis - ended.startedAtMillis);
+        // Runs differ a hundredfold in length, so samplers are compared by the time for an event.
+        context
+            .balancer()
+            .onAnswered(samplerId, (nowMillis - ended.startedAtMillis) / Math.max(1, ended.events));
         run.onComplete(itemId);
       }
       case BROKEN -> {
@@ -277,22 +288,26 @@
       }
       default -> throw new AssertionError(ending);
     }
-    if (ending != Ending.COMPLETE) {
-      context
-          .log()
-          .info(
-              "item-attempt",
-              "item",
-              itemId,
-              "batch",
-              spec.id(),
-              "sampler",
-              samplerId,
-              "outcome",
-              ending,
-              "cause",
-              cause);
-    }
+    context
+        .log()
+        .info(
+            "item-attempt",
+            "item",
+            itemId,
+            "batch",
+            spec.id(),
+            "sampler",
+            samplerId,
+            "outcome",
+            ending,
+            "cause",
+            cause,
+            "events",
+            ended.events,
+            "tookMillis",
+            nowMillis - ended.startedAtMillis,
+            "batchAgeMillis",
+            context.storeMillis() - head.head().acceptedAtMillis());
     context.requestStep();
   }
 
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -18,6 +18,7 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -175,7 +176,10 @@
 
   private void step() {
     stepRequested = false;
-    for (BatchOwner owner : ImmutableList.copyOf(owners.values())) {
+    // The batch that is due first takes places at samplers first.
+    for (BatchOwner owner :
+        ImmutableList.sortedCopyOf(
+            Comparator.comparingLong(BatchOwner::acceptedAtMillis), owners.values())) {
       owner.step();
       if (owner.stopped()) {
         owners.remove(owner.spec().id());
