--- a/core/src/main/java/io/briarward/core/lease/LeaseMachine.java
+++ b/core/src/main/java/io/briarward/core/lease/LeaseMachine.java
@@ -8,6 +8,7 @@
 import io.briarward.core.platform.RowKey;
 import io.briarward.core.platform.Transaction;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Takes, renews and gives up the lease on one duty.
@@ -30,6 +31,7 @@
   private final String duty;
   private final RowKey key;
   private final String holder;
+  private final Predicate<String> predecessors;
 
   private boolean candidate = true;
   private boolean watching;
@@ -51,10 +53,12 @@
   private long renewAtMillis;
   private long tokens;
 
-  private LeaseMachine(LeaseSettings settings, String duty, String holder) {
+  private LeaseMachine(
+      LeaseSettings settings, String duty, String holder, Predicate<String> predecessors) {
     this.settings = checkNotNull(settings, "settings");
     this.duty = checkNotNull(duty, "duty");
     this.holder = checkNotNull(holder, "holder");
+    this.predecessors = checkNotNull(predecessors, "predecessors");
     checkArgument(!duty.isEmpty(), "duty is empty");
     checkArgument(!holder.isEmpty(), "holder is empty");
     this.key = RowKey.of(TABLE, duty);
@@ -68,7 +72,19 @@
    * @param holder the incarnation of this process, never used by another one
    */
   public static LeaseMachine create(LeaseSettings settings, String duty, String holder) {
-    return new LeaseMachine(settings, duty, holder);
+    return create(settings, duty, holder, other -> false);
+  }
+
+  /**
+   * Returns a machine that holds nothing yet and need not wait for its predecessors' lease to
+   * lapse.
+   *
+   * @param holder the incarnation of this process, never used by another one
+   * @param predecessors which holders are surely dead since this process runs in their place
+   */
+  public static LeaseMachine create(
+      LeaseSettings settings, String duty, String holder, Predicate<String> predecessors) {
+    return new LeaseMachine(settings, duty, holder, predecessors);
   }
 
   /** Sets whether to take the lease when it is free; a lease that is held is kept. */
@@ -81,6 +97,11 @@
     this.watching = watching;
   }
 
+  /** Returns whether the lease was last seen with a predecessor, so that nobody held it since. */
+  public boolean heldByPredecessor() {
+    return rowKnown && row.filter(each -> predecessors.test(each.holder())).isPresent();
+  }
+
   /**
    * Gives the lease up: {@link #guard} is empty from now on, and the row is marked.
    *
@@ -217,7 +238,7 @@
       return true;
     }
     LeaseRow present = row.get();
-    if (present.released() || present.holder().equals(holder)) {
+    if (present.released() || present.holder().equals(holder) || heldByPredecessor()) {
       return true;
     }
     long waitMillis = settings.takeoverWaitMillis(present.durationMillis());
--- a/node/src/main/java/io/briarward/node/duty/LeaseLoop.java
+++ b/node/src/main/java/io/briarward/node/duty/LeaseLoop.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** Carries out the store operations of one lease. To be used on the scheduler's thread only. */
 public final class LeaseLoop {
@@ -29,7 +30,7 @@
 
   static LeaseLoop create(
       TableService tables, Scheduler scheduler, String duty, String incarnation) {
-    return create(tables, scheduler, LeaseSettings.defaults(), duty, incarnation);
+    return create(tables, scheduler, LeaseSettings.defaults(), duty, incarnation, other -> false);
   }
 
   /**
@@ -37,14 +38,16 @@
    *
    * @param duty the key of the lease's row
    * @param incarnation unique to this process
+   * @param predecessors which incarnations are surely dead since this process runs in their place
    */
   public static LeaseLoop create(
       TableService tables,
       Scheduler scheduler,
       LeaseSettings settings,
       String duty,
-      String incarnation) {
-    LeaseMachine machine = LeaseMachine.create(settings, duty, incarnation);
+      String incarnation,
+      Predicate<String> predecessors) {
+    LeaseMachine machine = LeaseMachine.create(settings, duty, incarnation, predecessors);
     return new LeaseLoop(tables, scheduler, machine);
   }
 
@@ -63,6 +66,11 @@
     machine.setWatching(watching);
   }
 
+  /** Returns whether the lease was last seen with a predecessor, so that nobody held it since. */
+  public boolean heldByPredecessor() {
+    return machine.heldByPredecessor();
+  }
+
   /** Gives the lease up, once nothing that was sent under it waits for its answer. */
   public void release() {
     machine.release();
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.platform.Row;
@@ -19,7 +18,6 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -32,7 +30,6 @@
   /** The table with a row for each node. */
   public static final String TABLE = "nodes";
 
-  private static final char SEPARATOR = '#';
   private static final long HEARTBEAT_MILLIS = 1_000;
 
   private static final long BEAT_TIMEOUT_MILLIS = 1_000; // The next one is due then.
@@ -116,15 +113,12 @@
         && nowMillis() - beatingSinceMillis > DEAD_AFTER_MILLIS;
   }
 
-  /** Returns an incarnation of a VM that no other process has. */
-  public static String newIncarnation(String name) {
-    return name + SEPARATOR + UUID.randomUUID();
-  }
-
   /** Returns whether another process runs on the VM of an incarnation by now. */
   public boolean replaced(String otherIncarnation) {
-    Peer now = peers.get(Splitter.on(SEPARATOR).split(otherIncarnation).iterator().next());
-    return now != null && !now.incarnation().equals(otherIncarnation);
+    Peer now = peers.get(Incarnations.vm(otherIncarnation));
+    return now != null
+        && !now.incarnation().equals(otherIncarnation)
+        && Incarnations.sameVm(now.incarnation(), otherIncarnation);
   }
 
   /** Returns how old the last answer of the store is. */
--- a/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
+++ b/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
@@ -8,6 +8,7 @@
 import io.briarward.core.lease.SuspensionDetector;
 import io.briarward.node.duty.LeaseLoop;
 import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.Incarnations;
 import io.briarward.node.platform.TableService;
 import io.briarward.node.platform.UsageReports;
 import io.briarward.node.telemetry.EventLog;
@@ -81,7 +82,14 @@
       UsageReports reports) {
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
-    this.lease = LeaseLoop.create(tables, scheduler, leaseSettings(), DUTY, settings.incarnation());
+    this.lease =
+        LeaseLoop.create(
+            tables,
+            scheduler,
+            leaseSettings(),
+            DUTY,
+            settings.incarnation(),
+            other -> Incarnations.sameVm(other, settings.incarnation()));
     lease.setWatching(true);
     this.turnMillis = settings.leaseMillis();
     this.candidateAtMillis = nowMillis() + turnMillis;
@@ -157,8 +165,10 @@
 
   private void step() {
     // No VM holds the lease, loses it to another and takes it back within one turn. A restarted
-    // VM waits too, since an order of its last process may be as old as its start.
-    lease.setCandidate(!stopping && (holding || nowMillis() >= candidateAtMillis));
+    // VM waits too, since an order of its last process may be as old as its start, unless nobody
+    // held the lease after that process.
+    boolean turnOver = nowMillis() >= candidateAtMillis;
+    lease.setCandidate(!stopping && (holding || turnOver || lease.heldByPredecessor()));
     Optional<LeaseGuard> guard = guard();
     if (guard.isPresent() != holding) {
       holding = guard.isPresent();
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -4,6 +4,7 @@
 
 import io.briarward.node.batch.BatchService;
 import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.Incarnations;
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.telemetry.EventLog;
@@ -46,6 +47,7 @@
    * How a gateway is set up.
    *
    * @param nodeName the VM
+   * @param address where callers reach the VM
    * @param leaseMillis the least time between orders of one holder, another and the first again
    * @param usageWindowMillis the length of a window of usage
    * @param stopMillis how long a stop may take
@@ -53,6 +55,7 @@
    */
   public record Settings(
       String nodeName,
+      String address,
       String dataCentre,
       long leaseMillis,
       long usageWindowMillis,
@@ -61,6 +64,7 @@
     /** Checks the fields. */
     public Settings {
       checkNotNull(nodeName, "nodeName");
+      checkNotNull(address, "address");
       checkNotNull(dataCentre, "dataCentre");
     }
   }
@@ -87,7 +91,7 @@
             ports.decoder().upstreamTable(),
             FEED_PAUSE_MILLIS,
             fleet.upstreamRows()));
-    String incarnation = NodeRegistry.newIncarnation(settings.nodeName());
+    String incarnation = Incarnations.create(settings.nodeName(), settings.address());
     this.nodes =
         NodeRegistry.start(
             ports.tables(), ports.feed(), scheduler, log, settings.nodeName(), incarnation);
--- a/node/src/test/java/io/briarward/node/batch/BatchWorld.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchWorld.java
@@ -10,6 +10,7 @@
 import io.briarward.node.batch.BatchService.ResultPage;
 import io.briarward.node.batch.BatchService.Submitted;
 import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.Incarnations;
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.telemetry.EventLog;
@@ -46,7 +47,7 @@
     private final List<AutoCloseable> parts = new ArrayList<>();
 
     Process(String name) {
-      incarnation = NodeRegistry.newIncarnation(name);
+      incarnation = Incarnations.create(name, "10.0.0.1");
       EventLog log = EventLog.create(scheduler);
       FixedFleet decoder = new FixedFleet();
       FleetState fleet = FleetState.create(decoder, scheduler, log, "nadi");
--- a/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
+++ b/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.Incarnations;
 import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.gateway.SamplerOrders.LoadOrder;
 import io.briarward.node.gateway.SamplerOrders.RunningWork;
@@ -80,7 +81,8 @@
               store, scheduler, log, decoder.upstreamTable(), 20, fleet.upstreamRows()));
       duty =
           ControlDuty.start(
-              new ControlDuty.Settings(name, name + "-1", LEASE_MILLIS, WINDOW_MILLIS),
+              new ControlDuty.Settings(
+                  name, Incarnations.create(name, "10.0.0.1"), LEASE_MILLIS, WINDOW_MILLIS),
               store,
               scheduler,
               log,
@@ -151,6 +153,40 @@
     assertThat(last.version()).isEqualTo(3);
   }
 
+  @Test
+  void restartedHolderTakesTheLeaseAtOnce() throws Exception {
+    Node holder = new Node("a");
+    advance(6_000);
+    holder.kill();
+    new Node("a");
+    new Node("b");
+    advance(300);
+    announce(2);
+    advance(200);
+    assertThat(orders).isNotEmpty();
+    assertThat(orders.get(0).holder()).isEqualTo("a");
+    assertThat(orders.get(0).fencingNumber()).isEqualTo(2);
+  }
+
+  @Test
+  void restartedVmWaitsOneTurnIfAnotherHeldTheLeaseSince() throws Exception {
+    Node first = new Node("a");
+    advance(6_000);
+    Node second = new Node("b");
+    advance(LEASE_MILLIS);
+    var unused = first.duty.stop().subscribe();
+    advance(1_000);
+    first.kill();
+    var unusedToo = second.duty.stop().subscribe();
+    new Node("a");
+    advance(LEASE_MILLIS - 500);
+    announce(2);
+    advance(400);
+    assertThat(orders).isEmpty();
+    advance(1_000);
+    assertThat(orders.get(0).fencingNumber()).isEqualTo(3);
+  }
+
   @Test
   void orderWithoutAnswerIsSentAgainWithTheSameExpectation() {
     new Node("a");
