--- a/core/src/main/java/io/briarward/core/batch/BatchHead.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchHead.java
@@ -18,6 +18,7 @@
  * @param organisation who submitted it
  * @param submission the object that holds what the caller submitted
  * @param terms what the route granted
+ * @param versions which weights the batch takes; empty if it names no model, or none is announced
  * @param total the number of items
  * @param listed the number of results, whose positions are 0 to {@code listed - 1}
  * @param ended whether the caller ended the batch
@@ -30,6 +31,7 @@
     String organisation,
     String submission,
     BatchTerms terms,
+    Optional<BatchVersions> versions,
     int total,
     int listed,
     boolean ended,
@@ -43,6 +45,7 @@
     checkNotNull(organisation, "organisation");
     checkArgument(!submission.isEmpty(), "submission is empty");
     checkNotNull(terms, "terms");
+    checkNotNull(versions, "versions");
     checkArgument(total > 0, "total is %s, expected > 0", total);
     checkArgument(listed >= 0 && listed <= total, "listed is %s, expected 0 to %s", listed, total);
     checkNotNull(owner, "owner");
@@ -76,6 +79,7 @@
         organisation,
         submission,
         terms,
+        versions,
         total,
         newListed,
         newEnded,
@@ -109,6 +113,11 @@
             .put("dueMillis", terms.dueMillis())
             .put("maxWaitMillis", terms.maxWaitMillis())
             .put("singleVersion", terms.singleVersion());
+    versions.ifPresent(
+        each ->
+            json.put("model", each.model())
+                .put("minVersion", each.minVersion())
+                .put("announcedVersion", each.announcedVersion()));
     owner.ifPresent(incarnation -> json.put("owner", incarnation));
     return json;
   }
@@ -133,6 +142,13 @@
         json.path("organisation").asText(),
         json.path("submission").asText(),
         terms,
+        json.hasNonNull("model")
+            ? Optional.of(
+                new BatchVersions(
+                    json.path("model").asText(),
+                    json.path("minVersion").asLong(),
+                    json.path("announcedVersion").asLong()))
+            : Optional.empty(),
         json.path("total").asInt(),
         json.path("listed").asInt(),
         json.path("ended").asBoolean(),
--- a/core/src/main/java/io/briarward/core/weights/VersionOrders.java
+++ b/core/src/main/java/io/briarward/core/weights/VersionOrders.java
@@ -5,7 +5,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.math.LongMath;
 import io.briarward.core.fleet.UpstreamEntry;
+import java.math.RoundingMode;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -17,7 +19,11 @@
  *
  * <p>Samplers load a few at a time, since loads slow each other down and a loading sampler serves
  * nothing. Each sampler follows one model; those furthest behind go first, and models that load
- * nothing yet before others. Not thread-safe.
+ * nothing yet before others.
+ *
+ * <p>Where batches take weights that are up to L versions old, each sampler loads every (L + 1)th
+ * version only, in turn with the others: at an announcement those load that would be too old, and
+ * so many that one in (L + 1) is fresh. Not thread-safe.
  */
 public final class VersionOrders {
   /** The share of a service's samplers that may load at once without slowing each other. */
@@ -58,28 +64,29 @@
 
   /** Returns the orders to be sent now, and counts them as pending. */
   public ImmutableList<Order> next(
-      Collection<UpstreamEntry> samplers, ImmutableMap<String, Long> announced, long nowMillis) {
+      Collection<UpstreamEntry> samplers,
+      ImmutableMap<String, Long> announced,
+      ImmutableMap<String, FreshnessDemand> demands,
+      long nowMillis) {
     forgetSettled(samplers, nowMillis);
     ImmutableList<UpstreamEntry> staying =
         samplers.stream()
             .filter(sampler -> !sampler.leaving())
             .collect(ImmutableList.toImmutableList());
     ImmutableMap<String, String> models = assignment.assign(staying, announced);
+    ModelView view = new ModelView(models, announced, demands);
     ImmutableList.Builder<Order> orders = ImmutableList.builder();
     staying.stream()
         .filter(sampler -> models.containsKey(sampler.id()))
         .collect(ImmutableListMultimap.toImmutableListMultimap(UpstreamEntry::service, s -> s))
         .asMap()
         .values()
-        .forEach(service -> orders.addAll(nextOfService(service, models, announced, nowMillis)));
+        .forEach(service -> orders.addAll(nextOfService(service, view, nowMillis)));
     return orders.build();
   }
 
   private ImmutableList<Order> nextOfService(
-      Collection<UpstreamEntry> samplers,
-      ImmutableMap<String, String> models,
-      ImmutableMap<String, Long> announced,
-      long nowMillis) {
+      Collection<UpstreamEntry> samplers, ModelView view, long nowMillis) {
     long loading = samplers.stream().filter(each -> pending.containsKey(each.id())).count();
     long room = Math.max(MIN_LOADING, (long) (samplers.size() * LOADING_SHARE)) - loading;
     ImmutableList.Builder<Order> orders = ImmutableList.builder();
@@ -87,20 +94,19 @@
       Optional<UpstreamEntry> chosen =
           samplers.stream()
               .filter(sampler -> !pending.containsKey(sampler.id()))
-              .filter(sampler -> lag(sampler, models, announced) > 0)
+              .filter(sampler -> due(sampler, samplers, view))
               .max(
-                  Comparator.comparingLong(
-                          (UpstreamEntry sampler) -> lag(sampler, models, announced))
+                  Comparator.comparingLong(view::lag)
                       .thenComparing(
                           Comparator.comparingLong(
-                                  (UpstreamEntry sampler) -> loading(models.get(sampler.id())))
+                                  (UpstreamEntry sampler) -> loading(view.model(sampler)))
                               .reversed()));
       if (chosen.isEmpty()) {
         break;
       }
       UpstreamEntry sampler = chosen.get();
-      String model = models.get(sampler.id());
-      long version = announced.get(model);
+      String model = view.model(sampler);
+      long version = view.announced(model);
       pending.put(
           sampler.id(),
           new Pending(sampler.bornMillis(), model, version, nowMillis + LOAD_TIMEOUT_MILLIS));
@@ -109,12 +115,58 @@
     return orders.build();
   }
 
-  private static long lag(
-      UpstreamEntry sampler,
+  /** What was announced and is demanded, and which sampler follows which model. */
+  private record ModelView(
       ImmutableMap<String, String> models,
-      ImmutableMap<String, Long> announced) {
-    String model = models.get(sampler.id());
-    return announced.get(model) - sampler.version(model);
+      ImmutableMap<String, Long> announced,
+      ImmutableMap<String, FreshnessDemand> demands) {
+    String model(UpstreamEntry sampler) {
+      return models.get(sampler.id());
+    }
+
+    long announced(String model) {
+      return announced.get(model);
+    }
+
+    FreshnessDemand demand(String model) {
+      return demands.getOrDefault(model, FreshnessDemand.NEWEST);
+    }
+
+    long lag(UpstreamEntry sampler) {
+      String model = model(sampler);
+      return announced(model) - sampler.version(model);
+    }
+  }
+
+  private boolean due(UpstreamEntry sampler, Collection<UpstreamEntry> samplers, ModelView view) {
+    String model = view.model(sampler);
+    FreshnessDemand demand = view.demand(model);
+    if (view.lag(sampler) <= 0) {
+      return false;
+    }
+    boolean tooOld =
+        view.lag(sampler) > demand.allowedLag()
+            || sampler.version(model) < demand.requiredVersion();
+    return tooOld || fresh(model, samplers, view) < wantedFresh(model, samplers, view);
+  }
+
+  /** Returns how many samplers of a model have the announced weights or are loading them. */
+  private long fresh(String model, Collection<UpstreamEntry> samplers, ModelView view) {
+    return samplers.stream()
+        .filter(sampler -> view.model(sampler).equals(model))
+        .filter(sampler -> view.lag(sampler) <= 0 || loadsAnnounced(sampler, view))
+        .count();
+  }
+
+  private boolean loadsAnnounced(UpstreamEntry sampler, ModelView view) {
+    Pending order = pending.get(sampler.id());
+    return order != null && order.version() >= view.announced(order.model());
+  }
+
+  private static long wantedFresh(
+      String model, Collection<UpstreamEntry> samplers, ModelView view) {
+    long count = samplers.stream().filter(each -> view.model(each).equals(model)).count();
+    return LongMath.divide(count, view.demand(model).allowedLag() + 1, RoundingMode.CEILING);
   }
 
   private long loading(String model) {
--- a/core/src/test/java/io/briarward/core/batch/BatchHeadTest.java
+++ b/core/src/test/java/io/briarward/core/batch/BatchHeadTest.java
@@ -14,6 +14,7 @@
           "nadi-mill",
           "batch-0",
           new BatchTerms("host", "route", "service", 3, 7_500, 40_000, true),
+          Optional.of(new BatchVersions("model", 6, 7)),
           10,
           4,
           false,
@@ -28,6 +29,24 @@
     assertThat(BatchHead.parse(released.toJson())).isEqualTo(released);
   }
 
+  @Test
+  void batchWithoutAnnouncedModelSurvivesItsJsonForm() {
+    BatchHead head =
+        new BatchHead(
+            "batch",
+            "nadi-mill",
+            "batch-0",
+            HEAD.terms(),
+            Optional.empty(),
+            10,
+            4,
+            false,
+            Optional.empty(),
+            123,
+            "t");
+    assertThat(BatchHead.parse(head.toJson())).isEqualTo(head);
+  }
+
   @Test
   void isOpenUntilEndedOrWhollyListed() {
     assertThat(HEAD.open()).isTrue();
--- a/core/src/test/java/io/briarward/core/weights/VersionOrdersTest.java
+++ b/core/src/test/java/io/briarward/core/weights/VersionOrdersTest.java
@@ -12,6 +12,8 @@
 class VersionOrdersTest {
   private static final ImmutableMap<String, Long> ANNOUNCED = ImmutableMap.of("m", 3L);
 
+  private static final ImmutableMap<String, FreshnessDemand> NEWEST = ImmutableMap.of();
+
   private final VersionOrders orders = VersionOrders.create();
 
   private static UpstreamEntry sampler(String id, long version, boolean leaving) {
@@ -28,7 +30,7 @@
   }
 
   private ImmutableList<String> next(List<UpstreamEntry> samplers, long nowMillis) {
-    return orders.next(samplers, ANNOUNCED, nowMillis).stream()
+    return orders.next(samplers, ANNOUNCED, NEWEST, nowMillis).stream()
         .map(order -> order.sampler().id())
         .collect(ImmutableList.toImmutableList());
   }
@@ -67,7 +69,7 @@
   @Test
   void rejectedOrderIsDecidedOnAgain() {
     ImmutableList<UpstreamEntry> one = ImmutableList.of(sampler("a", 2, false));
-    VersionOrders.Order order = orders.next(one, ANNOUNCED, 0).get(0);
+    VersionOrders.Order order = orders.next(one, ANNOUNCED, NEWEST, 0).get(0);
     orders.onRejected(order, 10, 400);
     assertThat(next(one, 409)).isEmpty();
     assertThat(next(one, 410)).containsExactly("a");
@@ -105,7 +107,7 @@
     ImmutableMap<String, Long> both = ImmutableMap.of("m", 2L, "n", 2L);
     List<VersionOrders.Order> all = new ArrayList<>();
     for (int round = 0; round < 20; round++) {
-      ImmutableList<VersionOrders.Order> sent = orders.next(samplers, both, round);
+      ImmutableList<VersionOrders.Order> sent = orders.next(samplers, both, NEWEST, round);
       assertThat(sent.size()).isAtMost(2);
       all.addAll(sent);
       for (VersionOrders.Order order : sent) {
@@ -128,14 +130,15 @@
     for (int i = 0; i < 8; i++) {
       samplers.add(shared("s" + i, 1, 1));
     }
-    orders.next(samplers, ImmutableMap.of("m", 2L), 0);
+    orders.next(samplers, ImmutableMap.of("m", 2L), NEWEST, 0);
     ImmutableList<VersionOrders.Order> later =
-        orders.next(samplers, ImmutableMap.of("m", 9L, "n", 2L), 10_000);
+        orders.next(samplers, ImmutableMap.of("m", 9L, "n", 2L), NEWEST, 10_000);
     assertThat(later).hasSize(2);
     ImmutableList<VersionOrders.Order> last =
         orders.next(
             samplers.stream().map(each -> shared(each.id(), 9, 1)).toList(),
             ImmutableMap.of("m", 9L, "n", 2L),
+            NEWEST,
             20_000);
     assertThat(last.stream().map(VersionOrders.Order::model).distinct().toList())
         .containsExactly("n");
@@ -147,6 +150,44 @@
     for (int i = 0; i < 8; i++) {
       samplers.add(i < 4 ? shared("s" + i, 5, 1) : shared("s" + i, 1, 5));
     }
-    assertThat(orders.next(samplers, ImmutableMap.of("m", 5L, "n", 5L), 0)).isEmpty();
+    assertThat(orders.next(samplers, ImmutableMap.of("m", 5L, "n", 5L), NEWEST, 0)).isEmpty();
+  }
+
+  /** Carries out all orders of an announcement and returns how many there were. */
+  private int announce(List<UpstreamEntry> samplers, long version, FreshnessDemand demand) {
+    int count = 0;
+    while (true) {
+      ImmutableList<VersionOrders.Order> sent =
+          orders.next(
+              samplers, ImmutableMap.of("m", version), ImmutableMap.of("m", demand), version);
+      if (sent.isEmpty()) {
+        return count;
+      }
+      count += sent.size();
+      sent.forEach(
+          order ->
+              samplers.replaceAll(
+                  each ->
+                      each.id().equals(order.sampler().id())
+                          ? sampler(each.id(), version, false)
+                          : each));
+    }
+  }
+
+  @Test
+  void samplersTakeTurnsWhereOlderWeightsWillDo() {
+    List<UpstreamEntry> samplers = samplers(6, 1);
+    FreshnessDemand oneBehind = new FreshnessDemand(0, 1);
+    for (long version = 2; version < 10; version++) {
+      assertThat(announce(samplers, version, oneBehind)).isEqualTo(3);
+      long oldest = version - 1;
+      assertThat(samplers.stream().allMatch(each -> each.version("m") >= oldest)).isTrue();
+    }
+  }
+
+  @Test
+  void openBatchThatNeedsNewerWeightsMakesAllLoad() {
+    List<UpstreamEntry> samplers = samplers(6, 1);
+    assertThat(announce(samplers, 2, new FreshnessDemand(2, 1))).isEqualTo(6);
   }
 }
--- a/node/src/main/java/io/briarward/node/batch/BatchDirectory.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchDirectory.java
@@ -5,9 +5,12 @@
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
 import io.briarward.core.batch.BatchHead;
 import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.platform.Row;
+import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.platform.ChangeFeed;
@@ -16,6 +19,8 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.subjects.PublishSubject;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -33,6 +38,12 @@
   /** The age of the last news of heads above which the store is asked itself, in milliseconds. */
   private static final long FRESH_MILLIS = 500;
 
+  /**
+   * How many batches show how old weights may be. The largest lag counts, since a process that
+   * heard late of an announcement notes one that is too small.
+   */
+  private static final int JUDGED_BATCHES = 3;
+
   private static final int CACHED_SUBMISSIONS = 4; // Each takes some hundred KB.
 
   private final Scheduler scheduler;
@@ -74,6 +85,37 @@
     return changes;
   }
 
+  /** Returns how fresh the weights of each model must be for the batches that are known. */
+  ImmutableMap<String, FreshnessDemand> freshnessDemands() {
+    ImmutableListMultimap<String, BatchHead> batches =
+        heads.values().stream()
+            .map(StoredHead::head)
+            .filter(head -> head.versions().isPresent())
+            .sorted(Comparator.comparingLong(BatchHead::acceptedAtMillis).reversed())
+            .collect(
+                ImmutableListMultimap.toImmutableListMultimap(
+                    head -> head.versions().get().model(), head -> head));
+    return batches.asMap().entrySet().stream()
+        .collect(ImmutableMap.toImmutableMap(Map.Entry::getKey, entry -> demand(entry.getValue())));
+  }
+
+  /** Returns the demand of one model's batches, the newest of them first. */
+  private static FreshnessDemand demand(Collection<BatchHead> batches) {
+    long requiredVersion =
+        batches.stream()
+            .filter(BatchHead::open)
+            .mapToLong(head -> head.versions().orElseThrow().minVersion())
+            .max()
+            .orElse(0);
+    long allowedLag =
+        batches.stream()
+            .limit(JUDGED_BATCHES)
+            .mapToLong(head -> head.versions().orElseThrow().allowedLag())
+            .max()
+            .orElse(0);
+    return new FreshnessDemand(requiredVersion, allowedLag);
+  }
+
   /** Takes a head that was read or written, unless a newer one is known. */
   void remember(StoredHead head) {
     StoredHead known = heads.get(head.head().id());
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -3,14 +3,17 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.batch.BatchHead;
 import io.briarward.core.batch.BatchItem;
 import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.batch.BatchTerms;
+import io.briarward.core.batch.BatchVersions;
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
+import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.NodeRegistry;
@@ -35,6 +38,7 @@
   /** How often a write whose answer was lost is resolved by sending it again. */
   private static final int WRITE_TRIES = 3;
 
+  private final FleetState fleet;
   private final NodeRegistry nodes;
   private final EventLog log;
   private final String incarnation;
@@ -80,6 +84,7 @@
       FleetState fleet,
       NodeRegistry nodes,
       EventLog log) {
+    this.fleet = checkNotNull(fleet, "fleet");
     this.nodes = checkNotNull(nodes, "nodes");
     this.log = checkNotNull(log, "log");
     this.incarnation = settings.incarnation();
@@ -164,6 +169,7 @@
         organisation,
         submission,
         terms,
+        versions(spec),
         spec.items().size(),
         0,
         false,
@@ -172,6 +178,19 @@
         ownership.nextToken());
   }
 
+  private Optional<BatchVersions> versions(BatchSpec spec) {
+    return spec.model()
+        .flatMap(
+            model ->
+                Optional.ofNullable(fleet.announced().get(model))
+                    .map(announced -> new BatchVersions(model, spec.minVersion(), announced)));
+  }
+
+  /** Returns how fresh the weights of each model must be for the batches that are known. */
+  public ImmutableMap<String, FreshnessDemand> freshnessDemands() {
+    return directory.freshnessDemands();
+  }
+
   /**
    * Inserts a head, again after a lost answer, which takes effect once.
    *
--- a/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
+++ b/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
@@ -2,10 +2,12 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableMap;
 import io.briarward.core.lease.Backoff;
 import io.briarward.core.lease.LeaseGuard;
 import io.briarward.core.lease.LeaseSettings;
 import io.briarward.core.lease.SuspensionDetector;
+import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.node.duty.LeaseLoop;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.Incarnations;
@@ -19,6 +21,7 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * What one node at a time does for all: orders to samplers and reports of usage.
@@ -79,7 +82,8 @@
       EventLog log,
       FleetState fleet,
       SamplerOrders samplers,
-      UsageReports reports) {
+      UsageReports reports,
+      Supplier<ImmutableMap<String, FreshnessDemand>> demands) {
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.lease =
@@ -95,11 +99,16 @@
     this.candidateAtMillis = nowMillis() + turnMillis;
     SendPermission permission = new LeasePermission();
     this.loads =
-        new LoadOrderSender(samplers, fleet, scheduler, log, settings.nodeName(), permission);
+        new LoadOrderSender(
+            samplers, fleet, scheduler, log, settings.nodeName(), demands, permission);
     this.usage = new UsageReporter(tables, reports, scheduler, log, settings, permission);
   }
 
-  /** Starts to compete for the lease. */
+  /**
+   * Starts to compete for the lease.
+   *
+   * @param demands how fresh the weights of each model must be now
+   */
   public static ControlDuty start(
       Settings settings,
       TableService tables,
@@ -107,8 +116,10 @@
       EventLog log,
       FleetState fleet,
       SamplerOrders samplers,
-      UsageReports reports) {
-    ControlDuty duty = new ControlDuty(settings, tables, scheduler, log, fleet, samplers, reports);
+      UsageReports reports,
+      Supplier<ImmutableMap<String, FreshnessDemand>> demands) {
+    ControlDuty duty =
+        new ControlDuty(settings, tables, scheduler, log, fleet, samplers, reports, demands);
     duty.stepping = duty.every(STEP_MILLIS, duty::step);
     duty.writing = duty.every(USAGE_WRITE_MILLIS, duty.usage::storeCounts);
     return duty;
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -122,7 +122,8 @@
             log,
             fleet,
             ports.orders(),
-            ports.reports());
+            ports.reports(),
+            batches::freshnessDemands);
     parts.push(control);
     this.forwarder =
         new LiveForwarder(
--- a/node/src/main/java/io/briarward/node/gateway/LoadOrderSender.java
+++ b/node/src/main/java/io/briarward/node/gateway/LoadOrderSender.java
@@ -3,9 +3,11 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import io.briarward.core.fleet.FleetRoute;
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.lease.LeaseGuard;
+import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.core.weights.VersionOrders;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.gateway.SamplerOrders.LoadOrder;
@@ -15,6 +17,7 @@
 import io.reactivex.rxjava3.core.Single;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Orders samplers to load the versions that trainers announced, under a lease.
@@ -31,6 +34,7 @@
   private final Scheduler scheduler;
   private final EventLog log;
   private final String nodeName;
+  private final Supplier<ImmutableMap<String, FreshnessDemand>> demands;
   private final SendPermission permission;
   private final VersionOrders orders = VersionOrders.create();
   private int pending;
@@ -41,12 +45,14 @@
       Scheduler scheduler,
       EventLog log,
       String nodeName,
+      Supplier<ImmutableMap<String, FreshnessDemand>> demands,
       SendPermission permission) {
     this.samplers = checkNotNull(samplers, "samplers");
     this.fleet = checkNotNull(fleet, "fleet");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.nodeName = checkNotNull(nodeName, "nodeName");
+    this.demands = checkNotNull(demands, "demands");
     this.permission = checkNotNull(permission, "permission");
   }
 
@@ -58,7 +64,8 @@
   /** Sends the orders that are due. */
   void step() {
     ImmutableList<UpstreamEntry> entries = ImmutableList.copyOf(fleet.balancer().entries());
-    for (VersionOrders.Order order : orders.next(entries, fleet.announced(), nowMillis())) {
+    for (VersionOrders.Order order :
+        orders.next(entries, fleet.announced(), demands.get(), nowMillis())) {
       pending++;
       var unused =
           permission
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.platform.Transaction;
+import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.node.batch.BatchService.Submitted;
 import io.briarward.node.batch.SamplerClient.Ending;
 import io.briarward.node.testing.MemoryStore.Fate;
@@ -249,4 +250,17 @@
     world.advance(DONE_MILLIS);
     assertWhole(BatchWorld.all(again, "x"), ITEMS);
   }
+
+  @Test
+  void openBatchesTellHowFreshWeightsMustBe() {
+    BatchWorld.Process process = world.start("a");
+    assertThat(process.batches.freshnessDemands()).isEmpty();
+    world.announce(2);
+    world.advance(100);
+    process.submit(BatchWorld.spec("x", 4));
+    assertThat(process.batches.freshnessDemands()).containsExactly("m", new FreshnessDemand(1, 1));
+    world.advance(2_000);
+    // The batch is whole, so nothing needs its version any more.
+    assertThat(process.batches.freshnessDemands()).containsExactly("m", new FreshnessDemand(0, 1));
+  }
 }
--- a/node/src/test/java/io/briarward/node/batch/BatchWorld.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchWorld.java
@@ -97,6 +97,11 @@
     store.put(fleet.upstreamTable(), "s2", FixedFleet.samplerRow(1, false));
   }
 
+  /** Announces weights as a trainer does. */
+  void announce(long version) {
+    store.put(new FixedFleet().operatorTable(), "m", FixedFleet.configurationRow(version));
+  }
+
   Process start(String name) {
     Process process = new Process(name);
     advance(200);
--- a/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
+++ b/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
@@ -88,7 +88,8 @@
               log,
               fleet,
               samplers,
-              sink);
+              sink,
+              () -> ImmutableMap.of());
       parts.add(duty);
     }
 
