--- a/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
+++ b/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
@@ -2,12 +2,15 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableMap;
 import io.briarward.core.lease.Backoff;
 import io.briarward.core.lease.LeaseGuard;
 import io.briarward.core.lease.LeaseSettings;
 import io.briarward.core.lease.SuspensionDetector;
+import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.node.duty.LeaseLoop;
 import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.Incarnations;
 import io.briarward.node.platform.TableService;
 import io.briarward.node.platform.UsageReports;
 import io.briarward.node.telemetry.EventLog;
@@ -18,6 +21,7 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * What one node at a time does for all: orders to samplers and reports of usage.
@@ -78,20 +82,33 @@
       EventLog log,
       FleetState fleet,
       SamplerOrders samplers,
-      UsageReports reports) {
+      UsageReports reports,
+      Supplier<ImmutableMap<String, FreshnessDemand>> demands) {
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
-    this.lease = LeaseLoop.create(tables, scheduler, leaseSettings(), DUTY, settings.incarnation());
+    this.lease =
+        LeaseLoop.create(
+            tables,
+            scheduler,
+            leaseSettings(),
+            DUTY,
+            settings.incarnation(),
+            other -> Incarnations.sameVm(other, settings.incarnation()));
     lease.setWatching(true);
     this.turnMillis = settings.leaseMillis();
     this.candidateAtMillis = nowMillis() + turnMillis;
     SendPermission permission = new LeasePermission();
     this.loads =
-        new LoadOrderSender(samplers, fleet, scheduler, log, settings.nodeName(), permission);
+        new LoadOrderSender(
+            samplers, fleet, scheduler, log, settings.nodeName(), demands, permission);
     this.usage = new UsageReporter(tables, reports, scheduler, log, settings, permission);
   }
 
-  /** Starts to compete for the lease. */
+  /**
+   * Starts to compete for the lease.
+   *
+   * @param demands how fresh the weights of each model must be now
+   */
   public static ControlDuty start(
       Settings settings,
       TableService tables,
@@ -99,8 +116,10 @@
       EventLog log,
       FleetState fleet,
       SamplerOrders samplers,
-      UsageReports reports) {
-    ControlDuty duty = new ControlDuty(settings, tables, scheduler, log, fleet, samplers, reports);
+      UsageReports reports,
+      Supplier<ImmutableMap<String, FreshnessDemand>> demands) {
+    ControlDuty duty =
+        new ControlDuty(settings, tables, scheduler, log, fleet, samplers, reports, demands);
     duty.stepping = duty.every(STEP_MILLIS, duty::step);
     duty.writing = duty.every(USAGE_WRITE_MILLIS, duty.usage::storeCounts);
     return duty;
@@ -157,8 +176,10 @@
 
   private void step() {
     // No VM holds the lease, loses it to another and takes it back within one turn. A restarted
-    // VM waits too, since an order of its last process may be as old as its start.
-    lease.setCandidate(!stopping && (holding || nowMillis() >= candidateAtMillis));
+    // VM waits too, since an order of its last process may be as old as its start, unless nobody
+    // held the lease after that process.
+    boolean turnOver = nowMillis() >= candidateAtMillis;
+    lease.setCandidate(!stopping && (holding || turnOver || lease.heldByPredecessor()));
     Optional<LeaseGuard> guard = guard();
     if (guard.isPresent() != holding) {
       holding = guard.isPresent();
