--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -57,6 +57,7 @@
   private StoredHead head;
   private boolean stopped;
   private boolean draining;
+  private boolean waitsForWeights;
   private boolean committing;
   private long nextCommitMillis = Long.MIN_VALUE;
 
@@ -175,6 +176,7 @@
         return;
       }
       Optional<UpstreamEntry> sampler = chooseSampler(next.get(), nowMillis);
+      noteWeights(sampler.isPresent() || hasFreshSampler(next.get()));
       if (sampler.isEmpty()) {
         return;
       }
@@ -191,14 +193,39 @@
         .choose(
             service(item),
             ImmutableSet.of(),
-            entry ->
-                context.balancer().inFlight(entry.id()) < entry.slots()
-                    && spec.model()
-                        .map(model -> entry.version(model) >= spec.minVersion())
-                        .orElse(true),
+            entry -> context.balancer().inFlight(entry.id()) < entry.slots() && fresh(entry),
             nowMillis);
   }
 
+  private boolean fresh(UpstreamEntry entry) {
+    return spec.model().map(model -> entry.version(model) >= spec.minVersion()).orElse(true);
+  }
+
+  private boolean hasFreshSampler(BatchItem item) {
+    String service = service(item);
+    return context.balancer().entries().stream()
+        .anyMatch(entry -> !entry.leaving() && entry.service().equals(service) && fresh(entry));
+  }
+
+  /** Logs when items begin to wait for weights within their bound, and when there are some. */
+  private void noteWeights(boolean fresh) {
+    if (fresh == waitsForWeights) {
+      waitsForWeights = !fresh;
+      context
+          .log()
+          .info(
+              fresh ? "weights-found" : "weights-awaited",
+              "batch",
+              spec.id(),
+              "model",
+              spec.model().orElse("none"),
+              "minVersion",
+              spec.minVersion(),
+              "unfinished",
+              run.unfinished());
+    }
+  }
+
   /** Returns the service that the item's path leads to now. */
   private String service(BatchItem item) {
     BatchHead current = head.head();
