--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -30,15 +30,16 @@
   private final int maxAttempts;
   private final Map<String, ItemProgress> items = new LinkedHashMap<>();
   private final ArrayDeque<ItemResult> finished = new ArrayDeque<>();
+  private final ToDoubleFunction<BatchItem> expectedLength;
   private int running;
 
   private BatchRun(BatchSpec spec, BatchTerms terms, ImmutableSet<String> listed) {
     this.spec = checkNotNull(spec, "spec");
     this.maxAttempts = terms.maxAttempts();
-    ToDoubleFunction<BatchItem> length = expectedLength(spec.items());
+    this.expectedLength = expectedLength(spec.items());
     spec.items().stream()
         .filter(item -> !listed.contains(item.id()))
-        .sorted(Comparator.comparingDouble(length).reversed())
+        .sorted(Comparator.comparingDouble(expectedLength).reversed())
         .forEach(item -> items.put(item.id(), new ItemProgress(item, terms.singleVersion())));
   }
 
@@ -69,6 +70,16 @@
    */
   public record Dispatch(BatchItem item, OptionalLong resumeAfter) {}
 
+  /** Returns whether items wait to be started, now or after a delay. */
+  public boolean waiting() {
+    return running < items.size();
+  }
+
+  /** Returns how many tokens an item is expected to generate, 0 if nothing is known. */
+  public long expectedTokens(BatchItem item) {
+    return Math.round(expectedLength.applyAsDouble(item));
+  }
+
   /** Returns the item that is to start next, without starting it. */
   public Optional<BatchItem> next(long nowMillis) {
     return items.values().stream()
--- a/core/src/main/java/io/briarward/core/fleet/FleetService.java
+++ b/core/src/main/java/io/briarward/core/fleet/FleetService.java
@@ -11,11 +11,17 @@
  *
  * @param name unique within a configuration
  * @param maxConnections how many connections one upstream takes from all nodes together
+ * @param tokenCapacity how many tokens of running requests and kept prompts the memory of one
+ *     upstream holds; 0 for a plain service
  * @param models the models that its upstreams run, empty for a plain service
  * @param scaling the limits in which its upstreams may be ordered
  */
 public record FleetService(
-    String name, int maxConnections, ImmutableList<String> models, Optional<Scaling> scaling) {
+    String name,
+    int maxConnections,
+    long tokenCapacity,
+    ImmutableList<String> models,
+    Optional<Scaling> scaling) {
 
   /**
    * The limits for ordering upstreams.
@@ -40,6 +46,7 @@
   public FleetService {
     checkNotNull(name, "name");
     checkArgument(maxConnections > 0, "maxConnections is %s, expected > 0", maxConnections);
+    checkArgument(tokenCapacity >= 0, "tokenCapacity is %s, expected >= 0", tokenCapacity);
     checkNotNull(models, "models");
     checkNotNull(scaling, "scaling");
   }
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -11,14 +11,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Chooses the upstream with the shortest expected wait among those that take work.
  *
  * <p>A wait is the work in flight from this node for each slot, times the upstream's recent time
- * for a request or, where requests differ in size, for a unit of their work. An upstream that fails
- * gets no work for a while that doubles with each failure in a row. One that refused gets a single
- * request after a pause, and more once that is taken. Not thread-safe.
+ * for a request. An upstream that fails gets no work for a while that doubles with each failure in
+ * a row. One that refused gets a single request after a pause, and more once that is taken. Not
+ * thread-safe.
  */
 public final class UpstreamBalancer {
   /** The first pause after a failure; about the time in which a crashed process restarts. */
@@ -91,23 +92,39 @@
       ImmutableSet<String> excluded,
       Predicate<UpstreamEntry> allowed,
       long nowMillis) {
-    return shortestWait(
-        service,
-        excluded,
-        entry -> !paused(entry.id(), nowMillis) && !awaitsProbe(entry.id()) && allowed.test(entry));
+    return shortestWait(available(service, excluded, allowed, nowMillis));
+  }
+
+  /**
+   * Returns the upstreams of a service that take a request now.
+   *
+   * @param excluded the ids that must not be chosen
+   * @param allowed a further condition on the upstream
+   */
+  public ImmutableList<UpstreamEntry> available(
+      String service,
+      ImmutableSet<String> excluded,
+      Predicate<UpstreamEntry> allowed,
+      long nowMillis) {
+    return staying(service, excluded)
+        .filter(entry -> !paused(entry.id(), nowMillis) && !awaitsProbe(entry.id()))
+        .filter(allowed)
+        .collect(ImmutableList.toImmutableList());
   }
 
   /** Chooses an upstream of a service even if it failed just now. */
   public Optional<UpstreamEntry> chooseAny(String service, ImmutableSet<String> excluded) {
-    return shortestWait(service, excluded, entry -> true);
+    return shortestWait(staying(service, excluded).collect(ImmutableList.toImmutableList()));
   }
 
-  private Optional<UpstreamEntry> shortestWait(
-      String service, ImmutableSet<String> excluded, Predicate<UpstreamEntry> allowed) {
+  private Stream<UpstreamEntry> staying(String service, ImmutableSet<String> excluded) {
     return entries.values().stream()
         .filter(entry -> !entry.leaving() && entry.service().equals(service))
-        .filter(entry -> !excluded.contains(entry.id()) && allowed.test(entry))
-        .min(Comparator.comparingDouble(this::expectedWaitMillis));
+        .filter(entry -> !excluded.contains(entry.id()));
+  }
+
+  private Optional<UpstreamEntry> shortestWait(ImmutableList<UpstreamEntry> candidates) {
+    return candidates.stream().min(Comparator.comparingDouble(this::expectedWaitMillis));
   }
 
   /** Counts a request as in flight. */
@@ -122,23 +139,25 @@
     state(id).refused = false;
   }
 
-  /**
-   * Gives a request back that the upstream answered.
-   *
-   * @param durationMillis how long the request took, or a unit of its work
-   */
+  /** Gives a request back that the upstream answered. */
   public void onAnswered(String id, long durationMillis) {
+    onCompleted(id);
     State state = state(id);
-    state.giveBack();
-    state.failures = 0;
-    state.refused = false;
-    state.pausedUntilMillis = Long.MIN_VALUE;
     state.durationMillis =
         state.durationMillis == 0
             ? durationMillis
             : state.durationMillis * (1 - DURATION_WEIGHT) + durationMillis * DURATION_WEIGHT;
   }
 
+  /** Gives a request back whose duration tells nothing, since requests differ in size. */
+  public void onCompleted(String id) {
+    State state = state(id);
+    state.giveBack();
+    state.failures = 0;
+    state.refused = false;
+    state.pausedUntilMillis = Long.MIN_VALUE;
+  }
+
   /** Gives a request back that was ended for a reason that says nothing of the upstream. */
   public void onReleased(String id) {
     State state = state(id);
--- a/node/src/main/java/io/briarward/node/batch/BatchContext.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchContext.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import io.briarward.core.batch.RunPlacement;
 import io.briarward.core.fleet.FleetConfiguration;
 import io.briarward.core.fleet.UpstreamBalancer;
 import io.briarward.node.batch.BatchStore.StoredHead;
@@ -24,6 +25,7 @@
   private final LongSupplier storeClock;
   private final Consumer<StoredHead> onOwnHead;
   private final Runnable onStepRequested;
+  private final RunPlacement placement = RunPlacement.create();
   private long tokens;
 
   BatchContext(
@@ -71,6 +73,10 @@
     return fleet.balancer();
   }
 
+  RunPlacement placement() {
+    return placement;
+  }
+
   Optional<FleetConfiguration> configuration() {
     return fleet.configuration();
   }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -12,6 +12,7 @@
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.batch.SampleEvent;
 import io.briarward.core.fleet.FleetRoute;
+import io.briarward.core.fleet.FleetService;
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
@@ -47,6 +48,9 @@
    */
   private static final long STALL_MILLIS = 3_000;
 
+  /** How long a run stays where it is at least, in milliseconds; some ten events. */
+  private static final long MOVE_AFTER_MILLIS = 500;
+
   /** How long a sampler that refused an item gets nothing from this node, in milliseconds. */
   private static final long REFUSAL_PAUSE_MILLIS = 100;
 
@@ -63,13 +67,15 @@
 
   private static final class Active {
     final UpstreamEntry sampler;
+    final BatchItem item;
     final long startedAtMillis;
     long progressAtMillis;
     int events;
     SamplerClient.Run run;
 
-    Active(UpstreamEntry sampler, long nowMillis) {
+    Active(UpstreamEntry sampler, BatchItem item, long nowMillis) {
       this.sampler = sampler;
+      this.item = item;
       this.startedAtMillis = nowMillis;
       this.progressAtMillis = nowMillis;
     }
@@ -134,6 +140,7 @@
       run.giveUpWaiting();
     } else if (!draining) {
       startItems();
+      moveSlowRuns();
     }
     commit();
   }
@@ -150,6 +157,7 @@
             each -> {
               each.run.cancel();
               context.balancer().onReleased(each.sampler.id());
+              context.placement().onEnded(each.sampler, run.expectedTokens(each.item));
             });
     active.clear();
     context
@@ -189,14 +197,37 @@
 
   private Optional<UpstreamEntry> chooseSampler(BatchItem item, long nowMillis) {
     return context
-        .balancer()
+        .placement()
         .choose(
+            available(item, nowMillis),
+            this::inFlight,
+            run.expectedTokens(item),
+            tokenCapacity(item));
+  }
+
+  private ImmutableList<UpstreamEntry> available(BatchItem item, long nowMillis) {
+    return context
+        .balancer()
+        .available(
             service(item),
             ImmutableSet.of(),
-            entry -> context.balancer().inFlight(entry.id()) < entry.slots() && fresh(entry),
+            entry -> inFlight(entry) < entry.slots() && fresh(entry),
             nowMillis);
   }
 
+  private int inFlight(UpstreamEntry sampler) {
+    return context.balancer().inFlight(sampler.id());
+  }
+
+  private long tokenCapacity(BatchItem item) {
+    String service = service(item);
+    return context
+        .configuration()
+        .flatMap(configuration -> Optional.ofNullable(configuration.services().get(service)))
+        .map(FleetService::tokenCapacity)
+        .orElse(0L);
+  }
+
   private boolean fresh(UpstreamEntry entry) {
     return spec.model().map(model -> entry.version(model) >= spec.minVersion()).orElse(true);
   }
@@ -242,8 +273,9 @@
 
   private void start(BatchItem item, UpstreamEntry sampler, long nowMillis) {
     BatchRun.Dispatch dispatch = run.start(item.id());
-    Active started = new Active(sampler, nowMillis);
+    Active started = new Active(sampler, item, nowMillis);
     active.put(item.id(), started);
+    context.placement().onStarted(sampler, run.expectedTokens(item));
     context.balancer().onSent(sampler.id());
     long leftMillis = Math.max(1, head.head().giveUpAtMillis() - context.storeMillis());
     started.run =
@@ -271,7 +303,9 @@
 
       @Override
       public boolean onEvent(SampleEvent event) {
-        started.progressAtMillis = context.nowMillis();
+        long nowMillis = context.nowMillis();
+        context.placement().onEvent(started.sampler, nowMillis - started.progressAtMillis);
+        started.progressAtMillis = nowMillis;
         started.events++;
         return run.onEvent(itemId, event);
       }
@@ -289,6 +323,7 @@
   private void onEnd(String itemId, Active ended, Ending ending, String cause) {
     long nowMillis = context.nowMillis();
     String samplerId = ended.sampler.id();
+    context.placement().onEnded(ended.sampler, run.expectedTokens(ended.item));
     switch (ending) {
       case COMPLETE -> {
         // Runs differ a hundredfold in length, so samplers are compared by the time for an event.
@@ -297,6 +332,10 @@
             .onAnswered(samplerId, (nowMillis - ended.startedAtMillis) / Math.max(1, ended.events));
         run.onComplete(itemId);
       }
+      case MOVED -> {
+        context.balancer().onReleased(samplerId);
+        run.onBroken(itemId, nowMillis);
+      }
       case BROKEN -> {
         context.balancer().onFailed(samplerId, nowMillis);
         run.onBroken(itemId, nowMillis);
@@ -350,6 +389,35 @@
     }
   }
 
+  /**
+   * Moves runs that a clearly faster sampler would end sooner, once every item has started.
+   *
+   * <p>What they generated so far is read in again there, which takes less than two events.
+   */
+  private void moveSlowRuns() {
+    if (run.waiting() || head.head().terms().singleVersion()) {
+      return;
+    }
+    long nowMillis = context.nowMillis();
+    for (Active each : ImmutableList.copyOf(active.values())) {
+      boolean settled = nowMillis - each.startedAtMillis >= MOVE_AFTER_MILLIS;
+      if (settled
+          && context
+              .placement()
+              .worthMoving(
+                  each.sampler,
+                  available(each.item, nowMillis),
+                  this::inFlight,
+                  run.expectedTokens(each.item),
+                  tokenCapacity(each.item))) {
+        each.run.cancel();
+        active.remove(each.item.id());
+        onEnd(each.item.id(), each, Ending.MOVED, "a faster sampler has room");
+        return; // One at a time, so that each sees where the one before went.
+      }
+    }
+  }
+
   private void commit() {
     if (committing || !run.hasResults() || context.nowMillis() < nextCommitMillis) {
       return;
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -176,6 +176,7 @@
 
   private void step() {
     stepRequested = false;
+    context.placement().retain(fleet.balancer().entries());
     // The batch that is due first takes places at samplers first.
     for (BatchOwner owner :
         ImmutableList.sortedCopyOf(
--- a/node/src/main/java/io/briarward/node/batch/SamplerClient.java
+++ b/node/src/main/java/io/briarward/node/batch/SamplerClient.java
@@ -38,6 +38,8 @@
   enum Ending {
     /** The stream is whole. */
     COMPLETE,
+    /** The run goes on at another sampler. */
+    MOVED,
     /** The stream broke off, or the sampler could not be reached. */
     BROKEN,
     /** The sampler refused the item without running it. */
