--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.batch.ItemResult;
@@ -263,4 +264,32 @@
     // The batch is whole, so nothing needs its version any more.
     assertThat(process.batches.freshnessDemands()).containsExactly("m", new FreshnessDemand(0, 1));
   }
+
+  @Test
+  void runsOnSlowSamplerGoOnAtFasterOne() {
+    world.samplers.paceEvents(60, call -> call.sampler().id().equals("s1") ? 20 : 100);
+    BatchWorld.Process process = world.start("a");
+    process.submit(BatchWorld.spec("x", 4));
+    world.advance(3_500); // On the slow sampler a run takes 6 s.
+    ImmutableList<ItemResult> results = BatchWorld.all(process, "x");
+    assertThat(results).hasSize(4);
+    for (ItemResult result : results) {
+      assertThat(Splitter.on('\n').splitToList(result.output())).hasSize(60);
+    }
+    assertThat(world.samplers.calls().stream().anyMatch(call -> call.resumeAfter().isPresent()))
+        .isTrue();
+  }
+
+  @Test
+  void earlierBatchTakesPlacesFirst() {
+    world.samplers.paceEvents(20, call -> 50);
+    BatchWorld.Process process = world.start("a");
+    process.submit(BatchWorld.spec("first", 60));
+    process.submit(BatchWorld.spec("second", 60));
+    world.advance(3_000);
+    int first = BatchWorld.all(process, "first").size();
+    int second = BatchWorld.all(process, "second").size();
+    assertThat(first).isGreaterThan(0);
+    assertThat(second).isLessThan(first);
+  }
 }
--- a/node/src/test/java/io/briarward/node/batch/FakeSamplers.java
+++ b/node/src/test/java/io/briarward/node/batch/FakeSamplers.java
@@ -1,13 +1,16 @@
 package io.briarward.node.batch;
 
 import io.briarward.core.batch.SampleEvent;
+import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.ToLongFunction;
 
 /** Samplers that answer in virtual time. */
 final class FakeSamplers implements SamplerClient {
@@ -17,6 +20,8 @@
   private final Scheduler scheduler;
   private final List<ItemCall> calls = new ArrayList<>();
   private Function<ItemCall, Ending> endings = call -> Ending.COMPLETE;
+  private Optional<ToLongFunction<ItemCall>> gaps = Optional.empty();
+  private int pacedEvents;
   private int running;
 
   FakeSamplers(Scheduler scheduler) {
@@ -28,6 +33,12 @@
     endings = decision;
   }
 
+  /** Makes each run send so many events one after the other, each a gap in milliseconds later. */
+  void paceEvents(int events, ToLongFunction<ItemCall> gapMillis) {
+    pacedEvents = events;
+    gaps = Optional.of(gapMillis);
+  }
+
   List<ItemCall> calls() {
     return calls;
   }
@@ -46,13 +57,34 @@
     calls.add(call);
     running++;
     Disposable end =
-        scheduler.scheduleDirect(() -> finish(call, listener), RUN_MILLIS, TimeUnit.MILLISECONDS);
+        gaps.isPresent()
+            ? pace(call, listener, gaps.get().applyAsLong(call))
+            : scheduler.scheduleDirect(
+                () -> finish(call, listener), RUN_MILLIS, TimeUnit.MILLISECONDS);
     return () -> {
       running--;
       end.dispose();
     };
   }
 
+  private Disposable pace(ItemCall call, Listener listener, long gapMillis) {
+    long first = call.resumeAfter().orElse(0) + 1;
+    listener.onVersion(call.sampler().version("m"));
+    return Flowable.intervalRange(
+            first, pacedEvents - first + 1, gapMillis, gapMillis, TimeUnit.MILLISECONDS, scheduler)
+        .subscribe(
+            id ->
+                listener.onEvent(
+                    new SampleEvent(id, OptionalLong.empty(), call.item().id() + "-" + id)),
+            error -> {
+              throw new AssertionError(error);
+            },
+            () -> {
+              running--;
+              listener.onEnd(Ending.COMPLETE, "");
+            });
+  }
+
   private void finish(ItemCall call, Listener listener) {
     running--;
     Ending ending = endings.apply(call);
