--- a/core/src/main/java/io/briarward/core/fleet/FleetRoute.java
+++ b/core/src/main/java/io/briarward/core/fleet/FleetRoute.java
@@ -76,6 +76,11 @@
     checkArgument(maxAttempts > 0, "maxAttempts is %s, expected > 0", maxAttempts);
   }
 
+  /** Returns the service that runs all items of a batch; weights between services do not apply. */
+  public String batchService() {
+    return targets.get(0).service();
+  }
+
   /** Returns whether a request that may have run may be sent once more. */
   public boolean repeatable() {
     return kind == Kind.IDEMPOTENT;
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -11,8 +11,6 @@
 import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.batch.SampleEvent;
-import io.briarward.core.fleet.FleetRoute;
-import io.briarward.core.fleet.FleetService;
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
@@ -57,6 +55,7 @@
   private final BatchContext context;
   private final BatchSpec spec;
   private final BatchRun run;
+  private final SamplerChoice samplers;
   private final Map<String, Active> active = new HashMap<>();
   private StoredHead head;
   private boolean stopped;
@@ -86,6 +85,7 @@
     this.spec = checkNotNull(spec, "spec");
     this.head = checkNotNull(head, "head");
     this.run = BatchRun.create(spec, head.head().terms(), listed);
+    this.samplers = new SamplerChoice(context, spec, head.head().terms(), run);
   }
 
   BatchSpec spec() {
@@ -183,8 +183,8 @@
       if (next.isEmpty()) {
         return;
       }
-      Optional<UpstreamEntry> sampler = chooseSampler(next.get(), nowMillis);
-      noteWeights(sampler.isPresent() || hasFreshSampler(next.get()));
+      Optional<UpstreamEntry> sampler = samplers.choose(next.get(), nowMillis);
+      noteWeights(sampler.isPresent() || samplers.hasFresh(next.get()));
       if (sampler.isEmpty()) {
         return;
       }
@@ -195,49 +195,6 @@
     }
   }
 
-  private Optional<UpstreamEntry> chooseSampler(BatchItem item, long nowMillis) {
-    return context
-        .placement()
-        .choose(
-            available(item, nowMillis),
-            this::inFlight,
-            run.expectedTokens(item),
-            tokenCapacity(item));
-  }
-
-  private ImmutableList<UpstreamEntry> available(BatchItem item, long nowMillis) {
-    return context
-        .balancer()
-        .available(
-            service(item),
-            ImmutableSet.of(),
-            entry -> inFlight(entry) < entry.slots() && fresh(entry),
-            nowMillis);
-  }
-
-  private int inFlight(UpstreamEntry sampler) {
-    return context.balancer().inFlight(sampler.id());
-  }
-
-  private long tokenCapacity(BatchItem item) {
-    String service = service(item);
-    return context
-        .configuration()
-        .flatMap(configuration -> Optional.ofNullable(configuration.services().get(service)))
-        .map(FleetService::tokenCapacity)
-        .orElse(0L);
-  }
-
-  private boolean fresh(UpstreamEntry entry) {
-    return spec.model().map(model -> entry.version(model) >= spec.minVersion()).orElse(true);
-  }
-
-  private boolean hasFreshSampler(BatchItem item) {
-    String service = service(item);
-    return context.balancer().entries().stream()
-        .anyMatch(entry -> !entry.leaving() && entry.service().equals(service) && fresh(entry));
-  }
-
   /** Logs when items begin to wait for weights within their bound, and when there are some. */
   private void noteWeights(boolean fresh) {
     if (fresh == waitsForWeights) {
@@ -257,22 +214,8 @@
     }
   }
 
-  /** Returns the service that the item's path leads to now. */
-  private String service(BatchItem item) {
-    BatchHead current = head.head();
-    return context
-        .configuration()
-        .flatMap(configuration -> configuration.route(current.terms().host(), item.path()))
-        .map(route -> serviceOf(route))
-        .orElse(current.terms().service());
-  }
-
-  private static String serviceOf(FleetRoute route) {
-    return route.targets().get(0).service();
-  }
-
   private void start(BatchItem item, UpstreamEntry sampler, long nowMillis) {
-    BatchRun.Dispatch dispatch = run.start(item.id());
+    final BatchRun.Dispatch dispatch = run.start(item.id());
     Active started = new Active(sampler, item, nowMillis);
     active.put(item.id(), started);
     context.placement().onStarted(sampler, run.expectedTokens(item));
@@ -401,15 +344,7 @@
     long nowMillis = context.nowMillis();
     for (Active each : ImmutableList.copyOf(active.values())) {
       boolean settled = nowMillis - each.startedAtMillis >= MOVE_AFTER_MILLIS;
-      if (settled
-          && context
-              .placement()
-              .worthMoving(
-                  each.sampler,
-                  available(each.item, nowMillis),
-                  this::inFlight,
-                  run.expectedTokens(each.item),
-                  tokenCapacity(each.item))) {
+      if (settled && samplers.worthMoving(each.item, each.sampler, nowMillis)) {
         each.run.cancel();
         active.remove(each.item.id());
         onEnd(each.item.id(), each, Ending.MOVED, "a faster sampler has room");
--- a/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
+++ b/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
@@ -173,7 +173,7 @@
   void restartedVmWaitsOneTurnIfAnotherHeldTheLeaseSince() throws Exception {
     Node first = new Node("a");
     advance(6_000);
-    Node second = new Node("b");
+    final Node second = new Node("b");
     advance(LEASE_MILLIS);
     var unused = first.duty.stop().subscribe();
     advance(1_000);
