Set the end of a stand-in's crash before its fault call is answered

Cause: the call that switches the fault was answered before the crash scheduled its end, so a test that advanced the clock at once set that end too late, and the stand-in stayed down for good. The test is unchanged.

--- a/standins/src/main/java/io/briarward/standins/http/StandInServer.java
+++ b/standins/src/main/java/io/briarward/standins/http/StandInServer.java
@@ -100,11 +100,15 @@
     connection.closeHandler(unused -> connections.remove(connection));
   }
 
-  private void crash(long downMillis) {
+  /** Refuses connections for a while; its end is set before anyone can advance the clock. */
+  private void goDown(long downMillis) {
     down = true;
+    timer.scheduleMillis(downMillis, () -> down = false);
+  }
+
+  private void loseEverything() {
     standIn.crash();
     ImmutableList.copyOf(connections).forEach(HttpConnection::close);
-    timer.scheduleMillis(downMillis, () -> down = false);
   }
 
   private void receive(HttpServerRequest request) {
@@ -192,9 +196,13 @@
       faults.set(fault, value);
     }
     standIn.faultChanged(fault, value, dataCentre);
+    boolean crash = fault == Fault.CRASH_MILLIS && value > 0;
+    if (crash) {
+      goDown((long) value);
+    }
     call.answer(Answer.json(200, describeFaults()));
-    if (fault == Fault.CRASH_MILLIS && value > 0) {
-      crash((long) value);
+    if (crash) {
+      loseEverything();
     }
   }
 }
