--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -41,10 +41,10 @@
 import io.briarward.node.settings.NodeSettings;
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.telemetry.Tracing;
+import io.briarward.node.timing.Timers;
 import io.briarward.node.usage.UsageMeter;
 import io.briarward.node.weights.WeightService;
 import io.reactivex.rxjava3.core.Completable;
-import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
@@ -198,10 +198,7 @@
   private AutoCloseable follow() {
     CompositeDisposable following = new CompositeDisposable();
     following.add(context.control().cutOffs().subscribe(unused -> active.cutOffKeyed()));
-    following.add(
-        Flowable.interval(MEMBERS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
-            .onBackpressureDrop()
-            .subscribe(unused -> passOnMembers()));
+    following.add(Timers.every(context.scheduler(), MEMBERS_INTERVAL_MILLIS, this::passOnMembers));
     return following::dispose;
   }
 
--- a/node/src/main/java/io/briarward/node/admission/ShareExchange.java
+++ b/node/src/main/java/io/briarward/node/admission/ShareExchange.java
@@ -18,11 +18,11 @@
 import io.briarward.core.routing.DataCentreLoad;
 import io.briarward.core.routing.Router;
 import io.briarward.node.peer.PeerNetwork;
+import io.briarward.node.timing.Timers;
 import io.briarward.wire.proto.AdmissionMessage;
 import io.briarward.wire.proto.LimitGrant;
 import io.briarward.wire.proto.PeerMessage;
 import io.briarward.wire.proto.ServiceLoad;
-import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Maybe;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -91,10 +91,7 @@
             new Members(parts.vmId, self, self), parts.firstSequence, parts.nowMillis());
     parts.peers.handle(PeerMessage.BodyCase.ADMISSION, this::onMessage);
     parts.gate.onQueued(this::requestTick);
-    this.ticking =
-        Flowable.interval(INTERVAL_MILLIS, TimeUnit.MILLISECONDS, parts.scheduler)
-            .onBackpressureDrop()
-            .subscribe(unused -> tick());
+    this.ticking = Timers.every(parts.scheduler, INTERVAL_MILLIS, this::tick);
   }
 
   /** Starts the exchange of a node that knows no other. */
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -12,12 +12,12 @@
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.telemetry.EventLog;
+import io.briarward.node.timing.Timers;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
-import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -91,17 +91,11 @@
     BatchOwnership ownership =
         new BatchOwnership(incarnation, samplers, store, directory, scheduler, fleet, nodes, log);
     ownership.timers.add(directory.changes().subscribe(ownership::onHead));
-    ownership.timers.add(ownership.every(STEP_MILLIS, ownership::step));
-    ownership.timers.add(ownership.every(TAKEOVER_MILLIS, ownership::takeOver));
+    ownership.timers.add(Timers.every(scheduler, STEP_MILLIS, ownership::step));
+    ownership.timers.add(Timers.every(scheduler, TAKEOVER_MILLIS, ownership::takeOver));
     return ownership;
   }
 
-  private Disposable every(long millis, Runnable action) {
-    return Flowable.interval(millis, TimeUnit.MILLISECONDS, scheduler)
-        .onBackpressureDrop()
-        .subscribe(unused -> action.run());
-  }
-
   /** Returns a token that no other write of any process has. */
   String nextToken() {
     return context.nextToken();
@@ -128,9 +122,8 @@
   Completable drain(long timeoutMillis) {
     draining = true;
     owners.values().forEach(BatchOwner::drain);
-    return Flowable.interval(STEP_MILLIS, TimeUnit.MILLISECONDS, scheduler)
-        .takeUntil((Long unused) -> owners.values().stream().allMatch(BatchOwner::drained))
-        .ignoreElements()
+    return Timers.until(
+            scheduler, STEP_MILLIS, () -> owners.values().stream().allMatch(BatchOwner::drained))
         .timeout(timeoutMillis, TimeUnit.MILLISECONDS, scheduler)
         .onErrorComplete()
         .andThen(Completable.defer(this::releaseAll));
--- a/node/src/main/java/io/briarward/node/batch/BatchRetention.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchRetention.java
@@ -9,7 +9,7 @@
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.telemetry.EventLog;
-import io.reactivex.rxjava3.core.Flowable;
+import io.briarward.node.timing.Timers;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.HashSet;
@@ -68,10 +68,7 @@
       EventLog log) {
     BatchRetention retention =
         new BatchRetention(retentionMillis, incarnation, store, directory, scheduler, nodes, log);
-    retention.scanning =
-        Flowable.interval(SCAN_MILLIS, TimeUnit.MILLISECONDS, scheduler)
-            .onBackpressureDrop()
-            .subscribe(unused -> retention.scan());
+    retention.scanning = Timers.every(scheduler, SCAN_MILLIS, retention::scan);
     return retention;
   }
 
--- a/node/src/main/java/io/briarward/node/configuration/ControlService.java
+++ b/node/src/main/java/io/briarward/node/configuration/ControlService.java
@@ -19,6 +19,7 @@
 import io.briarward.core.membership.MembershipSettings;
 import io.briarward.node.membership.MembershipCodec;
 import io.briarward.node.platform.VmList;
+import io.briarward.node.timing.Timers;
 import io.briarward.wire.proto.PeerMessage;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Maybe;
@@ -84,9 +85,10 @@
             .subscribe(this::onVmList));
     long probeIntervalMillis = MembershipSettings.defaults().probeIntervalMillis();
     running.add(
-        Flowable.interval(0, probeIntervalMillis, TimeUnit.MILLISECONDS, context.scheduler())
-            .onBackpressureDrop()
-            .subscribe(unused -> perform(node.tick(context.nowMillis()))));
+        Timers.nowAndEvery(
+            context.scheduler(),
+            probeIntervalMillis,
+            () -> perform(node.tick(context.nowMillis()))));
   }
 
   /** Returns whether routes that need a key may be served now. */
--- a/node/src/main/java/io/briarward/node/duty/Duties.java
+++ b/node/src/main/java/io/briarward/node/duty/Duties.java
@@ -13,8 +13,8 @@
 import io.briarward.core.usage.ReportMachine;
 import io.briarward.core.usage.UsageSettings;
 import io.briarward.node.NodeContext;
+import io.briarward.node.timing.Timers;
 import io.reactivex.rxjava3.core.Completable;
-import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.HashMap;
 import java.util.Map;
@@ -66,10 +66,7 @@
       Supplier<ImmutableMap<String, String>> liveVms,
       Function<String, PlanInput> planInput) {
     Duties duties = new Duties(context, usageSettings, liveVms, planInput);
-    duties.stepping =
-        Flowable.interval(0, STEP_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
-            .onBackpressureDrop()
-            .subscribe(unused -> duties.step());
+    duties.stepping = Timers.nowAndEvery(context.scheduler(), STEP_MILLIS, duties::step);
     return duties;
   }
 
@@ -77,10 +74,7 @@
   public Completable stop() {
     return Completable.fromAction(() -> stopping = true)
         .subscribeOn(context.scheduler())
-        .andThen(
-            Flowable.interval(STEP_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
-                .takeUntil((Long unused) -> released())
-                .ignoreElements())
+        .andThen(Timers.until(context.scheduler(), STEP_MILLIS, this::released))
         .timeout(RELEASE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, context.scheduler())
         .doOnError(error -> Logger.warn("leases not released: {}", error.toString()))
         .onErrorComplete();
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -12,8 +12,8 @@
 import io.briarward.node.platform.ChangeFeed.Change;
 import io.briarward.node.platform.TableService;
 import io.briarward.node.telemetry.EventLog;
+import io.briarward.node.timing.Timers;
 import io.reactivex.rxjava3.core.Completable;
-import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.HashMap;
@@ -83,10 +83,7 @@
     NodeRegistry registry = new NodeRegistry(tables, scheduler, log, name, incarnation);
     registry.watch =
         TableWatch.start(feed, scheduler, log, TABLE, FEED_PAUSE_MILLIS, registry.listener());
-    registry.beating =
-        Flowable.interval(0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS, scheduler)
-            .onBackpressureDrop()
-            .subscribe(unused -> registry.beat());
+    registry.beating = Timers.nowAndEvery(scheduler, HEARTBEAT_MILLIS, registry::beat);
     return registry;
   }
 
--- a/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
+++ b/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
@@ -14,8 +14,8 @@
 import io.briarward.node.platform.TableService;
 import io.briarward.node.platform.UsageReports;
 import io.briarward.node.telemetry.EventLog;
+import io.briarward.node.timing.Timers;
 import io.reactivex.rxjava3.core.Completable;
-import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -120,8 +120,8 @@
       Supplier<ImmutableMap<String, FreshnessDemand>> demands) {
     ControlDuty duty =
         new ControlDuty(settings, tables, scheduler, log, fleet, samplers, reports, demands);
-    duty.stepping = duty.every(STEP_MILLIS, duty::step);
-    duty.writing = duty.every(USAGE_WRITE_MILLIS, duty.usage::storeCounts);
+    duty.stepping = Timers.every(scheduler, STEP_MILLIS, duty::step);
+    duty.writing = Timers.every(scheduler, USAGE_WRITE_MILLIS, duty.usage::storeCounts);
     return duty;
   }
 
@@ -145,10 +145,7 @@
   /** Gives the lease up once all that was sent under it is answered, and stores the last counts. */
   public Completable stop() {
     return Completable.fromAction(() -> stopping = true)
-        .andThen(
-            Flowable.interval(STEP_MILLIS, TimeUnit.MILLISECONDS, scheduler)
-                .takeUntil((Long unused) -> released())
-                .ignoreElements())
+        .andThen(Timers.until(scheduler, STEP_MILLIS, this::released))
         .timeout(RELEASE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler)
         .doOnError(error -> log.warn("lease-not-released", "cause", error.toString()))
         .onErrorComplete()
@@ -161,12 +158,6 @@
     writing.dispose();
   }
 
-  private Disposable every(long millis, Runnable action) {
-    return Flowable.interval(millis, TimeUnit.MILLISECONDS, scheduler)
-        .onBackpressureDrop()
-        .subscribe(unused -> action.run());
-  }
-
   private boolean released() {
     if (loads.pending() + usage.pending() == 0) {
       lease.release();
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -9,8 +9,8 @@
 import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.telemetry.Metrics;
+import io.briarward.node.timing.Timers;
 import io.reactivex.rxjava3.core.Completable;
-import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -190,10 +190,7 @@
     Completable noticed = Completable.timer(NOTICE_MILLIS, TimeUnit.MILLISECONDS, scheduler);
     Completable handedOn =
         control.stop().mergeWith(batches.drain(settings.stopMillis() / 3)).andThen(nodes.leave());
-    Completable idle =
-        Flowable.interval(POLL_MILLIS, TimeUnit.MILLISECONDS, scheduler)
-            .takeUntil((Long unused) -> forwarder.inFlight() == 0)
-            .ignoreElements();
+    Completable idle = Timers.until(scheduler, POLL_MILLIS, () -> forwarder.inFlight() == 0);
     return Completable.mergeArray(noticed, handedOn)
         .andThen(idle)
         .timeout(settings.stopMillis(), TimeUnit.MILLISECONDS, scheduler)
--- a/node/src/main/java/io/briarward/node/serving/LoadFeed.java
+++ b/node/src/main/java/io/briarward/node/serving/LoadFeed.java
@@ -10,7 +10,7 @@
 import io.briarward.core.routing.LoadReport;
 import io.briarward.core.routing.Router;
 import io.briarward.node.serving.UpstreamCatalogue.LocalUpstream;
-import io.reactivex.rxjava3.core.Flowable;
+import io.briarward.node.timing.Timers;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -58,10 +58,7 @@
     this.scheduler = scheduler;
     this.wallMillis = wallMillis;
     this.fetch = BoundedFetch.create(vertx, MAX_ANSWER_BYTES);
-    this.ticking =
-        Flowable.interval(TICK_MILLIS, TimeUnit.MILLISECONDS, scheduler)
-            .onBackpressureDrop()
-            .subscribe(unused -> pollNext());
+    this.ticking = Timers.every(scheduler, TICK_MILLIS, this::pollNext);
   }
 
   /**
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/timing/package-info.java
@@ -0,0 +1,2 @@
+/** Actions repeated on the clock that tests pause and advance. */
+package io.briarward.node.timing;
--- a/node/src/main/java/io/briarward/node/usage/UsageMeter.java
+++ b/node/src/main/java/io/briarward/node/usage/UsageMeter.java
@@ -18,9 +18,9 @@
 import io.briarward.node.live.UsageRecorder;
 import io.briarward.node.peer.PeerNetwork;
 import io.briarward.node.platform.TableService;
+import io.briarward.node.timing.Timers;
 import io.briarward.wire.proto.PeerMessage;
 import io.reactivex.rxjava3.core.Completable;
-import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Maybe;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -107,10 +107,7 @@
     UsageMeter meter =
         new UsageMeter(settings, incarnation, self, others, scheduler, wallMillis, tables, peers);
     peers.handle(PeerMessage.BodyCase.USAGE, meter::onMessage);
-    meter.stepping =
-        Flowable.interval(0, STEP_MILLIS, TimeUnit.MILLISECONDS, scheduler)
-            .onBackpressureDrop()
-            .subscribe(unused -> meter.step());
+    meter.stepping = Timers.nowAndEvery(scheduler, STEP_MILLIS, meter::step);
     return meter;
   }
 
