Derive what the owner of a batch passed along, and count fresh samplers once

BatchOwner ended runs in two places alike and handed ids beside the run that holds them; SamplerChoice resolved an item's service twice for each choice; VersionOrders counted the fresh samplers anew for each sampler, n squared for each order, and now counts them once an order; RunPlacement built a map for its keys; the ids of listed results are read by StoreCalls.scanAll, which takes the size of a page.

--- a/core/src/main/java/io/briarward/core/batch/RunPlacement.java
+++ b/core/src/main/java/io/briarward/core/batch/RunPlacement.java
@@ -6,9 +6,11 @@
 import io.briarward.core.fleet.UpstreamEntry;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.function.ToIntFunction;
 
 /**
@@ -79,14 +81,9 @@
 
   /** Forgets what is no longer known of samplers that went or started anew. */
   public void retain(Iterable<UpstreamEntry> present) {
-    Map<String, Load> kept = new HashMap<>();
-    for (UpstreamEntry sampler : present) {
-      Load load = loads.get(key(sampler));
-      if (load != null) {
-        kept.put(key(sampler), load);
-      }
-    }
-    loads.keySet().retainAll(kept.keySet());
+    Set<String> keys = new HashSet<>();
+    present.forEach(sampler -> keys.add(key(sampler)));
+    loads.keySet().retainAll(keys);
   }
 
   /**
--- a/core/src/main/java/io/briarward/core/lease/LeaseMachine.java
+++ b/core/src/main/java/io/briarward/core/lease/LeaseMachine.java
@@ -238,7 +238,9 @@
       return true;
     }
     LeaseRow present = row.get();
-    if (present.released() || present.holder().equals(holder) || heldByPredecessor()) {
+    if (present.released()
+        || present.holder().equals(holder)
+        || predecessors.test(present.holder())) {
       return true;
     }
     long waitMillis = settings.takeoverWaitMillis(present.durationMillis());
--- a/core/src/main/java/io/briarward/core/weights/VersionOrders.java
+++ b/core/src/main/java/io/briarward/core/weights/VersionOrders.java
@@ -1,10 +1,12 @@
 package io.briarward.core.weights;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.collect.ImmutableListMultimap.toImmutableListMultimap;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.math.LongMath;
 import io.briarward.core.fleet.UpstreamEntry;
 import java.math.RoundingMode;
@@ -78,7 +80,7 @@
     ImmutableList.Builder<Order> orders = ImmutableList.builder();
     staying.stream()
         .filter(sampler -> models.containsKey(sampler.id()))
-        .collect(ImmutableListMultimap.toImmutableListMultimap(UpstreamEntry::service, s -> s))
+        .collect(toImmutableListMultimap(UpstreamEntry::service, s -> s))
         .asMap()
         .values()
         .forEach(service -> orders.addAll(nextOfService(service, view, nowMillis)));
@@ -91,10 +93,11 @@
     long room = Math.max(MIN_LOADING, (long) (samplers.size() * LOADING_SHARE)) - loading;
     ImmutableList.Builder<Order> orders = ImmutableList.builder();
     for (long i = 0; i < room; i++) {
+      ImmutableSet<String> lackingFresh = lackingFresh(samplers, view);
       Optional<UpstreamEntry> chosen =
           samplers.stream()
               .filter(sampler -> !pending.containsKey(sampler.id()))
-              .filter(sampler -> due(sampler, samplers, view))
+              .filter(sampler -> due(sampler, view, lackingFresh))
               .max(
                   Comparator.comparingLong(view::lag)
                       .thenComparing(
@@ -138,35 +141,35 @@
     }
   }
 
-  private boolean due(UpstreamEntry sampler, Collection<UpstreamEntry> samplers, ModelView view) {
+  private static boolean due(
+      UpstreamEntry sampler, ModelView view, ImmutableSet<String> lackingFresh) {
     String model = view.model(sampler);
     FreshnessDemand demand = view.demand(model);
-    if (view.lag(sampler) <= 0) {
-      return false;
-    }
-    boolean tooOld =
-        view.lag(sampler) > demand.allowedLag()
-            || sampler.version(model) < demand.requiredVersion();
-    return tooOld || fresh(model, samplers, view) < wantedFresh(model, samplers, view);
+    return view.lag(sampler) > 0
+        && (view.lag(sampler) > demand.allowedLag()
+            || sampler.version(model) < demand.requiredVersion()
+            || lackingFresh.contains(model));
   }
 
-  /** Returns how many samplers of a model have the announced weights or are loading them. */
-  private long fresh(String model, Collection<UpstreamEntry> samplers, ModelView view) {
-    return samplers.stream()
-        .filter(sampler -> view.model(sampler).equals(model))
-        .filter(sampler -> view.lag(sampler) <= 0 || loadsAnnounced(sampler, view))
-        .count();
+  /** Returns the models of which too few samplers have, or load, the announced weights. */
+  private ImmutableSet<String> lackingFresh(Collection<UpstreamEntry> samplers, ModelView view) {
+    ImmutableListMultimap<String, UpstreamEntry> byModel =
+        samplers.stream().collect(toImmutableListMultimap(view::model, sampler -> sampler));
+    return byModel.asMap().entrySet().stream()
+        .filter(
+            entry -> {
+              long fresh = entry.getValue().stream().filter(each -> isFresh(each, view)).count();
+              long turns = view.demand(entry.getKey()).allowedLag() + 1;
+              return fresh < LongMath.divide(entry.getValue().size(), turns, RoundingMode.CEILING);
+            })
+        .map(Map.Entry::getKey)
+        .collect(ImmutableSet.toImmutableSet());
   }
 
-  private boolean loadsAnnounced(UpstreamEntry sampler, ModelView view) {
+  private boolean isFresh(UpstreamEntry sampler, ModelView view) {
     Pending order = pending.get(sampler.id());
-    return order != null && order.version() >= view.announced(order.model());
-  }
-
-  private static long wantedFresh(
-      String model, Collection<UpstreamEntry> samplers, ModelView view) {
-    long count = samplers.stream().filter(each -> view.model(each).equals(model)).count();
-    return LongMath.divide(count, view.demand(model).allowedLag() + 1, RoundingMode.CEILING);
+    return view.lag(sampler) <= 0
+        || (order != null && order.version() >= view.announced(order.model()));
   }
 
   private long loading(String model) {
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -232,10 +232,11 @@
                     sampler,
                     dispatch.resumeAfter(),
                     leftMillis),
-                listener(item.id(), started));
+                listener(started));
   }
 
-  private SamplerClient.Listener listener(String itemId, Active started) {
+  private SamplerClient.Listener listener(Active started) {
+    String itemId = started.item.id();
     return new SamplerClient.Listener() {
       @Override
       public boolean onVersion(long version) {
@@ -255,15 +256,22 @@
 
       @Override
       public void onEnd(Ending ending, String cause) {
-        if (active.get(itemId) == started) {
-          active.remove(itemId);
-          BatchOwner.this.onEnd(itemId, started, ending, cause);
+        if (active.remove(itemId, started)) {
+          BatchOwner.this.onEnd(started, ending, cause);
         }
       }
     };
   }
 
-  private void onEnd(String itemId, Active ended, Ending ending, String cause) {
+  /** Ends a run that goes on elsewhere. */
+  private void end(Active ended, Ending ending, String cause) {
+    ended.run.cancel();
+    active.remove(ended.item.id());
+    onEnd(ended, ending, cause);
+  }
+
+  private void onEnd(Active ended, Ending ending, String cause) {
+    String itemId = ended.item.id();
     long nowMillis = context.nowMillis();
     String samplerId = ended.sampler.id();
     context.placement().onEnded(ended.sampler, run.expectedTokens(ended.item));
@@ -322,12 +330,9 @@
 
   private void endStalledRuns() {
     long nowMillis = context.nowMillis();
-    for (Map.Entry<String, Active> entry : ImmutableList.copyOf(active.entrySet())) {
-      Active each = entry.getValue();
+    for (Active each : ImmutableList.copyOf(active.values())) {
       if (nowMillis - each.progressAtMillis >= STALL_MILLIS) {
-        each.run.cancel();
-        active.remove(entry.getKey());
-        onEnd(entry.getKey(), each, Ending.BROKEN, "nothing in " + STALL_MILLIS + " ms");
+        end(each, Ending.BROKEN, "nothing in " + STALL_MILLIS + " ms");
       }
     }
   }
@@ -345,9 +350,7 @@
     for (Active each : ImmutableList.copyOf(active.values())) {
       boolean settled = nowMillis - each.startedAtMillis >= MOVE_AFTER_MILLIS;
       if (settled && samplers.worthMoving(each.item, each.sampler, nowMillis)) {
-        each.run.cancel();
-        active.remove(each.item.id());
-        onEnd(each.item.id(), each, Ending.MOVED, "a faster sampler has room");
+        end(each, Ending.MOVED, "a faster sampler has room");
         return; // One at a time, so that each sees where the one before went.
       }
     }
--- a/node/src/main/java/io/briarward/node/batch/BatchStore.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchStore.java
@@ -12,6 +12,7 @@
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
 import io.briarward.core.platform.Transaction;
+import io.briarward.node.duty.StoreCalls;
 import io.briarward.node.platform.JsonHttpClient;
 import io.briarward.node.platform.ObjectStore;
 import io.briarward.node.platform.TableService;
@@ -156,24 +157,13 @@
 
   /** Returns the ids of all listed items. */
   Single<ImmutableList<String>> listedIds(String batchId) {
-    return bounded(listedIds(batchId, 0));
-  }
-
-  private Single<ImmutableList<String>> listedIds(String batchId, int from) {
-    return tables
-        .scan(RESULTS, batchId + "/", resultKey(batchId, from - 1), READ_ROWS)
-        .flatMap(
-            rows -> {
-              ImmutableList<String> ids =
-                  rows.stream()
-                      .map(row -> row.value().path("itemId").asText())
-                      .collect(ImmutableList.toImmutableList());
-              if (rows.size() < READ_ROWS) {
-                return Single.just(ids);
-              }
-              return listedIds(batchId, from + rows.size())
-                  .map(rest -> ImmutableList.<String>builder().addAll(ids).addAll(rest).build());
-            });
+    return bounded(
+        StoreCalls.scanAll(tables, RESULTS, batchId + "/", READ_ROWS)
+            .map(
+                rows ->
+                    rows.stream()
+                        .map(row -> row.value().path("itemId").asText())
+                        .collect(ImmutableList.toImmutableList())));
   }
 
   /**
--- a/node/src/main/java/io/briarward/node/batch/SamplerChoice.java
+++ b/node/src/main/java/io/briarward/node/batch/SamplerChoice.java
@@ -29,25 +29,27 @@
 
   /** Returns the sampler on which an item ends soonest; empty if none takes it now. */
   Optional<UpstreamEntry> choose(BatchItem item, long nowMillis) {
+    String service = service(item);
     return context
         .placement()
         .choose(
-            available(item, nowMillis),
+            available(service, nowMillis),
             this::inFlight,
             run.expectedTokens(item),
-            tokenCapacity(item));
+            tokenCapacity(service));
   }
 
   /** Returns whether an item that runs on a sampler would end clearly sooner on another one. */
   boolean worthMoving(BatchItem item, UpstreamEntry from, long nowMillis) {
+    String service = service(item);
     return context
         .placement()
         .worthMoving(
             from,
-            available(item, nowMillis),
+            available(service, nowMillis),
             this::inFlight,
             run.expectedTokens(item),
-            tokenCapacity(item));
+            tokenCapacity(service));
   }
 
   /** Returns whether some sampler has weights that the batch takes, though it may be full. */
@@ -57,11 +59,11 @@
         .anyMatch(entry -> !entry.leaving() && entry.service().equals(service) && fresh(entry));
   }
 
-  private ImmutableList<UpstreamEntry> available(BatchItem item, long nowMillis) {
+  private ImmutableList<UpstreamEntry> available(String service, long nowMillis) {
     return context
         .balancer()
         .available(
-            service(item),
+            service,
             ImmutableSet.of(),
             entry -> inFlight(entry) < entry.slots() && fresh(entry),
             nowMillis);
@@ -75,8 +77,7 @@
     return spec.model().map(model -> sampler.version(model) >= spec.minVersion()).orElse(true);
   }
 
-  private long tokenCapacity(BatchItem item) {
-    String service = service(item);
+  private long tokenCapacity(String service) {
     return context
         .configuration()
         .flatMap(configuration -> Optional.ofNullable(configuration.services().get(service)))
--- a/node/src/main/java/io/briarward/node/duty/StoreCalls.java
+++ b/node/src/main/java/io/briarward/node/duty/StoreCalls.java
@@ -30,22 +30,35 @@
   /** Reads all rows whose keys start with the prefix, page by page. */
   public static Single<ImmutableList<Row>> scanAll(
       TableService tables, String table, String prefix) {
-    return scanAfter(tables, table, prefix, "", ImmutableList.of());
+    return scanAll(tables, table, prefix, PAGE_ROWS);
+  }
+
+  /**
+   * Reads all rows whose keys start with the prefix, in pages of a size that suits their values.
+   */
+  public static Single<ImmutableList<Row>> scanAll(
+      TableService tables, String table, String prefix, int pageRows) {
+    return scanAfter(tables, table, prefix, pageRows, "", ImmutableList.of());
   }
 
   private static Single<ImmutableList<Row>> scanAfter(
-      TableService tables, String table, String prefix, String after, ImmutableList<Row> before) {
+      TableService tables,
+      String table,
+      String prefix,
+      int pageRows,
+      String after,
+      ImmutableList<Row> before) {
     return tables
-        .scan(table, prefix, after, PAGE_ROWS)
+        .scan(table, prefix, after, pageRows)
         .flatMap(
             page -> {
               ImmutableList<Row> rows =
                   ImmutableList.<Row>builder().addAll(before).addAll(page).build();
-              if (page.size() < PAGE_ROWS) {
+              if (page.size() < pageRows) {
                 return Single.just(rows);
               }
               String last = page.get(page.size() - 1).key();
-              return scanAfter(tables, table, prefix, last, rows);
+              return scanAfter(tables, table, prefix, pageRows, last, rows);
             });
   }
 }
--- a/node/src/main/java/io/briarward/node/gateway/LoadOrderSender.java
+++ b/node/src/main/java/io/briarward/node/gateway/LoadOrderSender.java
@@ -2,10 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.briarward.core.fleet.FleetRoute;
-import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.lease.LeaseGuard;
 import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.core.weights.VersionOrders;
@@ -63,9 +61,8 @@
 
   /** Sends the orders that are due. */
   void step() {
-    ImmutableList<UpstreamEntry> entries = ImmutableList.copyOf(fleet.balancer().entries());
     for (VersionOrders.Order order :
-        orders.next(entries, fleet.announced(), demands.get(), nowMillis())) {
+        orders.next(fleet.balancer().entries(), fleet.announced(), demands.get(), nowMillis())) {
       pending++;
       var unused =
           permission
