--- a/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
@@ -135,4 +135,16 @@
     balancer.onReleased("a");
     assertThat(choose(120)).hasValue("a");
   }
+
+  @Test
+  void completedRequestOfUnknownSizeSaysNothingOfTheSpeed() {
+    balancer.onSent("a");
+    balancer.onAnswered("a", 20);
+    balancer.onSent("b");
+    balancer.onAnswered("b", 30);
+    balancer.onSent("a");
+    balancer.onCompleted("a");
+    assertThat(balancer.inFlight("a")).isEqualTo(0);
+    assertThat(choose(0)).hasValue("a");
+  }
 }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -277,10 +277,7 @@
     context.placement().onEnded(ended.sampler, run.expectedTokens(ended.item));
     switch (ending) {
       case COMPLETE -> {
-        // Runs differ a hundredfold in length, so samplers are compared by the time for an event.
-        context
-            .balancer()
-            .onAnswered(samplerId, (nowMillis - ended.startedAtMillis) / Math.max(1, ended.events));
+        context.balancer().onCompleted(samplerId);
         run.onComplete(itemId);
       }
       case MOVED -> {
--- a/node/src/test/java/io/briarward/node/timing/TimersTest.java
+++ b/node/src/test/java/io/briarward/node/timing/TimersTest.java
@@ -19,7 +19,7 @@
 
   @Test
   void firstRunComesAfterOnePeriodAndNoneAfterTheEnd() {
-    Disposable timer = Timers.every(scheduler, 50, runs::incrementAndGet);
+    final Disposable timer = Timers.every(scheduler, 50, runs::incrementAndGet);
     advance(49);
     assertThat(runs.get()).isEqualTo(0);
     advance(51);
