Send a relayed response whole or break it off

Cause: on both interfaces the upstream's status and headers, Content-Length among them, were put on the response before its first byte was sent. If the deadline passed then, the failure was sent under them: the caller read the rest of the longer document as the next response on the connection, and on the platform the failure carried the upstream's receipt (MIXED).

Change: core.forwarding.ResponseWriter decides what may be sent for one request. The head is held back until the first bytes of the body, so a failure replaces it; afterwards the response ends with as many bytes as it announced or the connection is closed. CallerResponse applies it in both paths. Headers of an earlier attempt are no longer left on the response.

--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -4,14 +4,14 @@
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
 import io.briarward.core.fleet.UpstreamEntry;
-import io.briarward.core.forwarding.HeaderRules;
 import io.briarward.node.gateway.UpstreamProtocol.AnswerKind;
+import io.briarward.node.http.CallerResponse;
 import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.HttpServerResponse;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -45,6 +45,7 @@
 
   private final LiveForwarder.Context context;
   private final HttpServerRequest downstream;
+  private final CallerResponse response;
   private final LiveCall call;
   private final Runnable onFinished;
   private final Set<String> triedUpstreams = new HashSet<>();
@@ -64,6 +65,7 @@
       Runnable onFinished) {
     this.context = context;
     this.downstream = downstream;
+    this.response = CallerResponse.to(downstream);
     this.call = call;
     this.onFinished = onFinished;
     this.service = call.route().service(ThreadLocalRandom.current().nextDouble());
@@ -76,8 +78,7 @@
       long sentAtWallMillis) {}
 
   void start() {
-    downstream.response().closeHandler(unused -> onCallerDisconnected());
-    downstream.response().exceptionHandler(unused -> onCallerDisconnected());
+    response.onDisconnected(this::onCallerDisconnected);
     long remainingMillis = Math.max(0, call.deadlineMillis() - context.nowMillis());
     deadline =
         context
@@ -122,7 +123,7 @@
         .writeHeaders(request, call, upstream, call.deadlineMillis() - nowMillis);
     request
         .response()
-        .onSuccess(response -> onResponse(attempt, response))
+        .onSuccess(answer -> onAnswer(attempt, answer))
         .onFailure(cause -> onAttemptFailed(attempt, cause.toString()));
     request.end(call.body());
     if (canRetry()) {
@@ -147,22 +148,22 @@
     }
   }
 
-  private void onResponse(Attempt attempt, HttpClientResponse response) {
+  private void onAnswer(Attempt attempt, HttpClientResponse answer) {
     if (!isCurrent(attempt)) {
       return;
     }
-    AnswerKind kind = context.upstreamProtocol().classify(response, call);
+    AnswerKind kind = context.upstreamProtocol().classify(answer, call);
     if (kind == AnswerKind.NOT_RUN) {
-      onNotRun(attempt, response.statusCode());
+      onNotRun(attempt, answer.statusCode());
     } else if (kind == AnswerKind.FOREIGN) {
       onAttemptFailed(attempt, "response belongs to another request");
     } else if (call.route().repeatable()) {
-      response
+      answer
           .body()
-          .onSuccess(body -> onCompleteResponse(attempt, response, body))
+          .onSuccess(body -> onCompleteAnswer(attempt, answer, body))
           .onFailure(cause -> onAttemptFailed(attempt, cause.toString()));
     } else {
-      streamResponse(attempt, response);
+      streamAnswer(attempt, answer);
     }
   }
 
@@ -182,57 +183,48 @@
     }
   }
 
-  private void onCompleteResponse(Attempt attempt, HttpClientResponse response, Buffer body) {
+  private void onCompleteAnswer(Attempt attempt, HttpClientResponse answer, Buffer body) {
     if (!isCurrent(attempt)) {
       return;
     }
     countRun(attempt);
-    if (response.statusCode() >= 500 && canRetry()) {
+    if (answer.statusCode() >= 500 && canRetry()) {
       endAttempt(attempt);
-      logAttempt(attempt.upstream(), "failed", "status " + response.statusCode());
+      logAttempt(attempt.upstream(), "failed", "status " + answer.statusCode());
       context.balancer().onFailed(attempt.upstream().id(), context.nowMillis());
       startAttempt();
       return;
     }
-    endAttempt(attempt);
-    context
-        .balancer()
-        .onAnswered(attempt.upstream().id(), context.nowMillis() - attempt.sentAtMillis());
-    HttpServerResponse answer = downstream.response();
-    writeHead(answer, response);
-    answer.end(body);
-    finish("ok", attempt.upstream().id());
+    response.setHead(answer);
+    endWith(attempt, body);
   }
 
-  private void streamResponse(Attempt attempt, HttpClientResponse response) {
+  private void streamAnswer(Attempt attempt, HttpClientResponse answer) {
     countRun(attempt);
-    HttpServerResponse answer = downstream.response();
-    writeHead(answer, response);
-    Optional.ofNullable(response.getHeader("Content-Length"))
-        .ifPresentOrElse(
-            length -> answer.putHeader("Content-Length", length), () -> answer.setChunked(true));
-    response
-        .pipe()
-        .endOnFailure(false)
-        .to(answer)
-        .onSuccess(
-            unused -> {
-              if (isCurrent(attempt)) {
-                endAttempt(attempt);
-                context
-                    .balancer()
-                    .onAnswered(
-                        attempt.upstream().id(), context.nowMillis() - attempt.sentAtMillis());
-                finish("ok", attempt.upstream().id());
-              }
-            })
-        .onFailure(cause -> onAttemptFailed(attempt, cause.toString()));
+    response.setHead(answer);
+    answer.exceptionHandler(cause -> onAttemptFailed(attempt, cause.toString()));
+    answer.endHandler(
+        unused -> {
+          if (isCurrent(attempt)) {
+            endWith(attempt, Buffer.buffer());
+          }
+        });
+    answer.handler(
+        chunk -> {
+          if (isCurrent(attempt)) {
+            response.write(chunk, answer);
+          }
+        });
   }
 
-  private static void writeHead(HttpServerResponse answer, HttpClientResponse response) {
-    answer.setStatusCode(response.statusCode());
-    HeaderRules.toCaller(response.headers())
-        .forEach(header -> answer.headers().add(header.getKey(), header.getValue()));
+  /** Ends the response with the last bytes of an upstream's answer. */
+  private void endWith(Attempt attempt, Buffer lastChunk) {
+    endAttempt(attempt);
+    context
+        .balancer()
+        .onAnswered(attempt.upstream().id(), context.nowMillis() - attempt.sentAtMillis());
+    Future<Void> written = response.end(lastChunk);
+    finish(written.failed() ? "broken" : "ok", attempt.upstream().id());
   }
 
   private void onAttemptFailed(Attempt attempt, String cause) {
@@ -242,11 +234,7 @@
     countRun(attempt);
     abandon(attempt, "broken", cause);
     context.balancer().onFailed(attempt.upstream().id(), context.nowMillis());
-    if (downstream.response().headWritten()) {
-      // Closing the connection tells the caller that the partial response is incomplete.
-      var unused = downstream.connection().close();
-      finish("broken", attempt.upstream().id());
-    } else if (canRetry()) {
+    if (response.isOpen() && canRetry()) {
       startAttempt();
     } else {
       giveUp("the upstream broke off");
@@ -317,12 +305,9 @@
 
   private void fail(Failure failure) {
     String upstream = currentAttempt.map(attempt -> attempt.upstream().id()).orElse("none");
-    if (downstream.response().headWritten()) {
-      var unused = downstream.connection().close();
-    } else {
-      context.callerProtocol().fail(downstream, failure);
-    }
-    finish(failure.kind().label(), upstream);
+    String outcome = response.isOpen() ? failure.kind().label() : "broken";
+    response.fail(() -> context.callerProtocol().fail(downstream, failure));
+    finish(outcome, upstream);
   }
 
   private void finish(String outcome, String upstream) {
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/http/CallerResponse.java
@@ -0,0 +1,136 @@
+package io.briarward.node.http;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.primitives.Longs;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import io.briarward.core.forwarding.ResponseHead;
+import io.briarward.core.forwarding.ResponseWriter;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+
+/**
+ * The response to one request of a caller, to which an upstream's response is relayed.
+ *
+ * <p>It is sent whole or broken off by closing the connection, see {@link ResponseWriter}. Confined
+ * to the event loop.
+ */
+public final class CallerResponse {
+  private final HttpServerRequest request;
+  private final HttpServerResponse response;
+  private final ResponseWriter<Buffer> writer;
+  private Future<Void> written = Future.succeededFuture();
+
+  private CallerResponse(HttpServerRequest request) {
+    this.request = checkNotNull(request, "request");
+    this.response = request.response();
+    this.writer = ResponseWriter.create(new Connection());
+  }
+
+  /** Returns the response to a request; create one for each request. */
+  public static CallerResponse to(HttpServerRequest request) {
+    return new CallerResponse(request);
+  }
+
+  /** Returns whether nothing was sent, so that another response can still be sent. */
+  public boolean isOpen() {
+    return writer.state() == ResponseWriter.State.OPEN;
+  }
+
+  /** Calls {@code action} when the connection ends; the response cannot be sent afterwards. */
+  public void onDisconnected(Runnable action) {
+    response.closeHandler(unused -> disconnected(action));
+    response.exceptionHandler(unused -> disconnected(action));
+  }
+
+  private void disconnected(Runnable action) {
+    writer.onClosed();
+    action.run();
+  }
+
+  /** Sets the head to an upstream's; it is sent with the first bytes of the body. */
+  public void setHead(HttpClientResponse upstream) {
+    writer.setHead(
+        ResponseHead.relayed(
+            upstream.statusCode(),
+            upstream.headers(),
+            contentLength(upstream),
+            request.method() == HttpMethod.HEAD));
+  }
+
+  /** Returns the announced length of an upstream's body, in bytes. */
+  public static OptionalLong contentLength(HttpClientResponse upstream) {
+    return Optional.ofNullable(upstream.getHeader("Content-Length"))
+        .map(Longs::tryParse)
+        .filter(length -> length >= 0)
+        .map(OptionalLong::of)
+        .orElse(OptionalLong.empty());
+  }
+
+  /** Sends a chunk of the body, and pauses the upstream while the caller does not keep up. */
+  public void write(Buffer chunk, HttpClientResponse upstream) {
+    if (writer.write(chunk, chunk.length()) && response.writeQueueFull()) {
+      upstream.pause();
+      response.drainHandler(unused -> upstream.resume());
+    }
+  }
+
+  /**
+   * Sends the last chunk of the body and ends the response.
+   *
+   * @return completes once the response is written; fails if it was broken off
+   */
+  @CanIgnoreReturnValue
+  public Future<Void> end(Buffer lastChunk) {
+    return writer.end(lastChunk, lastChunk.length())
+        ? written
+        : Future.failedFuture("the response was broken off");
+  }
+
+  /**
+   * Sends a failure in place of the response, or breaks the response off if its head was sent.
+   *
+   * @param sendFailure sends the whole failure
+   * @return completes once the failure is written or the connection is closed
+   */
+  @CanIgnoreReturnValue
+  public Future<Void> fail(Supplier<Future<Void>> sendFailure) {
+    writer.replace(() -> written = sendFailure.get());
+    return written;
+  }
+
+  private final class Connection implements ResponseWriter.Sink<Buffer> {
+    @Override
+    public void sendHead(ResponseHead head) {
+      response.setStatusCode(head.status());
+      head.headers().forEach(header -> response.headers().add(header.getKey(), header.getValue()));
+      head.contentLength()
+          .ifPresent(length -> response.putHeader("Content-Length", Long.toString(length)));
+      if (head.isChunked()) {
+        response.setChunked(true);
+      }
+    }
+
+    @Override
+    public void sendChunk(Buffer chunk) {
+      response.write(chunk);
+    }
+
+    @Override
+    public void sendLast(Buffer chunk) {
+      written = response.closed() ? Future.succeededFuture() : response.end(chunk);
+    }
+
+    @Override
+    public void close() {
+      written = request.connection().close();
+    }
+  }
+}
--- a/node/src/main/java/io/briarward/node/live/LiveExchange.java
+++ b/node/src/main/java/io/briarward/node/live/LiveExchange.java
@@ -13,6 +13,7 @@
 import io.briarward.core.retry.RetryDecision;
 import io.briarward.core.retry.RetryPolicy;
 import io.briarward.node.admission.AdmissionGate;
+import io.briarward.node.http.CallerResponse;
 import io.briarward.node.http.HttpAnswers;
 import io.briarward.node.live.UpstreamSelector.AttemptOutcome;
 import io.briarward.node.telemetry.Tracing;
@@ -41,6 +42,7 @@
 
   private final LiveContext context;
   private final HttpServerRequest downstream;
+  private final CallerResponse response;
   private final LiveRequest request;
   private final Span span;
   private final Set<String> failedUpstreams = new HashSet<>();
@@ -61,6 +63,7 @@
       ResponseObserver observer) {
     this.context = context;
     this.downstream = downstream;
+    this.response = CallerResponse.to(downstream);
     this.request = request;
     this.span = span;
     this.observer = observer;
@@ -75,8 +78,7 @@
     long waitMillis = Math.max(0, request.deadlineMillis() - context.nowMillis());
     deadline =
         context.scheduler().scheduleDirect(this::onDeadline, waitMillis, TimeUnit.MILLISECONDS);
-    downstream.response().closeHandler(unused -> onCallerDisconnected());
-    downstream.response().exceptionHandler(unused -> onCallerDisconnected());
+    response.onDisconnected(this::onCallerDisconnected);
     context.retryBudgets().of(request.service().id()).onRequest();
     pendingStart =
         context
@@ -230,8 +232,7 @@
       return;
     }
     RetryPolicy.FailedAttempt failed =
-        new RetryPolicy.FailedAttempt(
-            attempts, downstream.response().headWritten(), request.deadlineMillis(), 0);
+        new RetryPolicy.FailedAttempt(attempts, !response.isOpen(), request.deadlineMillis(), 0);
     RetryDecision decision =
         RetryPolicy.DEFAULT.onFailure(
             failed,
@@ -255,7 +256,7 @@
     return false;
   }
 
-  private void onResponse(HttpClientRequest upstream, HttpClientResponse response) {
+  private void onResponse(HttpClientRequest upstream, HttpClientResponse answer) {
     if (finished) {
       upstream.reset();
       return;
@@ -263,8 +264,8 @@
     boolean isModel = request.service().kind() == Service.Kind.MODEL;
     ResponseRelay relay =
         new ResponseRelay(
-            downstream.response(),
             response,
+            answer,
             isModel,
             observer,
             new ResponseRelay.Listener() {
@@ -340,12 +341,7 @@
     upstreamRequest.ifPresent(HttpClientRequest::reset);
     observer.onFailed(failure.runState());
     span.setStatus(StatusCode.ERROR, failure.kind().label());
-    // Closing the connection tells the caller that the partial response is incomplete.
-    Future<Void> written =
-        downstream.response().headWritten()
-            ? downstream.connection().close()
-            : HttpAnswers.problem(downstream, failure);
-    finish(failure.kind().label(), written);
+    finish(failure.kind().label(), response.fail(() -> HttpAnswers.problem(downstream, failure)));
   }
 
   /** Ends the request, which stays in flight until its response is written. */
--- a/node/src/main/java/io/briarward/node/live/ResponseRelay.java
+++ b/node/src/main/java/io/briarward/node/live/ResponseRelay.java
@@ -1,13 +1,12 @@
 package io.briarward.node.live;
 
-import com.google.common.primitives.Longs;
 import io.briarward.core.forwarding.CompletionScanner;
-import io.briarward.core.forwarding.HeaderRules;
+import io.briarward.node.http.CallerResponse;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpServerResponse;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Relays an upstream's response to the caller but withholds its last chunk until {@link #end}.
@@ -16,15 +15,12 @@
  * loop.
  */
 final class ResponseRelay {
-  private static final int STATUS_NO_CONTENT = 204;
-  private static final int STATUS_NOT_MODIFIED = 304;
-
-  private final HttpServerResponse downstream;
+  private final CallerResponse downstream;
   private final HttpClientResponse upstream;
   private final ResponseObserver observer;
   private final Listener listener;
   private final Optional<CompletionScanner> scanner;
-  private final Optional<Long> contentLength;
+  private final OptionalLong contentLength;
   private Buffer lastChunk = Buffer.buffer();
   private long relayedBytes;
 
@@ -38,7 +34,7 @@
   }
 
   ResponseRelay(
-      HttpServerResponse downstream,
+      CallerResponse downstream,
       HttpClientResponse upstream,
       boolean isCompletion,
       ResponseObserver observer,
@@ -47,8 +43,7 @@
     this.upstream = upstream;
     this.observer = observer;
     this.listener = listener;
-    this.contentLength =
-        Optional.ofNullable(upstream.getHeader("Content-Length")).map(Longs::tryParse);
+    this.contentLength = CallerResponse.contentLength(upstream);
     String contentType = Optional.ofNullable(upstream.getHeader("Content-Type")).orElse("");
     boolean succeeded = upstream.statusCode() == 200;
     this.scanner =
@@ -58,17 +53,7 @@
   }
 
   void start() {
-    downstream.setStatusCode(upstream.statusCode());
-    HeaderRules.toCaller(upstream.headers())
-        .forEach(header -> downstream.headers().add(header.getKey(), header.getValue()));
-    boolean hasNoBody =
-        upstream.statusCode() == STATUS_NO_CONTENT || upstream.statusCode() == STATUS_NOT_MODIFIED;
-    if (contentLength.isPresent()) {
-      downstream.putHeader("Content-Length", Long.toString(contentLength.get()));
-    } else if (!hasNoBody) {
-      downstream.setChunked(true);
-    }
-    downstream.drainHandler(unused -> upstream.resume());
+    downstream.setHead(upstream);
     upstream.exceptionHandler(listener::onFailure);
     upstream.endHandler(unused -> onEnd());
     upstream.handler(this::onChunk);
@@ -88,24 +73,18 @@
 
   /** Sends the last chunk and ends the response; completes once it is written. */
   Future<Void> end() {
-    return downstream.ended() || downstream.closed()
-        ? Future.succeededFuture()
-        : downstream.end(lastChunk);
+    return downstream.end(lastChunk);
   }
 
   private void onChunk(Buffer chunk) {
     observer.onChunk(chunk);
     scanner.ifPresent(each -> each.add(chunk.getBytes()));
     relayedBytes += chunk.length();
-    boolean last = contentLength.filter(length -> relayedBytes >= length).isPresent();
-    if (last) {
+    if (contentLength.isPresent() && relayedBytes >= contentLength.getAsLong()) {
       lastChunk = chunk;
       return;
     }
-    downstream.write(chunk);
-    if (downstream.writeQueueFull()) {
-      upstream.pause();
-    }
+    downstream.write(chunk, upstream);
   }
 
   private void onEnd() {
--- a/node/src/test/java/io/briarward/node/live/LiveProxyTest.java
+++ b/node/src/test/java/io/briarward/node/live/LiveProxyTest.java
@@ -29,8 +29,11 @@
 import io.vertx.core.http.HttpServer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -250,6 +253,52 @@
     assertThat(reply.json().path("run").asText()).isEqualTo("not-run");
   }
 
+  /**
+   * An upstream that announces a length and then sends nothing. The failure document is longer, and
+   * a caller that reads it under the upstream's length takes the rest for the next response.
+   */
+  @Test
+  void deadlineAfterUpstreamHeadIsAnsweredUnderItsOwnLength() throws Exception {
+    var silent =
+        deployment
+            .vertx()
+            .createNetServer()
+            .connectHandler(
+                socket ->
+                    socket.handler(
+                        unused -> socket.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")))
+            .listen(0, "127.0.0.1")
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get();
+    enginePort = silent.actualPort();
+    deployment.apply(node, configuration(ImmutableList.of(key())), 1);
+    CompletableFuture<String> received = new CompletableFuture<>();
+    StringBuilder bytes = new StringBuilder();
+    var connected =
+        deployment
+            .vertx()
+            .createNetClient()
+            .connect(node.httpPort(), "127.0.0.1")
+            .onSuccess(
+                socket -> {
+                  socket.handler(chunk -> bytes.append(chunk));
+                  socket.closeHandler(unused -> received.complete(bytes.toString()));
+                  socket.write(
+                      "POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+                          + "Authorization: Bearer "
+                          + SECRET
+                          + "\r\nX-Timeout-Millis: 300\r\nContent-Length: 2\r\n\r\n{}");
+                });
+    assertThat(connected).isNotNull();
+
+    String response = received.get(60, TimeUnit.SECONDS);
+
+    assertThat(response).startsWith("HTTP/1.1 504");
+    int bodyBytes = response.length() - response.indexOf("\r\n\r\n") - 4;
+    assertThat(response.toLowerCase(Locale.ROOT)).contains("content-length: " + bodyBytes + "\r\n");
+  }
+
   /** Replaces the engine by a server whose completions lack the end marker. */
   private void serveCompletionsWithoutEndMarker(boolean chunked) {
     HttpServer server =
