Send nothing further to an upstream that says it leaves

Cause: only the table's rows said which upstreams leave, so a node that was cut off from the store, or read a stale row, went on sending to them. The platform's samplers now say so in all their answers (Server-Leaving).

Change: the answer's mark is taken from live answers, stream heads of items, refusals and status reports, and kept in core.fleet.LeavingUpstreams by id and start time: it outlives stale rows and a missing row, and ends with the instance. Streams in progress go on. A 421 speaks of another instance and is ignored. The header's name stands in platform/ only.

--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -44,6 +45,7 @@
   private final String localDataCentre;
   private final Map<String, UpstreamEntry> entries = new LinkedHashMap<>();
   private final Map<String, UpstreamState> states = new HashMap<>();
+  private final LeavingUpstreams leavingUpstreams = new LeavingUpstreams();
 
   private UpstreamBalancer(String localDataCentre) {
     this.localDataCentre = checkNotNull(localDataCentre, "localDataCentre");
@@ -54,12 +56,35 @@
     return new UpstreamBalancer(localDataCentre);
   }
 
-  /** Adds or replaces an upstream; the history of an upstream that was restarted is discarded. */
-  public void put(UpstreamEntry entry) {
+  /**
+   * Adds or replaces an upstream; the history of an upstream that was restarted is discarded.
+   *
+   * @return the entry in use, which is leaving if the upstream announced so
+   */
+  @CanIgnoreReturnValue
+  public UpstreamEntry put(UpstreamEntry registered) {
+    UpstreamEntry entry = leavingUpstreams.apply(registered);
     UpstreamEntry before = entries.put(entry.id(), entry);
     if (before != null && before.startedAtMillis() != entry.startedAtMillis()) {
       states.remove(entry.id());
     }
+    return entry;
+  }
+
+  /**
+   * Handles a response in which an upstream announced that it leaves.
+   *
+   * <p>It gets no further requests from this node, whatever its registration says. Requests in
+   * flight are not affected.
+   *
+   * @param upstream the entry to which the request was sent
+   * @return whether this is the first such response of the upstream
+   */
+  @CanIgnoreReturnValue
+  public boolean onLeaving(UpstreamEntry upstream) {
+    boolean first = leavingUpstreams.add(upstream);
+    entries.computeIfPresent(upstream.id(), (id, entry) -> leavingUpstreams.apply(entry));
+    return first;
   }
 
   /** Removes an upstream. */
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamEntry.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamEntry.java
@@ -39,6 +39,21 @@
     checkNotNull(modelVersions, "modelVersions");
   }
 
+  /** Returns this entry as that of a leaving upstream. */
+  UpstreamEntry asLeaving() {
+    return new UpstreamEntry(
+        id,
+        service,
+        dataCentre,
+        host,
+        port,
+        startedAtMillis,
+        slots,
+        true,
+        reclaimable,
+        modelVersions);
+  }
+
   /** Returns the weight version that it runs of the given model, 0 if it does not run the model. */
   public long version(String model) {
     return modelVersions.getOrDefault(model, 0L);
--- a/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
@@ -49,6 +49,40 @@
     assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of())).isEmpty();
   }
 
+  @Test
+  void upstreamThatAnnouncedItsLeaveGetsNoRequestsWhateverItsRegistrationSays() {
+    assertThat(balancer.onLeaving(entry("a", false, 1))).isTrue();
+    assertThat(balancer.onLeaving(entry("a", false, 1))).isFalse();
+    for (int i = 0; i < 20; i++) {
+      assertThat(choose(i)).hasValue("b");
+      balancer.onSent("b");
+    }
+
+    balancer.put(entry("a", false, 1));
+    balancer.remove("b");
+    assertThat(choose(0)).isEmpty();
+    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of())).isEmpty();
+  }
+
+  @Test
+  void leaveIsRememberedWhileTheRegistrationIsMissing() {
+    balancer.remove("b");
+    balancer.onLeaving(entry("a", false, 1));
+    balancer.remove("a");
+    balancer.put(entry("a", false, 1));
+    assertThat(choose(0)).isEmpty();
+  }
+
+  @Test
+  void restartedUpstreamIsNotLeaving() {
+    balancer.remove("b");
+    balancer.onLeaving(entry("a", false, 1));
+    balancer.put(entry("a", false, 2));
+    assertThat(choose(0)).hasValue("a");
+    balancer.onLeaving(entry("a", false, 1));
+    assertThat(choose(0)).hasValue("a");
+  }
+
   @Test
   void failedUpstreamIsEjectedThenReadmitted() {
     balancer.remove("b");
--- a/node/src/main/java/io/briarward/node/batch/BatchContext.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchContext.java
@@ -5,6 +5,7 @@
 import io.briarward.core.batch.RunPlacement;
 import io.briarward.core.fleet.FleetConfiguration;
 import io.briarward.core.fleet.UpstreamBalancer;
+import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.telemetry.EventLog;
@@ -77,6 +78,11 @@
     return fleet.balancer();
   }
 
+  /** Handles a response to a request in which an upstream announced that it leaves. */
+  void onLeaving(UpstreamEntry upstream, String requestId) {
+    fleet.onLeaving(upstream, requestId);
+  }
+
   RunPlacement placement() {
     return placement;
   }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -239,6 +239,11 @@
   private SamplerClient.Listener listenerFor(ActiveRun started) {
     String itemId = started.item.id();
     return new SamplerClient.Listener() {
+      @Override
+      public void onLeaving() {
+        context.onLeaving(started.sampler, itemId);
+      }
+
       @Override
       public boolean onVersion(long version) {
         started.progressAtMillis = context.nowMillis();
--- a/node/src/main/java/io/briarward/node/batch/SamplerClient.java
+++ b/node/src/main/java/io/briarward/node/batch/SamplerClient.java
@@ -52,6 +52,9 @@
 
   /** Receives the events of a run. */
   interface Listener {
+    /** Handles a response in which the sampler announced that it leaves; the run goes on. */
+    void onLeaving();
+
     /**
      * Handles the weight version with which the run begins.
      *
--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -64,6 +64,27 @@
     return balancer;
   }
 
+  /**
+   * Handles a response in which an upstream announced that it leaves.
+   *
+   * @param upstream the entry to which the request was sent
+   * @param requestId the id of the request
+   */
+  public void onLeaving(UpstreamEntry upstream, String requestId) {
+    if (balancer.onLeaving(upstream)) {
+      log.info(
+          "upstream-leaving",
+          "upstream",
+          upstream.id(),
+          "startedAtMillis",
+          upstream.startedAtMillis(),
+          "request",
+          requestId,
+          "registered",
+          balancer.entry(upstream.id()).isPresent());
+    }
+  }
+
   /** Returns the latest announced weight version of each model. */
   public ImmutableMap<String, Long> announced() {
     return ImmutableMap.copyOf(announced);
@@ -164,10 +185,10 @@
       balancer.remove(row.key());
       return;
     }
-    UpstreamEntry entry = decoded.get();
-    pendingRemovals.getOrDefault(entry.id(), Disposable.disposed()).dispose();
-    Optional<UpstreamEntry> previous = balancer.entry(entry.id());
-    if (!previous.equals(decoded)) {
+    pendingRemovals.getOrDefault(row.key(), Disposable.disposed()).dispose();
+    Optional<UpstreamEntry> previous = balancer.entry(decoded.get().id());
+    UpstreamEntry entry = balancer.put(decoded.get());
+    if (!previous.equals(Optional.of(entry))) {
       log.info(
           "upstream",
           "upstream",
@@ -183,7 +204,6 @@
           "rowVersion",
           row.version());
     }
-    balancer.put(entry);
   }
 
   private void onUpstreamRemoved(String id) {
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -153,6 +153,9 @@
       return;
     }
     AnswerKind kind = context.upstreamProtocol().classify(answer, call);
+    if (kind != AnswerKind.FOREIGN && context.upstreamProtocol().announcesLeaving(answer)) {
+      context.fleet().onLeaving(attempt.upstream(), call.id());
+    }
     if (kind == AnswerKind.NOT_RUN) {
       onNotRun(attempt, answer.statusCode());
     } else if (kind == AnswerKind.FOREIGN) {
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -139,7 +139,7 @@
         new LiveForwarder(
             new LiveForwarder.Context(
                 scheduler,
-                fleet.balancer(),
+                fleet,
                 connections,
                 dependencies.upstreamProtocol(),
                 dependencies.callerProtocol(),
--- a/node/src/main/java/io/briarward/node/gateway/LiveForwarder.java
+++ b/node/src/main/java/io/briarward/node/gateway/LiveForwarder.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import io.briarward.core.fleet.UpstreamBalancer;
+import io.briarward.node.fleet.FleetState;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.telemetry.Metrics;
 import io.reactivex.rxjava3.core.Scheduler;
@@ -18,7 +19,7 @@
    */
   record Context(
       Scheduler scheduler,
-      UpstreamBalancer balancer,
+      FleetState fleet,
       UpstreamConnections connections,
       UpstreamProtocol upstreamProtocol,
       CallerProtocol callerProtocol,
@@ -27,7 +28,7 @@
       EventLog log) {
     Context {
       checkNotNull(scheduler, "scheduler");
-      checkNotNull(balancer, "balancer");
+      checkNotNull(fleet, "fleet");
       checkNotNull(connections, "connections");
       checkNotNull(upstreamProtocol, "upstreamProtocol");
       checkNotNull(callerProtocol, "callerProtocol");
@@ -36,6 +37,10 @@
       checkNotNull(log, "log");
     }
 
+    UpstreamBalancer balancer() {
+      return fleet.balancer();
+    }
+
     long nowMillis() {
       return scheduler.now(TimeUnit.MILLISECONDS);
     }
--- a/node/src/main/java/io/briarward/node/gateway/LoadOrderSender.java
+++ b/node/src/main/java/io/briarward/node/gateway/LoadOrderSender.java
@@ -79,8 +79,11 @@
     if (status.modelVersions().getOrDefault(order.model(), 0L) >= order.version()) {
       return Single.just(true);
     }
+    if (status.leaving()) {
+      fleet.onLeaving(order.sampler(), "status");
+    }
     Optional<LeaseGuard> guard = permission.guard();
-    if (status.busy() || guard.isEmpty()) {
+    if (status.busy() || status.leaving() || guard.isEmpty()) {
       return Single.just(false);
     }
     LoadOrder load =
--- a/node/src/main/java/io/briarward/node/gateway/SamplerOrders.java
+++ b/node/src/main/java/io/briarward/node/gateway/SamplerOrders.java
@@ -14,8 +14,13 @@
    * @param busy whether it is carrying out an order
    * @param acceptedOrders the number of orders that it has accepted since its start
    * @param modelVersions the weight version of each model
+   * @param leaving whether the sampler announced that it leaves
    */
-  record Status(boolean busy, long acceptedOrders, ImmutableMap<String, Long> modelVersions) {
+  record Status(
+      boolean busy,
+      long acceptedOrders,
+      ImmutableMap<String, Long> modelVersions,
+      boolean leaving) {
     /** Validates the components. */
     public Status {
       checkNotNull(modelVersions, "modelVersions");
--- a/node/src/main/java/io/briarward/node/gateway/UpstreamProtocol.java
+++ b/node/src/main/java/io/briarward/node/gateway/UpstreamProtocol.java
@@ -24,6 +24,9 @@
   void writeHeaders(
       HttpClientRequest request, LiveCall call, UpstreamEntry upstream, long remainingMillis);
 
+  /** Returns whether a response says that the upstream to which the request was sent leaves. */
+  boolean announcesLeaving(HttpClientResponse response);
+
   /** Classifies a response by its status and headers. */
   AnswerKind classify(HttpClientResponse response, LiveCall call);
 }
--- a/node/src/main/java/io/briarward/node/platform/JsonHttpClient.java
+++ b/node/src/main/java/io/briarward/node/platform/JsonHttpClient.java
@@ -8,6 +8,7 @@
 import io.briarward.node.platform.PlatformException.Effect;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -52,9 +53,10 @@
    * A response whose body has been read completely.
    *
    * @param status the HTTP status code
+   * @param headers the response headers
    * @param body the response body
    */
-  public record Reply(int status, Buffer body) {
+  public record Reply(int status, MultiMap headers, Buffer body) {
     /**
      * Returns the body parsed as JSON.
      *
@@ -124,7 +126,11 @@
       HttpClientRequest request, Buffer body, HostAndPort server) {
     return request
         .send(body)
-        .compose(response -> response.body().map(bytes -> new Reply(response.statusCode(), bytes)))
+        .compose(
+            response ->
+                response
+                    .body()
+                    .map(bytes -> new Reply(response.statusCode(), response.headers(), bytes)))
         .recover(e -> Future.failedFuture(toPlatformException(Effect.UNKNOWN, server, e)));
   }
 
--- a/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
+++ b/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
@@ -44,7 +44,7 @@
         public Single<Status> status(UpstreamEntry sampler) {
           long accepted =
               orders.stream().filter(o -> o.sampler().id().equals(sampler.id())).count();
-          return Single.just(new Status(false, accepted, sampler.modelVersions()));
+          return Single.just(new Status(false, accepted, sampler.modelVersions(), false));
         }
 
         @Override
