Bound what a faulty server can send, and survive unexpected errors

Cause: the answer to an idempotent request, a rejection's body, the replies of the store and of samplers' reports, an item's stream and an event without its blank line were read without a limit of size, and rejections without one of time: a sampler that sends bytes without end filled the memory or held its connection for ever.

TimersTest.actionThatFailsRunsAgain covers the timers. Figures of memory under ten such samplers: not run.

--- a/core/src/main/java/io/briarward/core/batch/EventStreamParser.java
+++ b/core/src/main/java/io/briarward/core/batch/EventStreamParser.java
@@ -16,11 +16,12 @@
  * <p>An event is returned once the blank line that terminates it has arrived. Not thread-safe.
  */
 public final class EventStreamParser {
-  private static final int MAX_LINE_BYTES = 1 << 20; // Far larger than an event of any model.
+  private static final int MAX_EVENT_BYTES = 1 << 20; // Far larger than an event of any model.
 
   private final String versionField;
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
   private final List<String> data = new ArrayList<>();
+  private int eventBytes;
   private Long id;
   private OptionalLong version = OptionalLong.empty();
 
@@ -47,8 +48,9 @@
     for (byte next : bytes) {
       if (next != '\n') {
         line.write(next);
-        if (line.size() > MAX_LINE_BYTES) {
-          throw new IllegalArgumentException("line is longer than " + MAX_LINE_BYTES + " bytes");
+        eventBytes++;
+        if (eventBytes > MAX_EVENT_BYTES) {
+          throw new IllegalArgumentException("event is longer than " + MAX_EVENT_BYTES + " bytes");
         }
       } else {
         parseLine(stripCarriageReturn(line.toString(StandardCharsets.UTF_8)), events);
@@ -92,6 +94,7 @@
     id = null;
     version = OptionalLong.empty();
     data.clear();
+    eventBytes = 0;
   }
 
   private static long parseLong(String field, String value) {
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -6,6 +6,7 @@
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.node.gateway.UpstreamProtocol.AnswerKind;
 import io.briarward.node.http.CallerResponse;
+import io.briarward.node.http.ResponseBodies;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
@@ -21,9 +22,9 @@
 /**
  * Forwards one live request to an upstream and the response to the caller.
  *
- * <p>The response to an idempotent request is buffered until it is complete, so that the request
- * can be retried if the connection is lost. Other responses are streamed as they arrive. Confined
- * to the event loop.
+ * <p>The response to an idempotent request is held back until it is complete, up to a limit, so
+ * that the request can be retried if the connection is lost. Other responses are streamed as they
+ * arrive. Confined to the event loop.
  */
 final class ForwardedExchange {
   /** The retry delay suggested to a caller whose request was not run, in milliseconds. */
@@ -43,6 +44,9 @@
    */
   private static final long MIN_ATTEMPT_TIMEOUT_MILLIS = 300;
 
+  /** The part of an answer to an idempotent request that is held back, in bytes. */
+  private static final int MAX_HELD_BYTES = 256 << 10;
+
   private final LiveForwarder.Context context;
   private final HttpServerRequest downstream;
   private final CallerResponse response;
@@ -157,16 +161,12 @@
       context.fleet().onLeaving(attempt.upstream(), call.id());
     }
     if (kind == AnswerKind.NOT_RUN) {
+      ResponseBodies.discard(attempt.request(), answer, context.scheduler());
       onNotRun(attempt, answer.statusCode());
     } else if (kind == AnswerKind.FOREIGN) {
       onAttemptFailed(attempt, "response belongs to another request");
-    } else if (call.route().repeatable()) {
-      answer
-          .body()
-          .onSuccess(body -> onCompleteAnswer(attempt, answer, body))
-          .onFailure(cause -> onAttemptFailed(attempt, cause.toString()));
     } else {
-      streamAnswer(attempt, answer);
+      relayAnswer(attempt, answer);
     }
   }
 
@@ -186,38 +186,47 @@
     }
   }
 
-  private void onCompleteAnswer(Attempt attempt, HttpClientResponse answer, Buffer body) {
+  /**
+   * Relays an answer.
+   *
+   * <p>The answer to an idempotent request is held back until it is whole or too long to hold, so
+   * that another upstream can answer if this one breaks off.
+   */
+  private void relayAnswer(Attempt attempt, HttpClientResponse answer) {
+    countRun(attempt);
+    response.setHead(answer);
+    int maxHeldBytes = call.route().repeatable() ? MAX_HELD_BYTES : 0;
+    Buffer held = Buffer.buffer();
+    answer.exceptionHandler(cause -> onAttemptFailed(attempt, cause.toString()));
+    answer.endHandler(unused -> onAnswerEnd(attempt, answer, held));
+    answer.handler(
+        chunk -> {
+          if (!isCurrent(attempt)) {
+            return;
+          }
+          if (!response.isOpen()) {
+            response.write(chunk, answer);
+            return;
+          }
+          held.appendBuffer(chunk);
+          if (held.length() > maxHeldBytes) {
+            response.write(held, answer);
+          }
+        });
+  }
+
+  private void onAnswerEnd(Attempt attempt, HttpClientResponse answer, Buffer held) {
     if (!isCurrent(attempt)) {
       return;
     }
-    countRun(attempt);
-    if (answer.statusCode() >= 500 && canRetry()) {
+    if (response.isOpen() && answer.statusCode() >= 500 && canRetry()) {
       endAttempt(attempt);
       logAttempt(attempt.upstream(), "failed", "status " + answer.statusCode());
       context.balancer().onFailed(attempt.upstream().id(), context.nowMillis());
       startAttempt();
       return;
     }
-    response.setHead(answer);
-    endWith(attempt, body);
-  }
-
-  private void streamAnswer(Attempt attempt, HttpClientResponse answer) {
-    countRun(attempt);
-    response.setHead(answer);
-    answer.exceptionHandler(cause -> onAttemptFailed(attempt, cause.toString()));
-    answer.endHandler(
-        unused -> {
-          if (isCurrent(attempt)) {
-            endWith(attempt, Buffer.buffer());
-          }
-        });
-    answer.handler(
-        chunk -> {
-          if (isCurrent(attempt)) {
-            response.write(chunk, answer);
-          }
-        });
+    endWith(attempt, response.isOpen() ? held : Buffer.buffer());
   }
 
   /** Ends the response with the last bytes of an upstream's answer. */
--- a/node/src/main/java/io/briarward/node/platform/JsonHttpClient.java
+++ b/node/src/main/java/io/briarward/node/platform/JsonHttpClient.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
+import io.briarward.node.http.ResponseBodies;
 import io.briarward.node.platform.PlatformException.Effect;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
@@ -14,9 +15,11 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.util.concurrent.TimeUnit;
 
 /**
  * An HTTP client of the platform's interfaces that buffers request and response bodies in memory.
@@ -28,6 +31,16 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int MAX_CONNECTIONS_PER_HOST = 16;
   private static final int MAX_WAITING_REQUESTS = 256;
+
+  /** The largest object of the platform's store, 8 MiB, and some room. */
+  private static final long MAX_BODY_BYTES = 9 << 20;
+
+  /**
+   * A response that is still incomplete after this many time-outs is abandoned, though its bytes
+   * arrive steadily; large objects take several over a slow link.
+   */
+  private static final int MAX_TIMEOUTS = 4;
+
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private final HttpClient client;
@@ -122,15 +135,17 @@
     client.close();
   }
 
-  private static Future<Reply> exchange(
-      HttpClientRequest request, Buffer body, HostAndPort server) {
+  private static Future<Reply> readReply(HttpClientRequest request, HttpClientResponse response) {
+    return ResponseBodies.read(request, response, MAX_BODY_BYTES)
+        .map(bytes -> new Reply(response.statusCode(), response.headers(), bytes));
+  }
+
+  private Future<Reply> exchange(HttpClientRequest request, Buffer body, HostAndPort server) {
     return request
         .send(body)
-        .compose(
-            response ->
-                response
-                    .body()
-                    .map(bytes -> new Reply(response.statusCode(), response.headers(), bytes)))
+        .compose(response -> readReply(request, response))
+        .timeout(MAX_TIMEOUTS * timeoutMillis, TimeUnit.MILLISECONDS)
+        .onFailure(unused -> request.reset())
         .recover(e -> Future.failedFuture(toPlatformException(Effect.UNKNOWN, server, e)));
   }
 
--- a/node/src/main/java/io/briarward/node/serving/BoundedJsonClient.java
+++ b/node/src/main/java/io/briarward/node/serving/BoundedJsonClient.java
@@ -4,10 +4,10 @@
 import io.briarward.core.configuration.Upstream;
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
+import io.briarward.node.http.ResponseBodies;
 import io.briarward.node.platform.JsonHttpClient;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -79,23 +79,6 @@
           Failure.ran(ErrorKind.NOT_FOUND, "upstream answered with status " + response.statusCode())
               .toException());
     }
-    Promise<Buffer> body = Promise.promise();
-    Buffer received = Buffer.buffer();
-    response.handler(
-        chunk -> {
-          if (received.length() + chunk.length() <= maxBytes) {
-            received.appendBuffer(chunk);
-          } else if (body.tryFail(tooLarge())) {
-            request.reset();
-          }
-        });
-    response.exceptionHandler(body::tryFail);
-    response.endHandler(unused -> body.tryComplete(received));
-    return body.future();
-  }
-
-  private Throwable tooLarge() {
-    return Failure.ran(ErrorKind.BODY_TOO_LARGE, "response body exceeds " + maxBytes + " bytes")
-        .toException();
+    return ResponseBodies.read(request, response, maxBytes);
   }
 }
--- a/node/src/main/java/io/briarward/node/timing/Timers.java
+++ b/node/src/main/java/io/briarward/node/timing/Timers.java
@@ -6,6 +6,7 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.tinylog.Logger;
 
 /**
  * Periodic actions and checks on a scheduler.
@@ -30,7 +31,16 @@
       Scheduler scheduler, long delayMillis, long periodMillis, Runnable action) {
     return Flowable.interval(delayMillis, periodMillis, TimeUnit.MILLISECONDS, scheduler)
         .onBackpressureDrop()
-        .subscribe(unused -> action.run());
+        .subscribe(unused -> runSafely(action));
+  }
+
+  /** Runs an action; an unexpected error is logged, since it would end the periodic action. */
+  private static void runSafely(Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException e) {
+      Logger.error(e, "a periodic action failed and is tried again at its next time");
+    }
   }
 
   /** Completes once a condition holds, which is checked every {@code periodMillis}. */
--- a/node/src/test/java/io/briarward/node/timing/TimersTest.java
+++ b/node/src/test/java/io/briarward/node/timing/TimersTest.java
@@ -29,6 +29,21 @@
     assertThat(runs.get()).isEqualTo(2);
   }
 
+  @Test
+  void actionThatFailsRunsAgain() {
+    var unused =
+        Timers.every(
+            scheduler,
+            50,
+            () -> {
+              if (runs.incrementAndGet() == 1) {
+                throw new IllegalStateException("first run");
+              }
+            });
+    advance(150);
+    assertThat(runs.get()).isEqualTo(3);
+  }
+
   @Test
   void nowAndEveryRunsFirstWithoutDelay() {
     var unused = Timers.nowAndEvery(scheduler, 50, runs::incrementAndGet);
