Score the texts of items with reward calls

Change: core.batch.RewardCall is part of an item. Once an item's stream ended regularly its text does not change, and RewardQueue chooses which text is scored next: the group with the fewest unfinished items first, repeated after a doubling delay. RewardPacing leaves half of each upstream's slots to live requests. RewardRunner sends the calls through the route of their host and path, counts answers of 500 up to the larger of the two routes' attempts, and cancels all calls when the batch ends or is taken over. A stopping owner still scores the texts that it has.

A text whose owner dies before its score is run again by the next owner.

--- a/core/src/main/java/io/briarward/core/batch/BatchItem.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchItem.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.io.BaseEncoding;
+import java.util.Optional;
 
 /**
  * One item of a batch.
@@ -16,6 +17,7 @@
  * @param bodyBase64 the body of that request in Base64
  * @param expectedTokens the caller's estimate of the number of generated tokens, which is often
  *     inaccurate; 0 if unknown
+ * @param rewardCall the request that scores the item's text; empty if the text needs no score
  */
 public record BatchItem(
     String id,
@@ -23,7 +25,8 @@
     String path,
     ImmutableMap<String, String> headers,
     String bodyBase64,
-    int expectedTokens) {
+    int expectedTokens,
+    Optional<RewardCall> rewardCall) {
 
   /**
    * Validates the components.
@@ -37,6 +40,18 @@
     checkNotNull(headers, "headers");
     checkArgument(BaseEncoding.base64().canDecode(bodyBase64), "body of %s is not Base64", id);
     checkArgument(expectedTokens >= 0, "expectedTokens is %s, expected >= 0", expectedTokens);
+    checkNotNull(rewardCall, "rewardCall");
+  }
+
+  /** Creates an item whose text needs no score. */
+  public BatchItem(
+      String id,
+      String group,
+      String path,
+      ImmutableMap<String, String> headers,
+      String bodyBase64,
+      int expectedTokens) {
+    this(id, group, path, headers, bodyBase64, expectedTokens, Optional.empty());
   }
 
   /** Returns the decoded body. */
--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -3,8 +3,10 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.HashMultiset;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Multiset;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -30,6 +32,8 @@
   private static final long RETRY_DELAY_MILLIS = 20;
 
   private final BatchSpec spec;
+  private final RewardQueue rewards = new RewardQueue();
+  private final Multiset<String> unfinishedByGroup = HashMultiset.create();
   private final int maxAttempts;
   private final Map<String, ItemProgress> items = new LinkedHashMap<>();
   private final ArrayDeque<ItemResult> finished = new ArrayDeque<>();
@@ -44,6 +48,7 @@
         .filter(item -> !listed.contains(item.id()))
         .sorted(Comparator.comparingDouble(expectedLength).reversed())
         .forEach(item -> items.put(item.id(), new ItemProgress(item, terms.singleVersion())));
+    items.values().forEach(progress -> unfinishedByGroup.add(progress.item().group()));
   }
 
   /** Returns a function that estimates an item's tokens, by the mean estimate if it has none. */
@@ -76,7 +81,7 @@
 
   /** Returns whether any item waits to start, now or after a delay. */
   public boolean hasWaiting() {
-    return running < items.size();
+    return running + rewards.size() < items.size();
   }
 
   /** Returns the number of tokens an item is expected to generate, 0 if unknown. */
@@ -121,11 +126,54 @@
     return progress(itemId).onEvent(event);
   }
 
-  /** Handles the regular end of an item's stream. */
+  /** Handles the regular end of an item's stream; the item succeeds or waits for its score. */
   public void onComplete(String itemId) {
     running--;
-    finished.add(progress(itemId).finish());
-    items.remove(itemId);
+    ItemProgress progress = progress(itemId);
+    if (progress.item().rewardCall().isPresent()) {
+      progress.onTextComplete();
+      rewards.add(progress.item());
+    } else {
+      addResult(progress, progress.finish());
+    }
+  }
+
+  /** Returns the next item whose text is to be scored, without starting the call. */
+  public Optional<BatchItem> nextReward(long nowMillis) {
+    return rewards.next(nowMillis, unfinishedByGroup::count);
+  }
+
+  /** Returns the number of items whose text is complete and has no score. */
+  public int unscored() {
+    return rewards.size();
+  }
+
+  /** Handles the start of the reward call of an item that {@link #nextReward} returned. */
+  public void onRewardStarted(String itemId) {
+    rewards.onStarted(itemId);
+  }
+
+  /** Handles the score of an item's text; the item succeeds. */
+  public void onScored(String itemId, String score) {
+    ItemProgress progress = progress(itemId);
+    rewards.remove(itemId);
+    addResult(progress, progress.finish().withScore(score));
+  }
+
+  /** Handles a reward call that did not run or whose response was lost; it is repeated. */
+  public void onRewardInterrupted(String itemId, long nowMillis) {
+    rewards.onInterrupted(itemId, nowMillis);
+  }
+
+  /**
+   * Handles a reward call that its service failed.
+   *
+   * @param maxFailures the number of failed calls after which the item fails
+   */
+  public void onRewardFailed(String itemId, int maxFailures, long nowMillis) {
+    if (rewards.onFailed(itemId, nowMillis) >= maxFailures) {
+      fail(progress(itemId));
+    }
   }
 
   /** Handles an interrupted or rejected run, which does not count as a failure of the item. */
@@ -152,10 +200,16 @@
     fail(progress(itemId));
   }
 
-  /** Fails all waiting items; call again to fail items whose runs are interrupted later. */
+  /**
+   * Fails all items that wait for a run or a score; call again to fail items whose runs or calls
+   * are interrupted later.
+   */
   public void failWaiting() {
     ImmutableList.copyOf(items.values()).stream()
-        .filter(progress -> progress.state() == ItemProgress.State.WAITING)
+        .filter(
+            progress ->
+                progress.state() == ItemProgress.State.WAITING
+                    || rewards.isWaiting(progress.item().id()))
         .forEach(this::fail);
   }
 
@@ -187,8 +241,14 @@
   }
 
   private void fail(ItemProgress progress) {
-    finished.add(progress.fail());
+    rewards.remove(progress.item().id());
+    addResult(progress, progress.fail());
+  }
+
+  private void addResult(ItemProgress progress, ItemResult result) {
+    finished.add(result);
     items.remove(progress.item().id());
+    unfinishedByGroup.remove(progress.item().group());
   }
 
   private ItemProgress progress(String itemId) {
--- a/core/src/main/java/io/briarward/core/batch/ItemProgress.java
+++ b/core/src/main/java/io/briarward/core/batch/ItemProgress.java
@@ -13,6 +13,7 @@
   enum State {
     WAITING,
     RUNNING,
+    UNSCORED,
     FINISHED
   }
 
@@ -95,6 +96,11 @@
     }
   }
 
+  /** Handles the end of the text, which does not change from now on. */
+  void onTextComplete() {
+    state = State.UNSCORED;
+  }
+
   ItemResult finish() {
     state = State.FINISHED;
     return new ItemResult(
--- a/node/src/main/java/io/briarward/node/batch/BatchContext.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchContext.java
@@ -25,6 +25,7 @@
   private final FleetState fleet;
   private final BatchStore store;
   private final SamplerClient samplers;
+  private final RewardClient rewards;
   private final EventLog log;
   private final String incarnation;
   private final LongSupplier storeClockMillis;
@@ -38,6 +39,7 @@
       FleetState fleet,
       BatchStore store,
       SamplerClient samplers,
+      RewardClient rewards,
       EventLog log,
       String incarnation,
       LongSupplier storeClockMillis,
@@ -47,6 +49,7 @@
     this.fleet = checkNotNull(fleet, "fleet");
     this.store = checkNotNull(store, "store");
     this.samplers = checkNotNull(samplers, "samplers");
+    this.rewards = checkNotNull(rewards, "rewards");
     this.log = checkNotNull(log, "log");
     this.incarnation = checkNotNull(incarnation, "incarnation");
     this.storeClockMillis = checkNotNull(storeClockMillis, "storeClockMillis");
@@ -66,6 +69,10 @@
     return samplers;
   }
 
+  RewardClient rewards() {
+    return rewards;
+  }
+
   EventLog log() {
     return log;
   }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -56,6 +56,7 @@
   private final BatchSpec spec;
   private final BatchRun run;
   private final SamplerChooser samplers;
+  private final RewardRunner rewards;
   private final Map<String, ActiveRun> activeRuns = new HashMap<>();
   private StoredHead head;
   private boolean stopped;
@@ -87,6 +88,7 @@
     this.head = checkNotNull(head, "head");
     this.run = BatchRun.create(spec, head.head().terms(), recordedIds);
     this.samplers = new SamplerChooser(context, spec, head.head().terms(), run);
+    this.rewards = new RewardRunner(context, spec.id(), head.head().terms(), run);
   }
 
   BatchSpec spec() {
@@ -108,9 +110,10 @@
     draining = true;
   }
 
-  /** Returns whether no run is in flight and all results are recorded. */
+  /** Returns whether no run is in flight, all texts are scored and all results are recorded. */
   boolean isDrained() {
-    return stopped || (activeRuns.isEmpty() && !run.hasResults() && !committing);
+    return stopped
+        || (activeRuns.isEmpty() && run.unscored() == 0 && !run.hasResults() && !committing);
   }
 
   /** Handles a head that another process may have written. */
@@ -131,7 +134,7 @@
     return context.store().replace(head, next, ImmutableList.of()).map(CommitResult::committed);
   }
 
-  /** Cancels stalled runs, starts and moves runs, and records results. */
+  /** Cancels stalled runs, starts and moves runs, scores texts and records results. */
   void step() {
     if (stopped) {
       return;
@@ -143,6 +146,9 @@
       startItems();
       moveSlowRuns();
     }
+    if (!stopped) {
+      rewards.step();
+    }
     commitResults();
   }
 
@@ -161,6 +167,7 @@
               context.placement().onEnded(each.sampler, run.expectedTokens(each.item));
             });
     activeRuns.clear();
+    rewards.close();
     context
         .log()
         .info(
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -52,6 +52,7 @@
   private BatchOwnership(
       String incarnation,
       SamplerClient samplers,
+      RewardClient rewards,
       BatchStore store,
       BatchDirectory directory,
       Scheduler scheduler,
@@ -71,6 +72,7 @@
             fleet,
             store,
             samplers,
+            rewards,
             log,
             incarnation,
             nodes::storeMillis,
@@ -82,6 +84,7 @@
   static BatchOwnership start(
       String incarnation,
       SamplerClient samplers,
+      RewardClient rewards,
       BatchStore store,
       BatchDirectory directory,
       Scheduler scheduler,
@@ -89,7 +92,8 @@
       NodeRegistry nodes,
       EventLog log) {
     BatchOwnership ownership =
-        new BatchOwnership(incarnation, samplers, store, directory, scheduler, fleet, nodes, log);
+        new BatchOwnership(
+            incarnation, samplers, rewards, store, directory, scheduler, fleet, nodes, log);
     ownership.timers.add(directory.changes().subscribe(ownership::onHead));
     ownership.timers.add(Timers.every(scheduler, STEP_INTERVAL_MILLIS, ownership::step));
     ownership.timers.add(
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -56,7 +56,8 @@
       ObjectStore objects,
       ChangeFeed feed,
       BatchDecoder decoder,
-      SamplerClient samplers) {
+      SamplerClient samplers,
+      RewardClient rewards) {
     /** Validates the components. */
     public Dependencies {
       checkNotNull(tables, "tables");
@@ -64,6 +65,7 @@
       checkNotNull(feed, "feed");
       checkNotNull(decoder, "decoder");
       checkNotNull(samplers, "samplers");
+      checkNotNull(rewards, "rewards");
     }
   }
 
@@ -97,7 +99,15 @@
     this.directory = BatchDirectory.start(dependencies.feed(), scheduler, log, store);
     this.ownership =
         BatchOwnership.start(
-            incarnation, dependencies.samplers(), store, directory, scheduler, fleet, nodes, log);
+            incarnation,
+            dependencies.samplers(),
+            dependencies.rewards(),
+            store,
+            directory,
+            scheduler,
+            fleet,
+            nodes,
+            log);
     this.retention =
         BatchRetention.start(
             settings.retentionMillis(), incarnation, store, directory, scheduler, nodes, log);
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/batch/RewardRunner.java
@@ -0,0 +1,186 @@
+package io.briarward.node.batch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableSet;
+import io.briarward.core.batch.BatchItem;
+import io.briarward.core.batch.BatchRun;
+import io.briarward.core.batch.BatchTerms;
+import io.briarward.core.batch.RewardCall;
+import io.briarward.core.batch.RewardPacing;
+import io.briarward.core.fleet.FleetRoute;
+import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.node.batch.RewardClient.Reply;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Scores the complete texts of one batch while this process owns the batch.
+ *
+ * <p>A call starts only after the last event of its text was received, and the text does not change
+ * afterwards. Confined to the event loop.
+ */
+final class RewardRunner implements AutoCloseable {
+  /** The minimum time that a service has to score a text, in milliseconds. */
+  private static final long MIN_TIMEOUT_MILLIS = 1_000;
+
+  /** The time-out of a call, as a multiple of its route's goal. */
+  private static final int TIMEOUT_GOALS = 3;
+
+  /** How long this node sends nothing to an upstream that rejected a call, in milliseconds. */
+  private static final long REJECTION_PAUSE_MILLIS = 50;
+
+  private final BatchContext context;
+  private final String batchId;
+  private final BatchTerms terms;
+  private final BatchRun run;
+  private final CompositeDisposable calls = new CompositeDisposable();
+  private boolean routeMissing;
+
+  RewardRunner(BatchContext context, String batchId, BatchTerms terms, BatchRun run) {
+    this.context = checkNotNull(context, "context");
+    this.batchId = checkNotNull(batchId, "batchId");
+    this.terms = checkNotNull(terms, "terms");
+    this.run = checkNotNull(run, "run");
+  }
+
+  private record Call(BatchItem item, FleetRoute route, UpstreamEntry upstream, long sentAtMillis) {
+    RewardCall reward() {
+      return item.rewardCall().orElseThrow();
+    }
+  }
+
+  /** Starts as many calls as their services have room for. */
+  void step() {
+    while (true) {
+      long nowMillis = context.nowMillis();
+      Optional<Call> next = run.nextReward(nowMillis).flatMap(item -> place(item, nowMillis));
+      if (next.isEmpty()) {
+        return;
+      }
+      start(next.get());
+    }
+  }
+
+  /** Cancels all calls. */
+  @Override
+  public void close() {
+    calls.dispose();
+  }
+
+  private Optional<Call> place(BatchItem item, long nowMillis) {
+    RewardCall reward = item.rewardCall().orElseThrow();
+    Optional<FleetRoute> route =
+        context
+            .configuration()
+            .flatMap(configuration -> configuration.route(reward.host(), reward.path()));
+    logRoute(route.isPresent(), reward);
+    return route.flatMap(
+        found ->
+            context
+                .balancer()
+                .choose(
+                    found.service(ThreadLocalRandom.current().nextDouble()),
+                    ImmutableSet.of(),
+                    this::hasRoom,
+                    nowMillis)
+                .map(upstream -> new Call(item, found, upstream, nowMillis)));
+  }
+
+  private boolean hasRoom(UpstreamEntry upstream) {
+    return RewardPacing.hasRoom(context.balancer().inFlight(upstream.id()), upstream.slots());
+  }
+
+  private void logRoute(boolean found, RewardCall reward) {
+    if (found == routeMissing) {
+      routeMissing = !found;
+      context
+          .log()
+          .info(
+              found ? "reward-route-found" : "reward-route-missing",
+              "batch",
+              batchId,
+              "call",
+              reward.id(),
+              "path",
+              reward.path());
+    }
+  }
+
+  private void start(Call call) {
+    run.onRewardStarted(call.item().id());
+    context.balancer().onSent(call.upstream().id());
+    long timeoutMillis = Math.max(MIN_TIMEOUT_MILLIS, TIMEOUT_GOALS * call.route().goalMillis());
+    Reply timedOut =
+        Reply.without(
+            RewardClient.Outcome.BROKEN, false, "no response in " + timeoutMillis + " ms");
+    var unused =
+        context
+            .rewards()
+            .score(call.reward(), call.upstream(), timeoutMillis)
+            .timeout(
+                timeoutMillis, TimeUnit.MILLISECONDS, context.scheduler(), Single.just(timedOut))
+            .doOnDispose(() -> context.balancer().onReleased(call.upstream().id()))
+            .subscribe(
+                reply -> onReply(call, reply),
+                error ->
+                    onReply(
+                        call,
+                        Reply.without(
+                            RewardClient.Outcome.BROKEN, false, "client failed: " + error)),
+                calls);
+  }
+
+  private void onReply(Call call, Reply reply) {
+    long nowMillis = context.nowMillis();
+    String upstreamId = call.upstream().id();
+    String itemId = call.item().id();
+    if (reply.leaving()) {
+      context.onLeaving(call.upstream(), call.reward().id());
+    }
+    switch (reply.outcome()) {
+      case SCORED -> {
+        context.balancer().onAnswered(upstreamId, nowMillis - call.sentAtMillis());
+        run.onScored(itemId, reply.score().orElseThrow());
+      }
+      case FAILED -> {
+        context.balancer().onReleased(upstreamId);
+        run.onRewardFailed(
+            itemId, Math.max(call.route().maxAttempts(), terms.maxAttempts()), nowMillis);
+      }
+      case NOT_RUN -> {
+        context.balancer().onRejected(upstreamId, nowMillis, REJECTION_PAUSE_MILLIS);
+        run.onRewardInterrupted(itemId, nowMillis);
+      }
+      case BROKEN -> {
+        context.balancer().onFailed(upstreamId, nowMillis);
+        run.onRewardInterrupted(itemId, nowMillis);
+      }
+      default -> throw new AssertionError(reply.outcome());
+    }
+    context
+        .log()
+        .info(
+            "reward-call",
+            "call",
+            call.reward().id(),
+            "item",
+            itemId,
+            "batch",
+            batchId,
+            "upstream",
+            upstreamId,
+            "outcome",
+            reply.outcome(),
+            "cause",
+            reply.cause(),
+            "tookMillis",
+            nowMillis - call.sentAtMillis(),
+            "unscored",
+            run.unscored());
+    context.requestStep();
+  }
+}
--- a/node/src/main/java/io/briarward/node/gateway/GatewayDependencies.java
+++ b/node/src/main/java/io/briarward/node/gateway/GatewayDependencies.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import io.briarward.node.batch.BatchDecoder;
+import io.briarward.node.batch.RewardClient;
 import io.briarward.node.batch.SamplerClient;
 import io.briarward.node.fleet.FleetDecoder;
 import io.briarward.node.platform.ChangeFeed;
@@ -19,6 +20,7 @@
     FleetDecoder decoder,
     BatchDecoder batchDecoder,
     SamplerClient samplers,
+    RewardClient rewards,
     SamplerOrders orders,
     UpstreamProtocol upstreamProtocol,
     CallerProtocol callerProtocol) {
@@ -31,6 +33,7 @@
     checkNotNull(decoder, "decoder");
     checkNotNull(batchDecoder, "batchDecoder");
     checkNotNull(samplers, "samplers");
+    checkNotNull(rewards, "rewards");
     checkNotNull(orders, "orders");
     checkNotNull(upstreamProtocol, "upstreamProtocol");
     checkNotNull(callerProtocol, "callerProtocol");
--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -1,5 +1,6 @@
 package io.briarward.node.batch;
 
+import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.briarward.core.batch.BatchHead;
@@ -7,6 +8,7 @@
 import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.batch.BatchTerms;
 import io.briarward.core.batch.ItemResult;
+import io.briarward.core.batch.RewardCall;
 import io.briarward.node.batch.BatchService.ResultPage;
 import io.briarward.node.batch.BatchService.SubmitOutcome;
 import io.briarward.node.fleet.FleetState;
@@ -39,6 +41,7 @@
   final TestScheduler scheduler = new TestScheduler();
   final MemoryStore store = MemoryStore.create(scheduler);
   final FakeSamplers samplers = new FakeSamplers(scheduler);
+  final FakeRewards rewards = new FakeRewards(scheduler);
 
   /** A process with a node registry and a batch service. */
   final class Process {
@@ -62,7 +65,8 @@
       batches =
           BatchService.start(
               new BatchService.Settings(incarnation, RETENTION_MILLIS),
-              new BatchService.Dependencies(store, store, store, BatchCluster::decode, samplers),
+              new BatchService.Dependencies(
+                  store, store, store, BatchCluster::decode, samplers, rewards),
               scheduler,
               fleet,
               nodes,
@@ -99,6 +103,13 @@
     store.put(fleet.upstreamTable(), "s2", FakeFleetDecoder.samplerRow(1, false));
   }
 
+  /** Registers {@code count} upstreams that score texts. */
+  void addScorers(int count) {
+    for (int i = 0; i < count; i++) {
+      store.put(new FakeFleetDecoder().upstreamTable(), "r" + i, FakeFleetDecoder.scorerRow());
+    }
+  }
+
   /** Announces a weight version. */
   void announce(long version) {
     store.put(
@@ -137,6 +148,15 @@
   }
 
   static BatchSpec spec(String id, int items) {
+    return spec(id, items, false);
+  }
+
+  /** Returns a batch whose texts are scored; the reward call of an item has the id r-ITEM. */
+  static BatchSpec scoredSpec(String id, int items) {
+    return spec(id, items, true);
+  }
+
+  private static BatchSpec spec(String id, int items, boolean scored) {
     return new BatchSpec(
         id,
         Optional.of("m"),
@@ -146,16 +166,28 @@
             .mapToObj(
                 i ->
                     new BatchItem(
-                        id + "-item" + i, "g" + i / 4, "/b/" + i, ImmutableMap.of(), "", 10))
+                        id + "-item" + i,
+                        "g" + i / 4,
+                        "/b/" + i,
+                        ImmutableMap.of(),
+                        "",
+                        10,
+                        scored ? Optional.of(rewardCall(id + "-item" + i)) : Optional.empty()))
             .collect(ImmutableList.toImmutableList()));
   }
 
+  private static RewardCall rewardCall(String itemId) {
+    return new RewardCall("r-" + itemId, FakeFleetDecoder.HOST, "/r/" + itemId, "");
+  }
+
   static Buffer encode(BatchSpec spec) {
-    return Buffer.buffer(Integer.toString(spec.items().size()));
+    boolean scored = spec.items().get(0).rewardCall().isPresent();
+    return Buffer.buffer(spec.items().size() + (scored ? " scored" : ""));
   }
 
   private static BatchSpec decode(String id, Buffer bytes) {
-    return spec(id, Integer.parseInt(bytes.toString()));
+    List<String> words = Splitter.on(' ').splitToList(bytes.toString());
+    return spec(id, Integer.parseInt(words.get(0)), words.size() > 1);
   }
 
   /** Returns all results of a batch that a process serves. */
--- a/node/src/test/java/io/briarward/node/batch/BatchSimulation.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchSimulation.java
@@ -52,6 +52,14 @@
   void run() {
     cluster.samplers.setOutcomes(
         call -> random.nextInt(8) == 0 ? RunOutcome.BROKEN : RunOutcome.COMPLETE);
+    cluster.rewards.setOutcomes(
+        call ->
+            switch (random.nextInt(8)) {
+              case 0 -> RewardClient.Outcome.BROKEN;
+              case 1 -> RewardClient.Outcome.NOT_RUN;
+              default -> RewardClient.Outcome.SCORED;
+            });
+    cluster.addScorers(2);
     for (int node = 0; node < NODES; node++) {
       start(node);
     }
@@ -80,7 +88,11 @@
 
   private void submit() {
     // With an id that was used before, this repeats an earlier submission.
-    BatchSpec spec = BatchCluster.spec("b" + random.nextInt(12), ITEMS_PER_BATCH);
+    String newId = "b" + random.nextInt(12);
+    BatchSpec spec =
+        isScored(newId)
+            ? BatchCluster.scoredSpec(newId, ITEMS_PER_BATCH)
+            : BatchCluster.spec(newId, ITEMS_PER_BATCH);
     Optional<BatchCluster.Process> process = anyProcess();
     if (process.isEmpty()) {
       return;
@@ -177,6 +189,7 @@
     cluster.store.setDown(false);
     cluster.store.setWriteOutcomes(transaction -> WriteOutcome.APPLIED);
     cluster.samplers.setOutcomes(call -> RunOutcome.COMPLETE);
+    cluster.rewards.setOutcomes(call -> RewardClient.Outcome.SCORED);
     for (int node = 0; node < NODES; node++) {
       start(node);
     }
@@ -192,6 +205,9 @@
         }
       } else if (!entry.getValue().contains(SubmitOutcome.UNKNOWN)) {
         assertWithMessage("runs of rejected batch %s", id).that(runCount(id)).isEqualTo(0);
+        assertWithMessage("reward calls of rejected batch %s", id)
+            .that(rewardCallCount(id))
+            .isEqualTo(0);
       }
     }
   }
@@ -207,9 +223,26 @@
     }
     for (ItemResult result : results) {
       assertThat(result.output()).isEqualTo(FakeSamplers.output(result.itemId()));
+      if (isScored(id)) {
+        assertThat(cluster.rewards.scores("r-" + result.itemId()))
+            .contains(result.score().orElseThrow());
+      } else {
+        assertThat(result.score()).isEmpty();
+      }
     }
   }
 
+  /** Returns whether the texts of a batch are scored; those with an odd number are. */
+  private static boolean isScored(String id) {
+    return Integer.parseInt(id.substring(1)) % 2 == 1;
+  }
+
+  private long rewardCallCount(String id) {
+    return cluster.rewards.calls().stream()
+        .filter(call -> call.id().startsWith("r-" + id + "-"))
+        .count();
+  }
+
   private long runCount(String id) {
     return cluster.samplers.calls().stream()
         .filter(call -> call.item().id().startsWith(id + "-"))
--- a/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
+++ b/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
@@ -10,12 +10,18 @@
 import io.briarward.node.fleet.FleetDecoder;
 import java.util.Optional;
 
-/** A decoder of a simplified row format, with one batch route and one service of samplers. */
+/**
+ * A decoder of a simplified row format, with a batch route, a route of reward calls and the service
+ * of each.
+ */
 public final class FakeFleetDecoder implements FleetDecoder {
   /** The id of the service on which batches run. */
   public static final String SAMPLERS = "samplers";
 
-  /** The host of the route. */
+  /** The id of the service that scores texts. */
+  public static final String SCORERS = "scorers";
+
+  /** The host of the routes. */
   public static final String HOST = "mill.example";
 
   /** Returns a configuration row, in which only the version varies. */
@@ -28,6 +34,11 @@
     return JsonNodeFactory.instance.objectNode().put("version", version).put("leaving", leaving);
   }
 
+  /** Returns the row of an upstream that scores texts. */
+  public static JsonNode scorerRow() {
+    return JsonNodeFactory.instance.objectNode().put("version", 1).put("service", SCORERS);
+  }
+
   @Override
   public String operatorTable() {
     return "operators";
@@ -61,6 +72,20 @@
                 false,
                 7_500,
                 40_000,
+                false),
+            new FleetRoute(
+                "rewards",
+                HOST,
+                "/r/",
+                FleetRoute.Kind.IDEMPOTENT,
+                ImmutableList.of(new FleetRoute.Target(SCORERS, 1)),
+                10_000,
+                400,
+                2,
+                1,
+                true,
+                0,
+                0,
                 false)),
         ImmutableMap.of(),
         ImmutableMap.of("key", "nadi-mill"),
@@ -81,7 +106,7 @@
     return Optional.of(
         new UpstreamEntry(
             id,
-            SAMPLERS,
+            value.path("service").asText(SAMPLERS),
             "nadi",
             "10.0.0.1",
             80,
