--- a/cli/src/main/java/io/briarward/cli/Main.java
+++ b/cli/src/main/java/io/briarward/cli/Main.java
@@ -22,6 +22,7 @@
           .put("node", NodeCommand::new)
           .put("platform-node", PlatformNodeCommand::new)
           .put("standin", StandInCommand::new)
+          .put("start-trial", StartTrialCommand::new)
           .put("status", StatusCommand::new)
           .put("version", VersionCommand::new)
           .build();
