Bill the counts of all processes, and each attempt once

Cause: the figures of a window summed at most 90 rows, so on deployments with more processes usage was under-reported; and an answer that broke off after its head was counted twice.

Change: UsageStore reads all rows and deletes them in several transactions; ForwardedExchange counts an attempt once.

Measured: UsageStoreTest (600 processes) and PlatformNodeTest.eachAttemptThatRanIsBilledOnce pass.

--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -55,6 +55,7 @@
   private final Set<String> triedUpstreams = new HashSet<>();
   private final String service;
   private Optional<Attempt> currentAttempt = Optional.empty();
+  private Optional<Attempt> countedAttempt = Optional.empty();
   private Disposable deadline = Disposable.disposed();
   private Disposable attemptTimeout = Disposable.disposed();
   private int attempts;
@@ -282,8 +283,13 @@
     return !finished && currentAttempt.filter(each -> each == attempt).isPresent();
   }
 
+  /** Counts an attempt as run, once. */
   private void countRun(Attempt attempt) {
     mayHaveRun = true;
+    if (countedAttempt.equals(Optional.of(attempt))) {
+      return;
+    }
+    countedAttempt = Optional.of(attempt);
     call.organisation()
         .ifPresent(organisation -> context.runs().onRun(organisation, attempt.sentAtWallMillis()));
   }
--- a/node/src/main/java/io/briarward/node/gateway/UsageStore.java
+++ b/node/src/main/java/io/briarward/node/gateway/UsageStore.java
@@ -5,13 +5,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSortedMap;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
 import io.briarward.core.platform.Transaction;
+import io.briarward.node.duty.PlatformCalls;
 import io.briarward.node.platform.TableService;
 import io.reactivex.rxjava3.core.Single;
 import java.util.Optional;
@@ -21,7 +21,7 @@
 final class UsageStore {
   private static final String COUNTS = "usage-counts";
   private static final String FROZEN = "usage-frozen";
-  private static final int MAX_ROWS = 90; // A transaction holds at most 100 entries.
+  private static final int MAX_DELETED_ROWS = 90; // A transaction holds at most 100 entries.
 
   private final TableService tables;
 
@@ -67,17 +67,21 @@
 
   /** Removes the counts and the frozen figures of a window. */
   Single<CommitResult> remove(long window) {
-    return readCounts(window)
+    return tables
+        .scan(COUNTS, window + "/", window + "/", MAX_DELETED_ROWS)
         .flatMap(
             rows -> {
-              Transaction.Builder transaction = Transaction.builder().delete(frozenKey(window));
+              Transaction.Builder transaction = Transaction.builder();
               rows.forEach(row -> transaction.delete(RowKey.of(COUNTS, row.key())));
-              return tables.commit(transaction.build());
+              if (rows.size() < MAX_DELETED_ROWS) {
+                return tables.commit(transaction.delete(frozenKey(window)).build());
+              }
+              return tables.commit(transaction.build()).flatMap(unused -> remove(window));
             });
   }
 
   private Single<ImmutableMap<String, Long>> sum(long window) {
-    return readCounts(window)
+    return PlatformCalls.scanAll(tables, COUNTS, window + "/")
         .map(
             rows -> {
               TreeMap<String, Long> sums = new TreeMap<>();
@@ -88,10 +92,6 @@
             });
   }
 
-  private Single<ImmutableList<Row>> readCounts(long window) {
-    return tables.scan(COUNTS, window + "/", window + "/", MAX_ROWS);
-  }
-
   private static RowKey countsKey(long window, String incarnation) {
     return RowKey.of(COUNTS, window + "/" + incarnation);
   }
