--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -151,11 +151,6 @@
     return spec(id, items, false);
   }
 
-  /** Returns a batch whose texts are scored; the reward call of an item has the id r-ITEM. */
-  static BatchSpec scoredSpec(String id, int items) {
-    return spec(id, items, true);
-  }
-
   private static BatchSpec spec(String id, int items, boolean scored) {
     return new BatchSpec(
         id,
@@ -176,6 +171,11 @@
             .collect(ImmutableList.toImmutableList()));
   }
 
+  /** Returns a batch whose texts are scored; the reward call of an item has the id r-ITEM. */
+  static BatchSpec scoredSpec(String id, int items) {
+    return spec(id, items, true);
+  }
+
   private static RewardCall rewardCall(String itemId) {
     return new RewardCall("r-" + itemId, FakeFleetDecoder.HOST, "/r/" + itemId, "");
   }
--- a/node/src/test/java/io/briarward/node/batch/BatchSimulation.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchSimulation.java
@@ -52,13 +52,7 @@
   void run() {
     cluster.samplers.setOutcomes(
         call -> random.nextInt(8) == 0 ? RunOutcome.BROKEN : RunOutcome.COMPLETE);
-    cluster.rewards.setOutcomes(
-        call ->
-            switch (random.nextInt(8)) {
-              case 0 -> RewardClient.Outcome.BROKEN;
-              case 1 -> RewardClient.Outcome.NOT_RUN;
-              default -> RewardClient.Outcome.SCORED;
-            });
+    cluster.rewards.setOutcomes(call -> randomRewardOutcome());
     cluster.addScorers(2);
     for (int node = 0; node < NODES; node++) {
       start(node);
@@ -71,6 +65,14 @@
     checkBatches();
   }
 
+  private RewardClient.Outcome randomRewardOutcome() {
+    return switch (random.nextInt(8)) {
+      case 0 -> RewardClient.Outcome.BROKEN;
+      case 1 -> RewardClient.Outcome.NOT_RUN;
+      default -> RewardClient.Outcome.SCORED;
+    };
+  }
+
   private void performRandomAction() {
     switch (random.nextInt(12)) {
       case 0, 1, 2 -> submit();
--- a/node/src/test/java/io/briarward/node/batch/RewardRunnerTest.java
+++ b/node/src/test/java/io/briarward/node/batch/RewardRunnerTest.java
@@ -102,7 +102,7 @@
   void callWithoutResponseIsRepeated() {
     cluster.addScorers(2);
     cluster.rewards.setSilent(true);
-    BatchCluster.Process process = startAndSubmit();
+    final BatchCluster.Process process = startAndSubmit();
     cluster.advance(1_000);
     cluster.rewards.setSilent(false);
     cluster.advance(DONE_MILLIS);
@@ -113,7 +113,7 @@
   void batchOfKilledProcessIsScoredByItsNextOwner() {
     cluster.addScorers(2);
     cluster.rewards.setSilent(true);
-    BatchCluster.Process other = cluster.start("b");
+    final BatchCluster.Process other = cluster.start("b");
     BatchCluster.Process process = startAndSubmit();
     cluster.advance(600);
     process.kill();
