--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -268,6 +268,26 @@
     assertThat(process.batches.freshnessDemands()).containsExactly("m", new FreshnessDemand(0, 1));
   }
 
+  /** Events that are a second apart are progress, however slow. */
+  @Test
+  void slowButSteadyStreamIsNotCut() {
+    cluster.samplers.setEventGaps(6, call -> 1_000);
+    BatchCluster.Process a = cluster.start("a");
+    a.submit(BatchCluster.spec("x", 4));
+    cluster.advance(8_000);
+    assertThat(BatchCluster.allResults(a, "x")).hasSize(4);
+    assertThat(cluster.samplers.calls()).hasSize(4);
+  }
+
+  @Test
+  void streamWithoutEventsIsRunElsewhere() {
+    cluster.samplers.setEventGaps(6, call -> call.sampler().id().equals("s1") ? 60_000 : 10);
+    BatchCluster.Process a = cluster.start("a");
+    a.submit(BatchCluster.spec("x", 4));
+    cluster.advance(20_000);
+    assertThat(BatchCluster.allResults(a, "x")).hasSize(4);
+  }
+
   @Test
   void slowRunsMoveToFasterSampler() {
     cluster.samplers.setEventGaps(60, call -> call.sampler().id().equals("s1") ? 20 : 100);
