Log the limits that upstreams name, and the requests sent within them

What a response says about its upstream (leaving, limit) is now decoded into one UpstreamNotice for live requests, items and reward calls; a change of the limit is logged with what the node sent since the first. The choice of upstreams is unchanged.

--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -46,6 +47,7 @@
   private final Map<String, UpstreamEntry> entries = new LinkedHashMap<>();
   private final Map<String, UpstreamState> states = new HashMap<>();
   private final LeavingUpstreams leavingUpstreams = new LeavingUpstreams();
+  private final RequestLimits limits = new RequestLimits();
 
   private UpstreamBalancer(String localDataCentre) {
     this.localDataCentre = checkNotNull(localDataCentre, "localDataCentre");
@@ -87,9 +89,26 @@
     return first;
   }
 
+  /**
+   * Handles the limit in an upstream's response, which is empty if the response names none.
+   *
+   * @param upstream the entry to which the request was sent
+   * @return whether the limit differs from that of the upstream's response before
+   */
+  @CanIgnoreReturnValue
+  public boolean onLimit(UpstreamEntry upstream, OptionalDouble limitPerSecond) {
+    return limits.onNotice(upstream, limitPerSecond);
+  }
+
+  /** Returns the number of requests sent to an upstream since it first named a limit. */
+  public int sentWithinLimit(String id) {
+    return limits.sent(id);
+  }
+
   /** Removes an upstream. */
   public void remove(String id) {
     entries.remove(id);
+    limits.remove(id);
     states.remove(id);
   }
 
@@ -162,6 +181,7 @@
     UpstreamState state = state(id);
     state.inFlight++;
     state.probeInFlight = state.rejected;
+    limits.onSent(id);
   }
 
   /** Handles a request that an upstream accepted and started to run. */
--- a/node/src/main/java/io/briarward/node/batch/BatchContext.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchContext.java
@@ -6,6 +6,7 @@
 import io.briarward.core.fleet.FleetConfiguration;
 import io.briarward.core.fleet.UpstreamBalancer;
 import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.fleet.UpstreamNotice;
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.telemetry.EventLog;
@@ -85,9 +86,9 @@
     return fleet.balancer();
   }
 
-  /** Handles a response to a request in which an upstream announced that it leaves. */
-  void onLeaving(UpstreamEntry upstream, String requestId) {
-    fleet.onLeaving(upstream, requestId);
+  /** Handles what the response to a request says about the upstream that sent it. */
+  void onNotice(UpstreamEntry upstream, UpstreamNotice notice, String requestId) {
+    fleet.onNotice(upstream, notice, requestId);
   }
 
   RunPlacement placement() {
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -12,6 +12,7 @@
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.batch.SampleEvent;
 import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.fleet.UpstreamNotice;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.node.batch.BatchStore.StoredHead;
@@ -247,8 +248,8 @@
     String itemId = started.item.id();
     return new SamplerClient.Listener() {
       @Override
-      public void onLeaving() {
-        context.onLeaving(started.sampler, itemId);
+      public void onNotice(UpstreamNotice notice) {
+        context.onNotice(started.sampler, notice, itemId);
       }
 
       @Override
--- a/node/src/main/java/io/briarward/node/batch/RewardClient.java
+++ b/node/src/main/java/io/briarward/node/batch/RewardClient.java
@@ -5,6 +5,7 @@
 
 import io.briarward.core.batch.RewardCall;
 import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.fleet.UpstreamNotice;
 import io.reactivex.rxjava3.core.Single;
 import java.util.Optional;
 
@@ -27,27 +28,34 @@
    * The end of a reward call.
    *
    * @param score the score, present if and only if the outcome is {@link Outcome#SCORED}
-   * @param leaving whether the upstream announced that it leaves
+   * @param notice what the response says about the upstream; empty without a response from it
    * @param cause describes an outcome without a score
    */
-  record Reply(Outcome outcome, Optional<String> score, boolean leaving, String cause) {
+  record Reply(
+      Outcome outcome, Optional<String> score, Optional<UpstreamNotice> notice, String cause) {
     /** Validates the components. */
     public Reply {
       checkNotNull(outcome, "outcome");
       checkNotNull(score, "score");
+      checkNotNull(notice, "notice");
       checkNotNull(cause, "cause");
       checkArgument(
           score.isPresent() == (outcome == Outcome.SCORED), "score of outcome %s", outcome);
     }
 
     /** Returns a reply with a score. */
-    public static Reply scored(String score, boolean leaving) {
-      return new Reply(Outcome.SCORED, Optional.of(score), leaving, "");
+    public static Reply scored(String score, Optional<UpstreamNotice> notice) {
+      return new Reply(Outcome.SCORED, Optional.of(score), notice, "");
     }
 
     /** Returns a reply without a score. */
-    public static Reply without(Outcome outcome, boolean leaving, String cause) {
-      return new Reply(outcome, Optional.empty(), leaving, cause);
+    public static Reply without(Outcome outcome, Optional<UpstreamNotice> notice, String cause) {
+      return new Reply(outcome, Optional.empty(), notice, cause);
+    }
+
+    /** Returns the end of a call to which the upstream sent no response of its own. */
+    public static Reply withoutResponse(Outcome outcome, String cause) {
+      return without(outcome, Optional.empty(), cause);
     }
   }
 
--- a/node/src/main/java/io/briarward/node/batch/RewardRunner.java
+++ b/node/src/main/java/io/briarward/node/batch/RewardRunner.java
@@ -115,8 +115,8 @@
     context.balancer().onSent(call.upstream().id());
     long timeoutMillis = Math.max(MIN_TIMEOUT_MILLIS, TIMEOUT_GOALS * call.route().goalMillis());
     Reply timedOut =
-        Reply.without(
-            RewardClient.Outcome.BROKEN, false, "no response in " + timeoutMillis + " ms");
+        Reply.withoutResponse(
+            RewardClient.Outcome.BROKEN, "no response in " + timeoutMillis + " ms");
     var unused =
         context
             .rewards()
@@ -129,8 +129,8 @@
                 error ->
                     onReply(
                         call,
-                        Reply.without(
-                            RewardClient.Outcome.BROKEN, false, "client failed: " + error)),
+                        Reply.withoutResponse(
+                            RewardClient.Outcome.BROKEN, "client failed: " + error)),
                 calls);
   }
 
@@ -138,9 +138,9 @@
     long nowMillis = context.nowMillis();
     String upstreamId = call.upstream().id();
     String itemId = call.item().id();
-    if (reply.leaving()) {
-      context.onLeaving(call.upstream(), call.reward().id());
-    }
+    reply
+        .notice()
+        .ifPresent(notice -> context.onNotice(call.upstream(), notice, call.reward().id()));
     switch (reply.outcome()) {
       case SCORED -> {
         context.balancer().onAnswered(upstreamId, nowMillis - call.sentAtMillis());
--- a/node/src/main/java/io/briarward/node/batch/SamplerClient.java
+++ b/node/src/main/java/io/briarward/node/batch/SamplerClient.java
@@ -5,6 +5,7 @@
 import io.briarward.core.batch.BatchItem;
 import io.briarward.core.batch.SampleEvent;
 import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.fleet.UpstreamNotice;
 import java.util.OptionalLong;
 
 /** Runs items on samplers. */
@@ -52,8 +53,8 @@
 
   /** Receives the events of a run. */
   interface Listener {
-    /** Handles a response in which the sampler announced that it leaves; the run goes on. */
-    void onLeaving();
+    /** Handles what the response says about the sampler; the run goes on. */
+    void onNotice(UpstreamNotice notice);
 
     /**
      * Handles the weight version with which the run begins.
--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -8,6 +8,7 @@
 import io.briarward.core.fleet.FleetConfiguration;
 import io.briarward.core.fleet.UpstreamBalancer;
 import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.fleet.UpstreamNotice;
 import io.briarward.core.platform.Row;
 import io.briarward.node.platform.ChangeFeed.Change;
 import io.briarward.node.telemetry.EventLog;
@@ -64,6 +65,33 @@
     return balancer;
   }
 
+  /**
+   * Handles what a response says about the upstream that sent it.
+   *
+   * @param upstream the entry to which the request was sent
+   * @param requestId the id of the request
+   */
+  public void onNotice(UpstreamEntry upstream, UpstreamNotice notice, String requestId) {
+    if (notice.leaving()) {
+      onLeaving(upstream, requestId);
+    }
+    int sentWithinLimit = balancer.sentWithinLimit(upstream.id());
+    if (balancer.onLimit(upstream, notice.limitPerSecond())) {
+      log.info(
+          "upstream-limit",
+          "upstream",
+          upstream.id(),
+          "startedAtMillis",
+          upstream.startedAtMillis(),
+          "limitPerSecond",
+          notice.limitPerSecond().isPresent() ? notice.limitPerSecond().getAsDouble() : "none",
+          "request",
+          requestId,
+          "sentWithinLimit",
+          sentWithinLimit);
+    }
+  }
+
   /**
    * Handles a response in which an upstream announced that it leaves.
    *
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -158,8 +158,11 @@
       return;
     }
     AnswerKind kind = context.upstreamProtocol().classify(answer, call);
-    if (kind != AnswerKind.FOREIGN && context.upstreamProtocol().announcesLeaving(answer)) {
-      context.fleet().onLeaving(attempt.upstream(), call.id());
+    if (kind != AnswerKind.FOREIGN) {
+      context
+          .upstreamProtocol()
+          .notice(answer)
+          .ifPresent(notice -> context.fleet().onNotice(attempt.upstream(), notice, call.id()));
     }
     if (kind == AnswerKind.NOT_RUN) {
       ResponseBodies.discard(attempt.request(), answer, context.scheduler());
--- a/node/src/main/java/io/briarward/node/gateway/UpstreamProtocol.java
+++ b/node/src/main/java/io/briarward/node/gateway/UpstreamProtocol.java
@@ -1,8 +1,10 @@
 package io.briarward.node.gateway;
 
 import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.fleet.UpstreamNotice;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import java.util.Optional;
 
 /** Encodes live requests to upstreams and classifies the responses. */
 public interface UpstreamProtocol {
@@ -24,8 +26,11 @@
   void writeHeaders(
       HttpClientRequest request, LiveCall call, UpstreamEntry upstream, long remainingMillis);
 
-  /** Returns whether a response says that the upstream to which the request was sent leaves. */
-  boolean announcesLeaving(HttpClientResponse response);
+  /**
+   * Returns what a response says about the upstream to which the request was sent, or empty if
+   * another upstream sent it.
+   */
+  Optional<UpstreamNotice> notice(HttpClientResponse response);
 
   /** Classifies a response by its status and headers. */
   AnswerKind classify(HttpClientResponse response, LiveCall call);
--- a/node/src/test/java/io/briarward/node/batch/FakeRewards.java
+++ b/node/src/test/java/io/briarward/node/batch/FakeRewards.java
@@ -2,6 +2,7 @@
 
 import io.briarward.core.batch.RewardCall;
 import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.fleet.UpstreamNotice;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import java.util.ArrayList;
@@ -9,6 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -71,11 +73,11 @@
   private Reply reply(RewardCall call) {
     Outcome outcome = outcomes.apply(call);
     if (outcome != Outcome.SCORED) {
-      return Reply.without(outcome, false, "scripted");
+      return Reply.withoutResponse(outcome, "scripted");
     }
     Set<String> scores = scoresByCall.computeIfAbsent(call.id(), unused -> new HashSet<>());
     String score = call.id() + "#" + scores.size();
     scores.add(score);
-    return Reply.scored(score, false);
+    return Reply.scored(score, Optional.of(UpstreamNotice.NONE));
   }
 }
