--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -10,8 +10,10 @@
 import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.node.batch.BatchService.SubmitOutcome;
 import io.briarward.node.batch.SamplerClient.RunOutcome;
+import io.briarward.node.fleet.Incarnations;
 import io.briarward.node.testing.MemoryStore.WriteOutcome;
 import java.util.HashSet;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -315,4 +317,38 @@
     assertThat(first).isGreaterThan(0);
     assertThat(second).isLessThan(first);
   }
+
+  /** The load is three processes with a batch of 20 items each second, for 20 s. */
+  @Test
+  void processesTogetherKeepToTheLimitThatSamplerNames() {
+    double limitPerSecond = 2;
+    cluster.samplers.setLimits(
+        call ->
+            call.sampler().id().equals("s1")
+                ? OptionalDouble.of(limitPerSecond)
+                : OptionalDouble.empty());
+    ImmutableList<BatchCluster.Process> processes =
+        ImmutableList.of(cluster.start("a"), cluster.start("b"), cluster.start("c"));
+    for (int second = 0; second < 20; second++) {
+      for (BatchCluster.Process process : processes) {
+        String id = "x" + second + Incarnations.vm(process.incarnation);
+        assertThat(process.submit(BatchCluster.spec(id, ITEMS))).isEqualTo(SubmitOutcome.ACCEPTED);
+      }
+      cluster.advance(1_000);
+    }
+    cluster.advance(DONE_MILLIS);
+
+    ImmutableList<Long> timesMillis = cluster.samplers.callTimesMillis("s1");
+    long stableFromMillis = timesMillis.get(0) + 3_000;
+    for (long fromMillis : timesMillis) {
+      if (fromMillis >= stableFromMillis) {
+        long count =
+            timesMillis.stream()
+                .filter(each -> each >= fromMillis && each < fromMillis + 4_000)
+                .count();
+        assertThat(count).isAtMost((long) (1.5 * 4 * limitPerSecond + 5));
+      }
+    }
+    assertComplete(BatchCluster.allResults(processes.get(0), "x19a"), ITEMS);
+  }
 }
--- a/node/src/test/java/io/briarward/node/batch/FakeSamplers.java
+++ b/node/src/test/java/io/briarward/node/batch/FakeSamplers.java
@@ -1,12 +1,17 @@
 package io.briarward.node.batch;
 
+import com.google.common.collect.ArrayListMultimap;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ListMultimap;
 import io.briarward.core.batch.SampleEvent;
+import io.briarward.core.fleet.UpstreamNotice;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -19,8 +24,10 @@
 
   private final Scheduler scheduler;
   private final List<ItemCall> calls = new ArrayList<>();
+  private final ListMultimap<String, Long> callTimesMillis = ArrayListMultimap.create();
   private Function<ItemCall, RunOutcome> outcomes = call -> RunOutcome.COMPLETE;
   private Optional<ToLongFunction<ItemCall>> gaps = Optional.empty();
+  private Function<ItemCall, OptionalDouble> limits = call -> OptionalDouble.empty();
   private int eventsWithGaps;
   private int running;
 
@@ -39,10 +46,20 @@
     gaps = Optional.of(gapMillis);
   }
 
+  /** Sets the limit that the response to each call names. */
+  void setLimits(Function<ItemCall, OptionalDouble> limitPerSecond) {
+    limits = limitPerSecond;
+  }
+
   List<ItemCall> calls() {
     return calls;
   }
 
+  /** Returns when a sampler received its calls, in milliseconds of the virtual clock. */
+  ImmutableList<Long> callTimesMillis(String samplerId) {
+    return ImmutableList.copyOf(callTimesMillis.get(samplerId));
+  }
+
   int running() {
     return running;
   }
@@ -55,6 +72,7 @@
   @Override
   public Run run(ItemCall call, Listener listener) {
     calls.add(call);
+    callTimesMillis.put(call.sampler().id(), scheduler.now(TimeUnit.MILLISECONDS));
     running++;
     Disposable end =
         gaps.isPresent()
@@ -69,6 +87,7 @@
 
   private Disposable streamWithGaps(ItemCall call, Listener listener, long gapMillis) {
     long first = call.resumeAfter().orElse(0) + 1;
+    listener.onNotice(new UpstreamNotice(false, limits.apply(call)));
     listener.onVersion(call.sampler().version("m"));
     return Flowable.intervalRange(
             first,
@@ -93,6 +112,7 @@
   private void finish(ItemCall call, Listener listener) {
     running--;
     RunOutcome outcome = outcomes.apply(call);
+    listener.onNotice(new UpstreamNotice(false, limits.apply(call)));
     boolean streams = outcome == RunOutcome.COMPLETE || outcome == RunOutcome.BROKEN;
     if (streams && !listener.onVersion(call.sampler().version("m"))) {
       listener.onEnd(RunOutcome.NOT_RUN, "version");
