Divide the limits that upstreams name among the nodes, and keep to them

Cause: no code read the limit. Reading it on each node alone would not have kept it: with the limits only logged, most nodes sent less than 1.5 a second each, and their sum was above it.

Change: the latest response tells an upstream's limit; without one, what other nodes published in their heartbeat rows does. Each node takes a share in proportion to its need, computed from the same rows, and paces its live requests, items and reward calls by a token bucket. A node whose view is not current takes half of an even share at most. Live requests that no upstream accepts are rejected at once as not run. Why it works: the shares of nodes that see the same rows add up to one, and few nodes may send at the same moment; LimitSharesProperties checks the bound with late rows, changing need and nodes cut off from the rows.

--- a/core/src/main/java/io/briarward/core/batch/BatchHead.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchHead.java
@@ -89,6 +89,11 @@
         newToken);
   }
 
+  /** Returns when all results are due, on the store's clock. */
+  public long dueAtMillis() {
+    return acceptedAtMillis + terms.dueMillis();
+  }
+
   /** Returns when unfinished items may be abandoned, in milliseconds on the store's clock. */
   public long abandonAtMillis() {
     return acceptedAtMillis + terms.maxWaitMillis();
--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -81,7 +81,12 @@
 
   /** Returns whether any item waits to start, now or after a delay. */
   public boolean hasWaiting() {
-    return running + rewards.size() < items.size();
+    return waiting() > 0;
+  }
+
+  /** Returns the number of items that wait to start, now or after a delay. */
+  public int waiting() {
+    return items.size() - running - rewards.size();
   }
 
   /** Returns the number of tokens an item is expected to generate, 0 if unknown. */
--- a/core/src/main/java/io/briarward/core/batch/RunPlacement.java
+++ b/core/src/main/java/io/briarward/core/batch/RunPlacement.java
@@ -90,7 +90,7 @@
   /** Removes the statistics of samplers that are gone or were restarted. */
   public void retain(Iterable<UpstreamEntry> current) {
     Set<String> keys = new HashSet<>();
-    current.forEach(sampler -> keys.add(key(sampler)));
+    current.forEach(sampler -> keys.add(sampler.instanceKey()));
     statsBySampler.keySet().retainAll(keys);
   }
 
@@ -136,7 +136,7 @@
   }
 
   private OptionalDouble eventGapMillis(UpstreamEntry sampler) {
-    SamplerStats stats = statsBySampler.get(key(sampler));
+    SamplerStats stats = statsBySampler.get(sampler.instanceKey());
     return stats == null || stats.eventGapMillis == 0
         ? OptionalDouble.empty()
         : OptionalDouble.of(stats.eventGapMillis);
@@ -155,7 +155,7 @@
 
   /** Returns 1 if the output fits into the sampler's memory, and a growing factor otherwise. */
   private double memoryPenalty(UpstreamEntry sampler, long expectedTokens, long tokenCapacity) {
-    SamplerStats stats = statsBySampler.get(key(sampler));
+    SamplerStats stats = statsBySampler.get(sampler.instanceKey());
     if (stats == null || tokenCapacity == 0) {
       return 1;
     }
@@ -164,10 +164,6 @@
   }
 
   private SamplerStats stats(UpstreamEntry sampler) {
-    return statsBySampler.computeIfAbsent(key(sampler), unused -> new SamplerStats());
-  }
-
-  private static String key(UpstreamEntry sampler) {
-    return sampler.id() + '/' + sampler.startedAtMillis();
+    return statsBySampler.computeIfAbsent(sampler.instanceKey(), unused -> new SamplerStats());
   }
 }
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.util.Comparator;
@@ -12,7 +13,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 
 /**
@@ -22,7 +25,8 @@
  * of requests in flight per slot, and is increased for an upstream in another data centre. An
  * upstream that fails is ejected for a time that doubles with each consecutive failure. An upstream
  * that rejects a request is ejected for a given time, then receives a single probe request, and
- * more requests once it accepts that one. Not thread-safe.
+ * more requests once it accepts that one. An upstream that names a limit gets this node's share of
+ * it. Not thread-safe.
  */
 public final class UpstreamBalancer {
   /** The ejection time after the first failure; about the restart time of a crashed process. */
@@ -47,15 +51,22 @@
   private final Map<String, UpstreamEntry> entries = new LinkedHashMap<>();
   private final Map<String, UpstreamState> states = new HashMap<>();
   private final LeavingUpstreams leavingUpstreams = new LeavingUpstreams();
-  private final RequestLimits limits = new RequestLimits();
+  private final RequestLimits limits;
+  private final RequestMeter arrivals = new RequestMeter();
+  private ToDoubleFunction<UpstreamEntry> batchNeed = upstream -> 0;
 
-  private UpstreamBalancer(String localDataCentre) {
+  private UpstreamBalancer(String localDataCentre, LimitShares shares) {
     this.localDataCentre = checkNotNull(localDataCentre, "localDataCentre");
+    this.limits = new RequestLimits(checkNotNull(shares, "shares"));
   }
 
-  /** Creates a balancer without upstreams for a node in the given data centre. */
-  public static UpstreamBalancer create(String localDataCentre) {
-    return new UpstreamBalancer(localDataCentre);
+  /**
+   * Creates a balancer without upstreams for a node in the given data centre.
+   *
+   * @param shares the node's shares of the limits that upstreams name
+   */
+  public static UpstreamBalancer create(String localDataCentre, LimitShares shares) {
+    return new UpstreamBalancer(localDataCentre, shares);
   }
 
   /**
@@ -96,19 +107,68 @@
    * @return whether the limit differs from that of the upstream's response before
    */
   @CanIgnoreReturnValue
-  public boolean onLimit(UpstreamEntry upstream, OptionalDouble limitPerSecond) {
-    return limits.onNotice(upstream, limitPerSecond);
+  public boolean onLimit(UpstreamEntry upstream, OptionalDouble limitPerSecond, long nowMillis) {
+    return limits.onNotice(upstream, limitPerSecond, nowMillis);
   }
 
   /** Returns the number of requests sent to an upstream since it first named a limit. */
-  public int sentWithinLimit(String id) {
-    return limits.sent(id);
+  public int sentWithinLimit(UpstreamEntry upstream) {
+    return limits.sent(upstream);
+  }
+
+  /** Handles the arrival of a request that an upstream of a service is to run. */
+  public void onArrival(String service, long nowMillis) {
+    arrivals.onRequest(service, nowMillis);
+  }
+
+  /**
+   * Sets the function that returns how many requests per second the batches of this node need of an
+   * upstream.
+   */
+  public void setBatchNeed(ToDoubleFunction<UpstreamEntry> neededPerSecond) {
+    batchNeed = checkNotNull(neededPerSecond, "neededPerSecond");
+  }
+
+  /** Returns what this node tells the others about limited upstreams. */
+  public NodeDemand demand(long nowMillis) {
+    ImmutableMap<String, Double> named = limits.named(nowMillis);
+    ImmutableMap<String, Double> needed =
+        entries.values().stream()
+            .filter(entry -> limits.limitPerSecond(entry, nowMillis).isPresent())
+            .collect(
+                ImmutableMap.toImmutableMap(
+                    UpstreamEntry::instanceKey, entry -> neededPerSecond(entry, nowMillis)));
+    return new NodeDemand(needed, named);
+  }
+
+  private double neededPerSecond(UpstreamEntry entry, long nowMillis) {
+    return batchNeed.applyAsDouble(entry) + arrivals.perSecond(entry.service(), nowMillis);
+  }
+
+  /** Returns whether an upstream of a service has a limit. */
+  public boolean hasLimited(String service, long nowMillis) {
+    return notDraining(service, ImmutableSet.of())
+        .anyMatch(entry -> limits.limitPerSecond(entry, nowMillis).isPresent());
+  }
+
+  /**
+   * Returns the mean time, in milliseconds, in which the upstreams of a service together accept one
+   * request; empty if one of them has no limit or there are none.
+   */
+  public OptionalLong requestIntervalMillis(String service, long nowMillis) {
+    double totalPerSecond =
+        notDraining(service, ImmutableSet.of())
+            .mapToDouble(
+                entry -> limits.limitPerSecond(entry, nowMillis).orElse(Double.POSITIVE_INFINITY))
+            .sum();
+    return totalPerSecond > 0 && Double.isFinite(totalPerSecond)
+        ? OptionalLong.of(Math.round(1_000 / totalPerSecond))
+        : OptionalLong.empty();
   }
 
   /** Removes an upstream. */
   public void remove(String id) {
     entries.remove(id);
-    limits.remove(id);
     states.remove(id);
   }
 
@@ -157,13 +217,17 @@
     return notDraining(service, excluded)
         .filter(entry -> !isEjected(entry.id(), nowMillis) && !hasProbeInFlight(entry.id()))
         .filter(allowed)
+        .filter(entry -> limits.permits(entry, nowMillis))
         .collect(ImmutableList.toImmutableList());
   }
 
   /** Chooses an upstream of a service, including ejected ones. */
   public Optional<UpstreamEntry> chooseIgnoringEjection(
-      String service, ImmutableSet<String> excluded) {
-    return shortestWait(notDraining(service, excluded).collect(ImmutableList.toImmutableList()));
+      String service, ImmutableSet<String> excluded, long nowMillis) {
+    return shortestWait(
+        notDraining(service, excluded)
+            .filter(entry -> limits.permits(entry, nowMillis))
+            .collect(ImmutableList.toImmutableList()));
   }
 
   private Stream<UpstreamEntry> notDraining(String service, ImmutableSet<String> excluded) {
@@ -181,7 +245,7 @@
     UpstreamState state = state(id);
     state.inFlight++;
     state.probeInFlight = state.rejected;
-    limits.onSent(id);
+    entry(id).ifPresent(limits::onSent);
   }
 
   /** Handles a request that an upstream accepted and started to run. */
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamEntry.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamEntry.java
@@ -54,6 +54,11 @@
         modelVersions);
   }
 
+  /** Returns a key that identifies the upstream from its start to its end. */
+  public String instanceKey() {
+    return id + '/' + startedAtMillis;
+  }
+
   /** Returns the weight version that it runs of the given model, 0 if it does not run the model. */
   public long version(String model) {
     return modelVersions.getOrDefault(model, 0L);
--- a/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
@@ -7,11 +7,13 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class UpstreamBalancerTest {
-  private final UpstreamBalancer balancer = UpstreamBalancer.create("nadi");
+  private final UpstreamBalancer balancer =
+      UpstreamBalancer.create("nadi", LimitShares.create("n1"));
 
   private static UpstreamEntry entry(String id, boolean leaving, long bornMillis) {
     return new UpstreamEntry(
@@ -46,7 +48,7 @@
     balancer.put(entry("a", true, 1));
     balancer.put(entry("b", true, 1));
     assertThat(choose(0)).isEmpty();
-    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of())).isEmpty();
+    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of(), 0)).isEmpty();
   }
 
   @Test
@@ -61,7 +63,7 @@
     balancer.put(entry("a", false, 1));
     balancer.remove("b");
     assertThat(choose(0)).isEmpty();
-    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of())).isEmpty();
+    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of(), 0)).isEmpty();
   }
 
   @Test
@@ -89,7 +91,7 @@
     balancer.onSent("a");
     balancer.onFailed("a", 1_000);
     assertThat(choose(1_000)).isEmpty();
-    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of())).isPresent();
+    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of(), 0)).isPresent();
     assertThat(choose(1_500)).hasValue("a");
   }
 
@@ -181,4 +183,34 @@
     assertThat(balancer.inFlight("a")).isEqualTo(0);
     assertThat(choose(0)).hasValue("a");
   }
+
+  @Test
+  void limitedUpstreamIsNotChosenBeyondItsLimitEvenIfAllOthersAreEjected() {
+    balancer.onLimit(entry("a", false, 1), OptionalDouble.of(1), 0);
+    balancer.onFailed("b", 0);
+    assertThat(choose(0)).isEmpty();
+    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of(), 0).orElseThrow().id())
+        .isEqualTo("b");
+    assertThat(choose(1_000)).hasValue("a");
+  }
+
+  @Test
+  void requestIntervalIsThatOfAllUpstreamsTogether() {
+    assertThat(balancer.requestIntervalMillis("orders", 0)).isEmpty();
+    balancer.onLimit(entry("a", false, 1), OptionalDouble.of(1), 0);
+    assertThat(balancer.requestIntervalMillis("orders", 0)).isEmpty();
+    balancer.onLimit(entry("b", false, 1), OptionalDouble.of(3), 0);
+    assertThat(balancer.requestIntervalMillis("orders", 0)).hasValue(250);
+    assertThat(balancer.requestIntervalMillis("other", 0)).isEmpty();
+  }
+
+  @Test
+  void demandIsToldForLimitedUpstreams() {
+    balancer.setBatchNeed(upstream -> upstream.id().equals("a") ? 7 : 0);
+    balancer.onArrival("orders", 0);
+    assertThat(balancer.demand(0)).isEqualTo(NodeDemand.NONE);
+    balancer.onLimit(entry("a", false, 1), OptionalDouble.of(2), 0);
+    assertThat(balancer.demand(0))
+        .isEqualTo(new NodeDemand(ImmutableMap.of("a/1", 7.5), ImmutableMap.of("a/1", 2.0)));
+  }
 }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -53,6 +53,9 @@
   /** How long this node sends nothing to a sampler that rejected an item. */
   private static final long REJECTION_BACKOFF_MILLIS = 100;
 
+  /** The time in which the items of a batch that is due are to start, in milliseconds. */
+  private static final long MIN_LEFT_MILLIS = 1_000;
+
   private final BatchContext context;
   private final BatchSpec spec;
   private final BatchRun run;
@@ -96,6 +99,18 @@
     return spec;
   }
 
+  /**
+   * Returns the number of items per second to start so that all items have started when the batch
+   * is due, or 0 if they cannot run on the given sampler.
+   */
+  double neededPerSecond(UpstreamEntry sampler) {
+    if (!samplers.accepts(sampler)) {
+      return 0;
+    }
+    long leftMillis = head.head().dueAtMillis() - context.storeTimeMillis();
+    return run.waiting() * 1_000.0 / Math.max(MIN_LEFT_MILLIS, leftMillis);
+  }
+
   /** Returns when the batch was accepted, on the store's clock. */
   long acceptedAtMillis() {
     return head.head().acceptedAtMillis();
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -94,6 +94,13 @@
     BatchOwnership ownership =
         new BatchOwnership(
             incarnation, samplers, rewards, store, directory, scheduler, fleet, nodes, log);
+    fleet
+        .balancer()
+        .setBatchNeed(
+            sampler ->
+                ownership.owners.values().stream()
+                    .mapToDouble(owner -> owner.neededPerSecond(sampler))
+                    .sum());
     ownership.timers.add(directory.changes().subscribe(ownership::onHead));
     ownership.timers.add(Timers.every(scheduler, STEP_INTERVAL_MILLIS, ownership::step));
     ownership.timers.add(
--- a/node/src/main/java/io/briarward/node/batch/RewardRunner.java
+++ b/node/src/main/java/io/briarward/node/batch/RewardRunner.java
@@ -111,6 +111,7 @@
   }
 
   private void start(Call call) {
+    context.balancer().onArrival(call.upstream().service(), call.sentAtMillis());
     run.onRewardStarted(call.item().id());
     context.balancer().onSent(call.upstream().id());
     long timeoutMillis = Math.max(MIN_TIMEOUT_MILLIS, TIMEOUT_GOALS * call.route().goalMillis());
--- a/node/src/main/java/io/briarward/node/batch/SamplerChooser.java
+++ b/node/src/main/java/io/briarward/node/batch/SamplerChooser.java
@@ -61,6 +61,11 @@
                 !entry.leaving() && entry.service().equals(service) && hasRequiredVersion(entry));
   }
 
+  /** Returns whether the batch's items may run on a sampler that has a free slot. */
+  boolean accepts(UpstreamEntry sampler) {
+    return sampler.service().equals(terms.service()) && hasRequiredVersion(sampler);
+  }
+
   private ImmutableList<UpstreamEntry> available(String service, long nowMillis) {
     return context
         .balancer()
--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -6,6 +6,8 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.fleet.FleetConfiguration;
+import io.briarward.core.fleet.LimitShares;
+import io.briarward.core.fleet.NodeDemand;
 import io.briarward.core.fleet.UpstreamBalancer;
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.fleet.UpstreamNotice;
@@ -42,17 +44,29 @@
   private boolean upstreamsKnown;
 
   private FleetState(
-      FleetDecoder decoder, Scheduler scheduler, EventLog log, String localDataCentre) {
+      FleetDecoder decoder,
+      Scheduler scheduler,
+      EventLog log,
+      String localDataCentre,
+      LimitShares shares) {
     this.decoder = checkNotNull(decoder, "decoder");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
-    this.balancer = UpstreamBalancer.create(localDataCentre);
+    this.balancer = UpstreamBalancer.create(localDataCentre, shares);
   }
 
-  /** Creates an empty view. */
+  /**
+   * Creates an empty view.
+   *
+   * @param shares the node's shares of the limits that upstreams name
+   */
   public static FleetState create(
-      FleetDecoder decoder, Scheduler scheduler, EventLog log, String localDataCentre) {
-    return new FleetState(decoder, scheduler, log, localDataCentre);
+      FleetDecoder decoder,
+      Scheduler scheduler,
+      EventLog log,
+      String localDataCentre,
+      LimitShares shares) {
+    return new FleetState(decoder, scheduler, log, localDataCentre, shares);
   }
 
   /** Returns the latest configuration, empty until one is read. */
@@ -65,6 +79,11 @@
     return balancer;
   }
 
+  /** Returns what this node tells the others about limited upstreams. */
+  public NodeDemand demand() {
+    return balancer.demand(nowMillis());
+  }
+
   /**
    * Handles what a response says about the upstream that sent it.
    *
@@ -75,8 +94,8 @@
     if (notice.leaving()) {
       onLeaving(upstream, requestId);
     }
-    int sentWithinLimit = balancer.sentWithinLimit(upstream.id());
-    if (balancer.onLimit(upstream, notice.limitPerSecond())) {
+    int sentWithinLimit = balancer.sentWithinLimit(upstream);
+    if (balancer.onLimit(upstream, notice.limitPerSecond(), nowMillis())) {
       log.info(
           "upstream-limit",
           "upstream",
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -3,8 +3,11 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import io.briarward.core.fleet.NodeDemand;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
 import io.briarward.core.platform.Transaction;
@@ -19,6 +22,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Tracks which processes are alive, by a heartbeat row that each process renews in the store.
@@ -53,23 +57,31 @@
   private final EventLog log;
   private final RowKey key;
   private final String incarnation;
+  private final Supplier<NodeDemand> demand;
   private final Map<String, Peer> peers = new HashMap<>();
   private TableWatch watch;
   private Disposable heartbeatTimer = Disposable.disposed();
   private long heartbeatCount;
   private long lastHeartbeatMillis = Long.MIN_VALUE / 2;
   private long heartbeatsSinceMillis = Long.MAX_VALUE / 2;
+  private NodeDemand publishedDemand = NodeDemand.NONE;
   private boolean heartbeatInFlight;
 
-  private record Peer(String incarnation, long seenAtMillis) {}
+  private record Peer(String incarnation, NodeDemand demand, long seenAtMillis) {}
 
   private NodeRegistry(
-      TableService tables, Scheduler scheduler, EventLog log, String name, String incarnation) {
+      TableService tables,
+      Scheduler scheduler,
+      EventLog log,
+      String name,
+      String incarnation,
+      Supplier<NodeDemand> demand) {
     this.tables = checkNotNull(tables, "tables");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.key = RowKey.of(TABLE, name);
     this.incarnation = checkNotNull(incarnation, "incarnation");
+    this.demand = checkNotNull(demand, "demand");
   }
 
   /**
@@ -77,6 +89,7 @@
    *
    * @param name the name of the VM; a new process on the same VM replaces its row
    * @param incarnation the incarnation of this process, unique among all processes
+   * @param demand returns the demand of this process, which is published in its row
    */
   public static NodeRegistry start(
       TableService tables,
@@ -84,8 +97,9 @@
       Scheduler scheduler,
       EventLog log,
       String name,
-      String incarnation) {
-    NodeRegistry registry = new NodeRegistry(tables, scheduler, log, name, incarnation);
+      String incarnation,
+      Supplier<NodeDemand> demand) {
+    NodeRegistry registry = new NodeRegistry(tables, scheduler, log, name, incarnation, demand);
     registry.watch =
         TableWatch.start(feed, scheduler, log, TABLE, WATCH_PAUSE_MILLIS, registry.listener());
     registry.heartbeatTimer =
@@ -121,6 +135,19 @@
         && nowMillis() - heartbeatsSinceMillis > DEAD_AFTER_MILLIS;
   }
 
+  /**
+   * Returns the published demand of each VM, by name.
+   *
+   * <p>VMs whose process is presumed dead are left out, but for while {@link #reliable} returns
+   * false.
+   */
+  public ImmutableMap<String, NodeDemand> demands() {
+    long sinceMillis = reliable() ? nowMillis() - DEAD_AFTER_MILLIS : Long.MIN_VALUE;
+    return peers.entrySet().stream()
+        .filter(peer -> peer.getValue().seenAtMillis() > sinceMillis)
+        .collect(ImmutableMap.toImmutableMap(Map.Entry::getKey, peer -> peer.getValue().demand()));
+  }
+
   /** Returns whether a different process now runs on the VM of the given incarnation. */
   public boolean replaced(String otherIncarnation) {
     Peer now = peers.get(Incarnations.vm(otherIncarnation));
@@ -178,7 +205,19 @@
   }
 
   private void onRow(Row row) {
-    peers.put(row.key(), new Peer(row.value().path("incarnation").asText(), nowMillis()));
+    peers.put(
+        row.key(),
+        new Peer(
+            row.value().path("incarnation").asText(),
+            NodeDemandCodec.read(row.value()),
+            nowMillis()));
+  }
+
+  /** Renews this process's row before it is due if the demand has grown much since then. */
+  void publishGrownDemand() {
+    if (demand.get().exceedsTwice(publishedDemand)) {
+      sendHeartbeat();
+    }
   }
 
   private void sendHeartbeat() {
@@ -187,15 +226,14 @@
     }
     heartbeatInFlight = true;
     heartbeatCount++;
-    Transaction transaction =
-        Transaction.builder()
-            .put(
-                key,
-                JsonNodeFactory.instance
-                    .objectNode()
-                    .put("incarnation", incarnation)
-                    .put("beats", heartbeatCount))
-            .build();
+    ObjectNode row =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("incarnation", incarnation)
+            .put("beats", heartbeatCount);
+    publishedDemand = demand.get();
+    NodeDemandCodec.write(publishedDemand, row);
+    Transaction transaction = Transaction.builder().put(key, row).build();
     var unused =
         tables
             .commit(transaction)
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -89,6 +89,7 @@
         context
             .scheduler()
             .scheduleDirect(this::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
+    context.balancer().onArrival(service, context.nowMillis());
     startAttempt();
   }
 
@@ -98,9 +99,16 @@
         context
             .balancer()
             .choose(service, excluded, upstream -> true, context.nowMillis())
-            .or(() -> context.balancer().chooseIgnoringEjection(service, excluded));
+            .or(
+                () ->
+                    context
+                        .balancer()
+                        .chooseIgnoringEjection(service, excluded, context.nowMillis()));
     if (chosen.isEmpty()) {
-      giveUp("no upstream of " + service + " takes work");
+      giveUp(
+          context.balancer().hasLimited(service, context.nowMillis())
+              ? "no upstream of " + service + " accepts requests within its limit"
+              : "no upstream of " + service + " takes work");
       return;
     }
     UpstreamEntry upstream = chosen.get();
@@ -240,7 +248,7 @@
         .balancer()
         .onAnswered(attempt.upstream().id(), context.nowMillis() - attempt.sentAtMillis());
     Future<Void> written = response.end(lastChunk);
-    finish(written.failed() ? "broken" : "ok", attempt.upstream().id());
+    finish(written.failed() ? "broken" : "ok", attempt.upstream().id(), "");
   }
 
   private void onAttemptFailed(Attempt attempt, String cause) {
@@ -301,7 +309,12 @@
     if (mayHaveRun) {
       fail(Failure.unknown(ErrorKind.UPSTREAM_FAILED, detail));
     } else {
-      fail(Failure.notRun(ErrorKind.NO_UPSTREAM, detail, RETRY_AFTER_MILLIS));
+      long retryAfterMillis =
+          context.balancer().requestIntervalMillis(service, context.nowMillis()).stream()
+              .map(intervalMillis -> Math.max(RETRY_AFTER_MILLIS, intervalMillis))
+              .findFirst()
+              .orElse(RETRY_AFTER_MILLIS);
+      fail(Failure.notRun(ErrorKind.NO_UPSTREAM, detail, retryAfterMillis));
     }
   }
 
@@ -320,7 +333,8 @@
 
   private void onCallerDisconnected() {
     if (!finished) {
-      finish("caller-gone", currentAttempt.map(attempt -> attempt.upstream().id()).orElse("none"));
+      finish(
+          "caller-gone", currentAttempt.map(attempt -> attempt.upstream().id()).orElse("none"), "");
     }
   }
 
@@ -328,10 +342,10 @@
     String upstream = currentAttempt.map(attempt -> attempt.upstream().id()).orElse("none");
     String outcome = response.isOpen() ? failure.kind().label() : "broken";
     response.fail(() -> context.callerProtocol().fail(downstream, failure));
-    finish(outcome, upstream);
+    finish(outcome, upstream, failure.detail());
   }
 
-  private void finish(String outcome, String upstream) {
+  private void finish(String outcome, String upstream, String cause) {
     if (finished) {
       return;
     }
@@ -360,6 +374,8 @@
             upstream,
             "outcome",
             outcome,
+            "cause",
+            cause,
             "attempts",
             attempts,
             "refusals",
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -2,9 +2,11 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import io.briarward.core.fleet.LimitShares;
 import io.briarward.node.batch.BatchService;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.Incarnations;
+import io.briarward.node.fleet.LimitExchange;
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.telemetry.EventLog;
@@ -79,7 +81,9 @@
     this.settings = checkNotNull(settings, "settings");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = EventLog.create(scheduler);
-    this.fleet = FleetState.create(dependencies.decoder(), scheduler, log, settings.dataCentre());
+    LimitShares shares = LimitShares.create(settings.nodeName());
+    this.fleet =
+        FleetState.create(dependencies.decoder(), scheduler, log, settings.dataCentre(), shares);
     parts.push(
         TableWatch.start(
             dependencies.feed(),
@@ -104,8 +108,10 @@
             scheduler,
             log,
             settings.nodeName(),
-            incarnation);
+            incarnation,
+            fleet::demand);
     parts.push(nodes);
+    parts.push(LimitExchange.start(nodes, shares, scheduler));
     this.batches =
         BatchService.start(
             new BatchService.Settings(incarnation, settings.retentionMillis()),
--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -9,10 +9,12 @@
 import io.briarward.core.batch.BatchTerms;
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.batch.RewardCall;
+import io.briarward.core.fleet.LimitShares;
 import io.briarward.node.batch.BatchService.ResultPage;
 import io.briarward.node.batch.BatchService.SubmitOutcome;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.Incarnations;
+import io.briarward.node.fleet.LimitExchange;
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.telemetry.EventLog;
@@ -54,14 +56,15 @@
       incarnation = Incarnations.create(name, "10.0.0.1");
       EventLog log = EventLog.create(scheduler);
       FakeFleetDecoder decoder = new FakeFleetDecoder();
-      FleetState fleet = FleetState.create(decoder, scheduler, log, "nadi");
+      LimitShares shares = LimitShares.create(name);
+      FleetState fleet = FleetState.create(decoder, scheduler, log, "nadi", shares);
       components.add(
           TableWatch.start(
               store, scheduler, log, decoder.operatorTable(), 20, fleet.operatorRows()));
       components.add(
           TableWatch.start(
               store, scheduler, log, decoder.upstreamTable(), 20, fleet.upstreamRows()));
-      nodes = NodeRegistry.start(store, store, scheduler, log, name, incarnation);
+      nodes = NodeRegistry.start(store, store, scheduler, log, name, incarnation, fleet::demand);
       batches =
           BatchService.start(
               new BatchService.Settings(incarnation, RETENTION_MILLIS),
@@ -72,6 +75,7 @@
               nodes,
               log);
       components.add(nodes);
+      components.add(LimitExchange.start(nodes, shares, scheduler));
       components.add(batches);
     }
 
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/fleet/NodeDemandCodecTest.java
@@ -0,0 +1,34 @@
+package io.briarward.node.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
+import io.briarward.core.fleet.NodeDemand;
+import org.junit.jupiter.api.Test;
+
+class NodeDemandCodecTest {
+  private final ObjectNode row = JsonNodeFactory.instance.objectNode().put("incarnation", "a#1#2");
+
+  @Test
+  void writtenDemandIsReadBack() {
+    NodeDemand demand =
+        new NodeDemand(ImmutableMap.of("u/7", 12.34), ImmutableMap.of("u/7", 0.25, "v/8", 3.0));
+    NodeDemandCodec.write(demand, row);
+    assertThat(NodeDemandCodec.read(row)).isEqualTo(demand);
+  }
+
+  @Test
+  void rowOfNodeWithoutDemandIsUnchanged() {
+    NodeDemandCodec.write(NodeDemand.NONE, row);
+    assertThat(row).isEqualTo(JsonNodeFactory.instance.objectNode().put("incarnation", "a#1#2"));
+    assertThat(NodeDemandCodec.read(row)).isEqualTo(NodeDemand.NONE);
+  }
+
+  @Test
+  void rowOfAnotherFormatIsReadAsNoDemand() {
+    row.put("neededPerSecond", 3).put("limitsPerSecond", "many");
+    assertThat(NodeDemandCodec.read(row)).isEqualTo(NodeDemand.NONE);
+  }
+}
--- a/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
+++ b/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableMap;
+import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.Incarnations;
@@ -72,7 +73,8 @@
 
     Node(String name) {
       EventLog log = EventLog.create(scheduler);
-      FleetState fleet = FleetState.create(decoder, scheduler, log, "nadi");
+      FleetState fleet =
+          FleetState.create(decoder, scheduler, log, "nadi", LimitShares.create(name));
       parts.add(
           TableWatch.start(
               store, scheduler, log, decoder.operatorTable(), 20, fleet.operatorRows()));
