Log a fingerprint of requests under which an upstream may have ended

Repeats of one request have ids of their own, so the logs did not tell whether two attempts that broke had the same content, on one node or on several. The fingerprint is a hash of organisation, method, host, path and body. What is sent where is unchanged.

--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -1,9 +1,11 @@
 package io.briarward.node.gateway;
 
+import com.google.common.base.Suppliers;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
 import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.quarantine.RequestFingerprint;
 import io.briarward.node.gateway.UpstreamProtocol.AnswerKind;
 import io.briarward.node.http.CallerResponse;
 import io.briarward.node.http.ResponseBodies;
@@ -18,6 +20,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Forwards one live request to an upstream and the response to the caller.
@@ -54,6 +57,7 @@
   private final Runnable onFinished;
   private final Set<String> triedUpstreams = new HashSet<>();
   private final String service;
+  private final Supplier<RequestFingerprint> fingerprint;
   private Optional<Attempt> currentAttempt = Optional.empty();
   private Optional<Attempt> countedAttempt = Optional.empty();
   private Disposable deadline = Disposable.disposed();
@@ -73,6 +77,7 @@
     this.response = CallerResponse.to(downstream);
     this.call = call;
     this.onFinished = onFinished;
+    this.fingerprint = Suppliers.memoize(call::fingerprint);
     this.service = call.route().service(ThreadLocalRandom.current().nextDouble());
   }
 
@@ -155,7 +160,7 @@
 
   private void onConnectFailed(UpstreamEntry upstream, Throwable cause) {
     context.balancer().onFailed(upstream.id(), context.nowMillis());
-    logAttempt(upstream, "connect-failed", cause.toString());
+    logAttempt(upstream, "connect-failed", cause.toString(), false);
     if (!finished) {
       startAttempt();
     }
@@ -190,7 +195,7 @@
     context
         .balancer()
         .onRejected(attempt.upstream().id(), context.nowMillis(), REJECTION_PAUSE_MILLIS);
-    logAttempt(attempt.upstream(), "not-run", "status " + status);
+    logAttempt(attempt.upstream(), "not-run", "status " + status, false);
     if (rejections < MAX_REJECTIONS) {
       startAttempt();
     } else {
@@ -233,7 +238,7 @@
     }
     if (response.isOpen() && answer.statusCode() >= 500 && canRetry()) {
       endAttempt(attempt);
-      logAttempt(attempt.upstream(), "failed", "status " + answer.statusCode());
+      logAttempt(attempt.upstream(), "failed", "status " + answer.statusCode(), false);
       context.balancer().onFailed(attempt.upstream().id(), context.nowMillis());
       startAttempt();
       return;
@@ -280,7 +285,7 @@
   private void abandon(Attempt attempt, String outcome, String cause) {
     endAttempt(attempt);
     attempt.request().reset();
-    logAttempt(attempt.upstream(), outcome, cause);
+    logAttempt(attempt.upstream(), outcome, cause, true);
   }
 
   private void endAttempt(Attempt attempt) {
@@ -387,7 +392,14 @@
     onFinished.run();
   }
 
-  private void logAttempt(UpstreamEntry upstream, String outcome, String cause) {
+  /**
+   * Logs an attempt that failed.
+   *
+   * @param mayHaveEndedUpstream whether to log the fingerprint, by which repeats of a request that
+   *     ends upstreams are found
+   */
+  private void logAttempt(
+      UpstreamEntry upstream, String outcome, String cause, boolean mayHaveEndedUpstream) {
     context
         .log()
         .info(
@@ -401,7 +413,9 @@
             "outcome",
             outcome,
             "cause",
-            cause);
+            cause,
+            "fingerprint",
+            mayHaveEndedUpstream ? fingerprint.get() : "");
     if (!finished) {
       context.metrics().retried(service);
     }
--- a/node/src/main/java/io/briarward/node/gateway/LiveCall.java
+++ b/node/src/main/java/io/briarward/node/gateway/LiveCall.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.briarward.core.fleet.FleetRoute;
+import io.briarward.core.quarantine.RequestFingerprint;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.util.Map;
@@ -35,6 +36,11 @@
     long arrivedAtMillis,
     long deadlineMillis) {
 
+  /** Returns what identifies requests of the same content; computed at each call. */
+  RequestFingerprint fingerprint() {
+    return RequestFingerprint.of(organisation, method.name(), host, uri, body.getBytes());
+  }
+
   /** Validates the components. */
   public LiveCall {
     checkNotNull(id, "id");
