Quarantine requests under which three upstreams ended

Cause: a request was known by its id only. Each repeat, at any node, was a new request with all its attempts; a retry after a broken connection went to the next upstream at once.

Change: a connection that breaks before the response is complete is recorded as a row under a fingerprint of the request's content. All nodes follow the rows. Once three instances have ended under it, no node sends it: 503 quarantined, or 502 if an attempt ran. A complete response clears it, and it is tried again at most three times, 30, 90 and 270 s after its last crash, by one node. Why it works: the rows reach all nodes within some hundred milliseconds of a crash and outlive all processes, so no repeat after the third crash is new to any node.

--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -33,6 +33,12 @@
   /** The retry delay suggested to a caller whose request was not run, in milliseconds. */
   private static final long RETRY_AFTER_MILLIS = 300;
 
+  /**
+   * The retry delay suggested to a caller whose request ended upstreams, in milliseconds; earlier
+   * repeats are rejected as well.
+   */
+  private static final long QUARANTINE_RETRY_AFTER_MILLIS = 60_000;
+
   /** How long this node sends nothing to an upstream that rejected a request, in milliseconds. */
   private static final long REJECTION_PAUSE_MILLIS = 50;
 
@@ -99,6 +105,10 @@
   }
 
   private void startAttempt() {
+    if (!context.crashes().permits(fingerprint)) {
+      giveUpQuarantined();
+      return;
+    }
     ImmutableSet<String> excluded = ImmutableSet.copyOf(triedUpstreams);
     Optional<UpstreamEntry> chosen =
         context
@@ -142,7 +152,7 @@
     request
         .response()
         .onSuccess(answer -> onAnswer(attempt, answer))
-        .onFailure(cause -> onAttemptFailed(attempt, cause.toString()));
+        .onFailure(cause -> onConnectionLost(attempt, cause));
     request.end(call.body());
     if (canRetry()) {
       long timeoutMillis = Math.max(MIN_ATTEMPT_TIMEOUT_MILLIS, 2 * call.route().goalMillis());
@@ -214,7 +224,7 @@
     response.setHead(answer);
     int maxHeldBytes = call.route().repeatable() ? MAX_HELD_BYTES : 0;
     Buffer held = Buffer.buffer();
-    answer.exceptionHandler(cause -> onAttemptFailed(attempt, cause.toString()));
+    answer.exceptionHandler(cause -> onConnectionLost(attempt, cause));
     answer.endHandler(unused -> onAnswerEnd(attempt, answer, held));
     answer.handler(
         chunk -> {
@@ -243,6 +253,9 @@
       startAttempt();
       return;
     }
+    if (answer.statusCode() < 500) {
+      context.crashes().onCompleted(fingerprint);
+    }
     endWith(attempt, response.isOpen() ? held : Buffer.buffer());
   }
 
@@ -256,6 +269,13 @@
     finish(written.failed() ? "broken" : "ok", attempt.upstream().id(), "");
   }
 
+  private void onConnectionLost(Attempt attempt, Throwable cause) {
+    if (isCurrent(attempt)) {
+      context.crashes().onCrash(fingerprint.get(), attempt.upstream());
+      onAttemptFailed(attempt, cause.toString());
+    }
+  }
+
   private void onAttemptFailed(Attempt attempt, String cause) {
     if (!isCurrent(attempt)) {
       return;
@@ -323,6 +343,15 @@
     }
   }
 
+  private void giveUpQuarantined() {
+    String detail = "upstreams ended while they ran this request";
+    if (mayHaveRun) {
+      fail(Failure.unknown(ErrorKind.UPSTREAM_FAILED, detail));
+    } else {
+      fail(Failure.notRun(ErrorKind.QUARANTINED, detail, QUARANTINE_RETRY_AFTER_MILLIS));
+    }
+  }
+
   private void onDeadline() {
     if (finished) {
       return;
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import io.briarward.node.fleet.LimitExchange;
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.fleet.TableWatch;
+import io.briarward.node.quarantine.CrashRegistry;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.timing.Timers;
@@ -142,6 +143,10 @@
             dependencies.reports(),
             batches::freshnessDemands);
     parts.push(control);
+    CrashRegistry crashes =
+        CrashRegistry.start(
+            dependencies.tables(), dependencies.feed(), nodes, scheduler, log, incarnation);
+    parts.push(crashes);
     this.forwarder =
         new LiveForwarder(
             new LiveForwarder.Context(
@@ -151,6 +156,7 @@
                 dependencies.upstreamProtocol(),
                 dependencies.callerProtocol(),
                 control.runs(),
+                crashes,
                 metrics,
                 log));
     log.info("started", "node", settings.nodeName(), "incarnation", incarnation);
--- a/node/src/main/java/io/briarward/node/gateway/LiveForwarder.java
+++ b/node/src/main/java/io/briarward/node/gateway/LiveForwarder.java
@@ -4,6 +4,7 @@
 
 import io.briarward.core.fleet.UpstreamBalancer;
 import io.briarward.node.fleet.FleetState;
+import io.briarward.node.quarantine.CrashRegistry;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.telemetry.Metrics;
 import io.reactivex.rxjava3.core.Scheduler;
@@ -16,6 +17,7 @@
    * The dependencies that all exchanges share.
    *
    * @param runs counts the requests that started to run
+   * @param crashes records the requests under which upstreams ended
    */
   record Context(
       Scheduler scheduler,
@@ -24,6 +26,7 @@
       UpstreamProtocol upstreamProtocol,
       CallerProtocol callerProtocol,
       RunMeter runs,
+      CrashRegistry crashes,
       Metrics metrics,
       EventLog log) {
     Context {
@@ -33,6 +36,7 @@
       checkNotNull(upstreamProtocol, "upstreamProtocol");
       checkNotNull(callerProtocol, "callerProtocol");
       checkNotNull(runs, "runs");
+      checkNotNull(crashes, "crashes");
       checkNotNull(metrics, "metrics");
       checkNotNull(log, "log");
     }
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Shares through the platform's store which requests ended the upstreams that ran them. */
+package io.briarward.node.quarantine;
