Log the software version of upstreams and what a stream or an item resumes

Cause: the rows, attempts and requests in the logs named an upstream but not its software version, and a request that takes a stream up looked like a new one. So the hypotheses on streams of two versions could not be told apart. Change: UpstreamEntry has the software version; the lines upstream, request and item-attempt have it, and say after which event a run resumes and which request brought the stream's first event. No decision changes.

--- a/core/src/main/java/io/briarward/core/fleet/UpstreamEntry.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamEntry.java
@@ -14,6 +14,8 @@
  * @param slots the number of requests that it runs concurrently
  * @param leaving whether it is draining and gets no new requests
  * @param reclaimable whether the platform may reclaim it at short notice
+ * @param softwareVersion the version of its software, not of its weights; streams of two versions
+ *     do not fit together
  * @param modelVersions the weight version of each model that it runs
  */
 public record UpstreamEntry(
@@ -26,6 +28,7 @@
     int slots,
     boolean leaving,
     boolean reclaimable,
+    String softwareVersion,
     ImmutableMap<String, Long> modelVersions) {
 
   /** Checks the fields. */
@@ -36,6 +39,7 @@
     checkArgument(!host.isEmpty(), "host is empty");
     checkArgument(port > 0 && port <= 65_535, "port is %s, expected 1 to 65535", port);
     checkArgument(slots > 0, "slots is %s, expected > 0", slots);
+    checkNotNull(softwareVersion, "softwareVersion");
     checkNotNull(modelVersions, "modelVersions");
   }
 
@@ -51,6 +55,7 @@
         slots,
         true,
         reclaimable,
+        softwareVersion,
         modelVersions);
   }
 
--- a/core/src/test/java/io/briarward/core/batch/RunPlacementTest.java
+++ b/core/src/test/java/io/briarward/core/batch/RunPlacementTest.java
@@ -19,7 +19,17 @@
 
   private static UpstreamEntry sampler(String id, long bornMillis) {
     return new UpstreamEntry(
-        id, "llm", "nadi", "10.0.0.1", 80, bornMillis, 12, false, false, ImmutableMap.of("m", 1L));
+        id,
+        "llm",
+        "nadi",
+        "10.0.0.1",
+        80,
+        bornMillis,
+        12,
+        false,
+        false,
+        "1",
+        ImmutableMap.of("m", 1L));
   }
 
   private void sendEvents() {
--- a/core/src/test/java/io/briarward/core/fleet/LimitSharesProperties.java
+++ b/core/src/test/java/io/briarward/core/fleet/LimitSharesProperties.java
@@ -35,7 +35,7 @@
 
   private final UpstreamEntry upstream =
       new UpstreamEntry(
-          "u", "orders", "nadi", "10.0.0.1", 80, 1, 4, false, false, ImmutableMap.of());
+          "u", "orders", "nadi", "10.0.0.1", 80, 1, 4, false, false, "1", ImmutableMap.of());
 
   private record Published(long visibleAtMillis, String node, NodeDemand demand) {}
 
--- a/core/src/test/java/io/briarward/core/fleet/LimitSharesTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/LimitSharesTest.java
@@ -13,7 +13,7 @@
 
   private final UpstreamEntry upstream =
       new UpstreamEntry(
-          "u", "orders", "nadi", "10.0.0.1", 80, 7, 4, false, false, ImmutableMap.of());
+          "u", "orders", "nadi", "10.0.0.1", 80, 7, 4, false, false, "1", ImmutableMap.of());
 
   private static NodeDemand demand(double neededPerSecond) {
     return new NodeDemand(ImmutableMap.of("u/7", neededPerSecond), ImmutableMap.of());
@@ -67,7 +67,7 @@
       String id = "u" + i;
       UpstreamEntry each =
           new UpstreamEntry(
-              id, "orders", "nadi", "10.0.0.1", 80, 7, 4, false, false, ImmutableMap.of());
+              id, "orders", "nadi", "10.0.0.1", 80, 7, 4, false, false, "1", ImmutableMap.of());
       Map<String, NodeDemand> demands = new HashMap<>(idle(50));
       demands.put("n3", new NodeDemand(ImmutableMap.of(id + "/7", 20.0), ImmutableMap.of()));
       LimitShares shares = LimitShares.create("n3");
--- a/core/src/test/java/io/briarward/core/fleet/RequestLimitsTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/RequestLimitsTest.java
@@ -15,7 +15,17 @@
 
   private static UpstreamEntry upstream(long startedAtMillis) {
     return new UpstreamEntry(
-        "u", "orders", "nadi", "10.0.0.1", 80, startedAtMillis, 4, false, false, ImmutableMap.of());
+        "u",
+        "orders",
+        "nadi",
+        "10.0.0.1",
+        80,
+        startedAtMillis,
+        4,
+        false,
+        false,
+        "1",
+        ImmutableMap.of());
   }
 
   /** Sends whenever permitted, each 10 ms, and returns the number of requests. */
--- a/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
@@ -17,7 +17,17 @@
 
   private static UpstreamEntry entry(String id, boolean leaving, long bornMillis) {
     return new UpstreamEntry(
-        id, "orders", "nadi", "10.0.0.1", 80, bornMillis, 4, leaving, false, ImmutableMap.of());
+        id,
+        "orders",
+        "nadi",
+        "10.0.0.1",
+        80,
+        bornMillis,
+        4,
+        leaving,
+        false,
+        "1",
+        ImmutableMap.of());
   }
 
   @BeforeEach
--- a/core/src/test/java/io/briarward/core/weights/VersionOrdersTest.java
+++ b/core/src/test/java/io/briarward/core/weights/VersionOrdersTest.java
@@ -18,7 +18,17 @@
 
   private static UpstreamEntry sampler(String id, long version, boolean leaving) {
     return new UpstreamEntry(
-        id, "llm", "nadi", "10.0.0.1", 80, 1, 8, leaving, false, ImmutableMap.of("m", version));
+        id,
+        "llm",
+        "nadi",
+        "10.0.0.1",
+        80,
+        1,
+        8,
+        leaving,
+        false,
+        "1",
+        ImmutableMap.of("m", version));
   }
 
   private static List<UpstreamEntry> samplers(int count, long version) {
@@ -80,7 +90,7 @@
     assertThat(next(ImmutableList.of(sampler("a", 2, false)), 0)).containsExactly("a");
     UpstreamEntry restarted =
         new UpstreamEntry(
-            "a", "llm", "nadi", "10.0.0.1", 80, 2, 8, false, false, ImmutableMap.of("m", 2L));
+            "a", "llm", "nadi", "10.0.0.1", 80, 2, 8, false, false, "1", ImmutableMap.of("m", 2L));
     assertThat(next(ImmutableList.of(restarted), 1)).containsExactly("a");
   }
 
@@ -95,6 +105,7 @@
         8,
         false,
         false,
+        "1",
         ImmutableMap.of("m", first, "n", second));
   }
 
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -21,6 +21,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -72,14 +73,16 @@
   private static final class ActiveRun {
     final UpstreamEntry sampler;
     final BatchItem item;
+    final OptionalLong resumeAfter;
     final long startedAtMillis;
     long progressAtMillis;
     int events;
     SamplerClient.Run run;
 
-    ActiveRun(UpstreamEntry sampler, BatchItem item, long nowMillis) {
+    ActiveRun(UpstreamEntry sampler, BatchRun.Dispatch dispatch, long nowMillis) {
       this.sampler = sampler;
-      this.item = item;
+      this.item = dispatch.item();
+      this.resumeAfter = dispatch.resumeAfter();
       this.startedAtMillis = nowMillis;
       this.progressAtMillis = nowMillis;
     }
@@ -240,7 +243,7 @@
 
   private void start(BatchItem item, UpstreamEntry sampler, long nowMillis) {
     final BatchRun.Dispatch dispatch = run.start(item.id());
-    ActiveRun started = new ActiveRun(sampler, item, nowMillis);
+    ActiveRun started = new ActiveRun(sampler, dispatch, nowMillis);
     activeRuns.put(item.id(), started);
     context.placement().onStarted(sampler, run.expectedTokens(item));
     context.balancer().onSent(sampler.id());
@@ -341,6 +344,10 @@
             spec.id(),
             "sampler",
             samplerId,
+            "software",
+            ended.sampler.softwareVersion(),
+            "resumeAfter",
+            ended.resumeAfter.isPresent() ? ended.resumeAfter.getAsLong() : "none",
             "outcome",
             outcome,
             "cause",
--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -246,6 +246,8 @@
           entry.dataCentre(),
           "leaving",
           entry.leaving(),
+          "software",
+          entry.softwareVersion(),
           "versions",
           entry.modelVersions(),
           "rowVersion",
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -66,6 +66,7 @@
   private final Supplier<RequestFingerprint> fingerprint;
   private Optional<Attempt> currentAttempt = Optional.empty();
   private Optional<Attempt> countedAttempt = Optional.empty();
+  private Optional<UpstreamEntry> lastUpstream = Optional.empty();
   private Disposable deadline = Disposable.disposed();
   private Disposable attemptTimeout = Disposable.disposed();
   private int attempts;
@@ -144,6 +145,7 @@
       return;
     }
     attempts++;
+    lastUpstream = Optional.of(upstream);
     Attempt attempt = new Attempt(upstream, request, nowMillis, System.currentTimeMillis());
     currentAttempt = Optional.of(attempt);
     context
@@ -406,6 +408,12 @@
             service,
             "upstream",
             upstream,
+            "software",
+            lastUpstream.map(UpstreamEntry::softwareVersion).orElse("none"),
+            "resumes",
+            call.resumption().flatMap(LiveCall.Resumption::firstRequestId).orElse("none"),
+            "resumesAfter",
+            call.resumption().map(LiveCall.Resumption::lastEventId).orElse("none"),
             "outcome",
             outcome,
             "cause",
--- a/node/src/main/java/io/briarward/node/gateway/LiveCall.java
+++ b/node/src/main/java/io/briarward/node/gateway/LiveCall.java
@@ -21,6 +21,7 @@
  * @param uri the path and query, unchanged
  * @param headers the headers to forward, without credentials
  * @param body the complete body
+ * @param resumption present if the request continues a stream after an event
  * @param arrivedAtMillis the arrival time, in milliseconds of the node's monotonic clock
  * @param deadlineMillis the deadline of the response, in milliseconds of the node's monotonic clock
  */
@@ -33,9 +34,25 @@
     String uri,
     ImmutableList<Map.Entry<String, String>> headers,
     Buffer body,
+    Optional<Resumption> resumption,
     long arrivedAtMillis,
     long deadlineMillis) {
 
+  /**
+   * What a caller says that takes up a stream.
+   *
+   * @param firstRequestId the id of the request that brought the stream's first event; empty if the
+   *     caller does not name it
+   * @param lastEventId the id of the last event that the caller received
+   */
+  public record Resumption(Optional<String> firstRequestId, String lastEventId) {
+    /** Validates the components. */
+    public Resumption {
+      checkNotNull(firstRequestId, "firstRequestId");
+      checkNotNull(lastEventId, "lastEventId");
+    }
+  }
+
   /** Returns what identifies requests of the same content; computed at each call. */
   RequestFingerprint fingerprint() {
     return RequestFingerprint.of(organisation, method.name(), host, uri, body.getBytes());
@@ -51,5 +68,6 @@
     checkNotNull(uri, "uri");
     checkNotNull(headers, "headers");
     checkNotNull(body, "body");
+    checkNotNull(resumption, "resumption");
   }
 }
--- a/node/src/test/java/io/briarward/node/quarantine/CrashRegistryTest.java
+++ b/node/src/test/java/io/briarward/node/quarantine/CrashRegistryTest.java
@@ -57,7 +57,7 @@
 
   private static UpstreamEntry upstream(String id) {
     return new UpstreamEntry(
-        id, "orders", "nadi", "10.0.0.1", 80, 1, 4, false, false, ImmutableMap.of());
+        id, "orders", "nadi", "10.0.0.1", 80, 1, 4, false, false, "1", ImmutableMap.of());
   }
 
   private void advance(long millis) {
--- a/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
+++ b/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
@@ -114,6 +114,7 @@
             4,
             value.path("leaving").asBoolean(),
             false,
+            "1",
             ImmutableMap.of("m", value.path("version").asLong())));
   }
 }
