Resume an item's text only at the software version that began it

What callers saw: nothing was reported here; trainers would have got texts whose parts come from samplers of two software versions, which do not fit together. Cause: the run of an item went on at whichever sampler was expected to end it soonest. Neither the choice after a broken run nor the move of a slow run looked at the software version. Change: an item remembers the software version that generated its output. Samplers of that version are preferred; while one is registered, the item waits for it up to 500 ms without holding back others; after that the output is discarded and the text begins anew elsewhere. BatchRun.start enforces it, whatever the choice was. Slow runs move within their version only. Why it works: the output and its version are kept together in one place, and a run of another version starts without a Last-Event-Id. A batch that another node takes over begins its unlisted texts anew, as before.

--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -21,8 +21,9 @@
  * <p>Items start in descending order of expected length. A group is useful only once all its items
  * are listed. Lengths differ by a factor of a hundred, and the longest item takes most of a batch's
  * time, so starting it late would delay its whole group. Items of equal expected length start in
- * the order of submission. An item whose run was interrupted resumes after its last event. Not
- * thread-safe.
+ * the order of submission. An item whose run was interrupted resumes after its last event if the
+ * next sampler has the software version that began the text, since the outputs of two versions do
+ * not fit together, and begins anew otherwise. Not thread-safe.
  */
 public final class BatchRun {
   /**
@@ -31,6 +32,12 @@
    */
   private static final long RETRY_DELAY_MILLIS = 20;
 
+  /**
+   * How long an interrupted text waits for a sampler of its software version to have room before it
+   * begins anew on another one, in milliseconds; a few events are generated again sooner.
+   */
+  private static final long MAX_RESUME_WAIT_MILLIS = 500;
+
   private final BatchSpec spec;
   private final RewardQueue rewards = new RewardQueue();
   private final Multiset<String> unfinishedByGroup = HashMultiset.create();
@@ -94,19 +101,39 @@
     return Math.round(expectedLength.applyAsDouble(item));
   }
 
-  /** Returns the next item to start, without starting it; empty if none can start now. */
-  public Optional<BatchItem> next(long nowMillis) {
+  /** Returns the items that can start now, in the order in which to start them. */
+  public ImmutableList<BatchItem> startable(long nowMillis) {
     return items.values().stream()
         .filter(progress -> progress.canStart(nowMillis))
-        .findFirst()
-        .map(ItemProgress::item);
+        .map(ItemProgress::item)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /**
+   * Returns the software version at which an item's text can be resumed; empty if it begins anew
+   * anywhere.
+   */
+  public Optional<String> resumableAt(String itemId) {
+    return progress(itemId).softwareVersion();
   }
 
-  /** Starts an item that {@link #next} returned. */
-  public Dispatch start(String itemId) {
+  /**
+   * Returns whether an interrupted text has waited long enough for a sampler of its software
+   * version, so that it begins anew if another sampler has room.
+   */
+  public boolean hasWaitedToResume(String itemId, long nowMillis) {
+    return nowMillis >= progress(itemId).notBeforeMillis() + MAX_RESUME_WAIT_MILLIS;
+  }
+
+  /**
+   * Starts an item that {@link #startable} returned.
+   *
+   * @param softwareVersion the software version of the sampler
+   */
+  public Dispatch start(String itemId, String softwareVersion) {
     ItemProgress progress = progress(itemId);
     checkArgument(progress.state() == ItemProgress.State.WAITING, "item %s is not waiting", itemId);
-    progress.start();
+    progress.start(softwareVersion);
     running++;
     return new Dispatch(progress.item(), progress.lastEventId());
   }
--- a/core/src/main/java/io/briarward/core/batch/ItemProgress.java
+++ b/core/src/main/java/io/briarward/core/batch/ItemProgress.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeSet;
 
@@ -23,6 +24,7 @@
   private final TreeSet<Long> versions = new TreeSet<>();
   private State state = State.WAITING;
   private OptionalLong lastEventId = OptionalLong.empty();
+  private Optional<String> softwareVersion = Optional.empty();
   private long currentVersion;
   private int failures;
   private long notBeforeMillis = Long.MIN_VALUE;
@@ -48,11 +50,26 @@
     return lastEventId;
   }
 
+  /** Returns when the last run ended and the next may start. */
+  long notBeforeMillis() {
+    return notBeforeMillis;
+  }
+
   boolean canStart(long nowMillis) {
     return state == State.WAITING && nowMillis >= notBeforeMillis;
   }
 
-  void start() {
+  /** Returns the software version that generated the output; empty if there is no output. */
+  Optional<String> softwareVersion() {
+    return texts.isEmpty() ? Optional.empty() : softwareVersion;
+  }
+
+  /** Starts a run; discards the output if a sampler of another software version generated it. */
+  void start(String samplerSoftwareVersion) {
+    if (softwareVersion().filter(version -> !version.equals(samplerSoftwareVersion)).isPresent()) {
+      discardOutput();
+    }
+    softwareVersion = Optional.of(samplerSoftwareVersion);
     state = State.RUNNING;
   }
 
--- a/core/src/test/java/io/briarward/core/batch/BatchRunTest.java
+++ b/core/src/test/java/io/briarward/core/batch/BatchRunTest.java
@@ -37,14 +37,14 @@
   }
 
   private static String next(BatchRun run, long nowMillis) {
-    return run.next(nowMillis).map(BatchItem::id).orElse("none");
+    return run.startable(nowMillis).stream().map(BatchItem::id).findFirst().orElse("none");
   }
 
   @Test
   void itemsOfEqualLengthStartInSubmissionOrder() {
     BatchRun run = run(false);
     assertThat(next(run, 0)).isEqualTo("a");
-    run.start("a");
+    run.start("a", "v1");
     assertThat(next(run, 0)).isEqualTo("b");
     assertThat(run.running()).isEqualTo(1);
   }
@@ -61,9 +61,9 @@
                 item("short", 10), item("unknown", 0), item("long", 900), item("medium", 290)));
     BatchRun run = BatchRun.create(spec, terms(false), ImmutableSet.of());
     List<String> order = new ArrayList<>();
-    for (Optional<BatchItem> next = run.next(0); next.isPresent(); next = run.next(0)) {
-      order.add(next.get().id());
-      run.start(next.get().id());
+    for (String next = next(run, 0); !next.equals("none"); next = next(run, 0)) {
+      order.add(next);
+      run.start(next, "v1");
     }
     assertThat(order).containsExactly("long", "unknown", "medium", "short").inOrder();
   }
@@ -74,7 +74,7 @@
         new BatchSpec(
             "batch", Optional.of("model"), 5, 1, ImmutableList.of(item("b", 10), item("a", 90)));
     BatchRun run = BatchRun.create(spec, terms(false), ImmutableSet.of());
-    run.start("a");
+    run.start("a", "v1");
     run.onInterrupted("a", 0);
     assertThat(next(run, 100)).isEqualTo("a");
   }
@@ -83,14 +83,14 @@
   void listedItemsAreNotRun() {
     BatchRun run = BatchRun.create(SPEC, terms(false), ImmutableSet.of("a", "c"));
     assertThat(next(run, 0)).isEqualTo("b");
-    run.start("b");
-    assertThat(run.next(0)).isEmpty();
+    run.start("b", "v1");
+    assertThat(run.startable(0)).isEmpty();
   }
 
   @Test
   void completeStreamBecomesResult() {
     BatchRun run = run(false);
-    run.start("a");
+    run.start("a", "v1");
     assertThat(run.onVersion("a", 5)).isTrue();
     assertThat(run.onEvent("a", event(1, "x"))).isTrue();
     assertThat(run.onEvent("a", new SampleEvent(2, OptionalLong.of(6), "y"))).isTrue();
@@ -103,13 +103,13 @@
   @Test
   void interruptedItemResumesAfterItsLastEvent() {
     BatchRun run = run(false);
-    run.start("a");
+    run.start("a", "v1");
     run.onVersion("a", 5);
     run.onEvent("a", event(1, "x"));
     run.onInterrupted("a", 0);
     assertThat(next(run, 0)).isEqualTo("b");
     assertThat(next(run, 1_000)).isEqualTo("a");
-    assertThat(run.start("a").resumeAfter()).isEqualTo(OptionalLong.of(1));
+    assertThat(run.start("a", "v1").resumeAfter()).isEqualTo(OptionalLong.of(1));
     run.onVersion("a", 6);
     assertThat(run.onEvent("a", event(2, "y"))).isTrue();
     run.onComplete("a");
@@ -120,11 +120,11 @@
   @Test
   void singleVersionItemRestartsAfterInterruption() {
     BatchRun run = run(true);
-    run.start("a");
+    run.start("a", "v1");
     run.onVersion("a", 5);
     run.onEvent("a", event(1, "x"));
     run.onInterrupted("a", 0);
-    assertThat(run.start("a").resumeAfter()).isEqualTo(OptionalLong.empty());
+    assertThat(run.start("a", "v1").resumeAfter()).isEqualTo(OptionalLong.empty());
     assertThat(run.onVersion("a", 6)).isTrue();
     assertThat(run.onEvent("a", event(1, "y"))).isTrue();
     assertThat(run.onEvent("a", new SampleEvent(2, OptionalLong.of(7), "z"))).isFalse();
@@ -133,14 +133,14 @@
   @Test
   void versionBelowMinimumIsRejected() {
     BatchRun run = run(false);
-    run.start("a");
+    run.start("a", "v1");
     assertThat(run.onVersion("a", 4)).isFalse();
   }
 
   @Test
   void missingAndRepeatedEventsAreRejected() {
     BatchRun run = run(false);
-    run.start("a");
+    run.start("a", "v1");
     run.onVersion("a", 5);
     run.onEvent("a", event(1, "x"));
     assertThat(run.onEvent("a", event(3, "z"))).isFalse();
@@ -150,12 +150,12 @@
   @Test
   void itemFailsAfterMaxFailuresNotInterruptions() {
     BatchRun run = run(false);
-    run.start("a");
+    run.start("a", "v1");
     run.onFailed("a", 0);
     assertThat(run.hasResults()).isFalse();
-    run.start("a");
+    run.start("a", "v1");
     run.onInterrupted("a", 0);
-    run.start("a");
+    run.start("a", "v1");
     run.onFailed("a", 0);
     assertThat(run.results(10)).containsExactly(ItemResult.lost("a"));
     assertThat(run.unfinished()).isEqualTo(2);
@@ -164,7 +164,7 @@
   @Test
   void impossibleItemFailsAtOnce() {
     BatchRun run = run(false);
-    run.start("b");
+    run.start("b", "v1");
     run.onImpossible("b");
     assertThat(run.results(10)).containsExactly(ItemResult.lost("b"));
   }
@@ -172,11 +172,58 @@
   @Test
   void failingWaitingItemsLeavesRunningItems() {
     BatchRun run = run(false);
-    run.start("a");
+    run.start("a", "v1");
     run.failWaiting();
     assertThat(run.results(10)).containsExactly(ItemResult.lost("b"), ItemResult.lost("c"));
     assertThat(run.running()).isEqualTo(1);
     run.removeResults(2);
     assertThat(run.hasResults()).isFalse();
   }
+
+  /** Starts item {@code a} at software v1 and interrupts it after its first event. */
+  private static BatchRun interruptedRun() {
+    BatchRun run = run(false);
+    run.start("a", "v1");
+    run.onVersion("a", 5);
+    run.onEvent("a", event(1, "x"));
+    run.onInterrupted("a", 0);
+    return run;
+  }
+
+  @Test
+  void interruptedTextResumesAtTheSoftwareVersionThatBeganIt() {
+    BatchRun run = interruptedRun();
+    assertThat(run.resumableAt("a")).isEqualTo(Optional.of("v1"));
+    assertThat(run.start("a", "v1").resumeAfter()).isEqualTo(OptionalLong.of(1));
+  }
+
+  @Test
+  void interruptedTextBeginsAnewAtAnotherSoftwareVersion() {
+    BatchRun run = interruptedRun();
+    assertThat(run.start("a", "v2").resumeAfter()).isEqualTo(OptionalLong.empty());
+    assertThat(run.resumableAt("a")).isEmpty();
+    run.onVersion("a", 5);
+    run.onEvent("a", event(1, "y"));
+    run.onEvent("a", event(2, "z"));
+    run.onComplete("a");
+    assertThat(run.results(1).get(0).output()).isEqualTo("y\nz");
+  }
+
+  @Test
+  void runWithoutEventsDoesNotBindTheText() {
+    BatchRun run = run(false);
+    run.start("a", "v1");
+    run.onInterrupted("a", 0);
+    assertThat(run.resumableAt("a")).isEmpty();
+  }
+
+  @Test
+  void textThatWaitsToResumeDoesNotHoldBackOtherItems() {
+    BatchRun run = interruptedRun();
+    assertThat(run.startable(20).stream().map(BatchItem::id))
+        .containsExactly("a", "b", "c")
+        .inOrder();
+    assertThat(run.hasWaitedToResume("a", 500)).isFalse();
+    assertThat(run.hasWaitedToResume("a", 520)).isTrue();
+  }
 }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -205,17 +205,14 @@
 
   private void startItems() {
     long nowMillis = context.nowMillis();
-    while (true) {
-      Optional<BatchItem> next = run.next(nowMillis);
-      if (next.isEmpty()) {
-        return;
-      }
-      Optional<UpstreamEntry> sampler = samplers.choose(next.get(), nowMillis);
-      logWeightAvailability(sampler.isPresent() || samplers.existsWithRequiredVersion(next.get()));
-      if (sampler.isEmpty()) {
-        return;
+    for (BatchItem next : run.startable(nowMillis)) {
+      Optional<UpstreamEntry> sampler = samplers.choose(next, nowMillis);
+      logWeightAvailability(sampler.isPresent() || samplers.existsWithRequiredVersion(next));
+      if (sampler.isPresent()) {
+        start(next, sampler.get(), nowMillis);
+      } else if (run.resumableAt(next.id()).isEmpty()) {
+        return; // No sampler has room for any item that begins anew.
       }
-      start(next.get(), sampler.get(), nowMillis);
       if (stopped) {
         return;
       }
@@ -242,7 +239,7 @@
   }
 
   private void start(BatchItem item, UpstreamEntry sampler, long nowMillis) {
-    final BatchRun.Dispatch dispatch = run.start(item.id());
+    final BatchRun.Dispatch dispatch = run.start(item.id(), sampler.softwareVersion());
     ActiveRun started = new ActiveRun(sampler, dispatch, nowMillis);
     activeRuns.put(item.id(), started);
     context.placement().onStarted(sampler, run.expectedTokens(item));
--- a/node/src/main/java/io/briarward/node/batch/SamplerChooser.java
+++ b/node/src/main/java/io/briarward/node/batch/SamplerChooser.java
@@ -27,26 +27,59 @@
     this.run = checkNotNull(run, "run");
   }
 
-  /** Returns the sampler expected to complete an item soonest; empty if none can take it now. */
+  /**
+   * Returns the sampler expected to complete an item soonest; empty if none can take it now.
+   *
+   * <p>An item with output waits for a while for a sampler of the software version that generated
+   * it, if one is registered.
+   */
   Optional<UpstreamEntry> choose(BatchItem item, long nowMillis) {
     String service = service(item);
+    ImmutableList<UpstreamEntry> available = available(service, nowMillis);
+    Optional<String> softwareVersion = run.resumableAt(item.id());
+    if (softwareVersion.isEmpty()) {
+      return choose(item, service, available);
+    }
+    Optional<UpstreamEntry> resuming =
+        choose(item, service, withSoftware(available, softwareVersion.get()));
+    boolean waits =
+        !run.hasWaitedToResume(item.id(), nowMillis)
+            && existsWithSoftware(service, softwareVersion.get());
+    return resuming.isPresent() || waits ? resuming : choose(item, service, available);
+  }
+
+  private Optional<UpstreamEntry> choose(
+      BatchItem item, String service, ImmutableList<UpstreamEntry> available) {
     return context
         .placement()
-        .choose(
-            available(service, nowMillis),
-            this::inFlight,
-            run.expectedTokens(item),
-            tokenCapacity(service));
+        .choose(available, this::inFlight, run.expectedTokens(item), tokenCapacity(service));
+  }
+
+  private static ImmutableList<UpstreamEntry> withSoftware(
+      ImmutableList<UpstreamEntry> samplers, String softwareVersion) {
+    return samplers.stream()
+        .filter(sampler -> sampler.softwareVersion().equals(softwareVersion))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private boolean existsWithSoftware(String service, String softwareVersion) {
+    return context.balancer().entries().stream()
+        .filter(entry -> !entry.leaving() && entry.service().equals(service))
+        .anyMatch(
+            entry -> entry.softwareVersion().equals(softwareVersion) && hasRequiredVersion(entry));
   }
 
-  /** Returns whether another sampler would complete a running item clearly sooner. */
+  /**
+   * Returns whether another sampler of the same software version would complete a running item
+   * clearly sooner.
+   */
   boolean shouldMove(BatchItem item, UpstreamEntry from, long nowMillis) {
     String service = service(item);
     return context
         .placement()
         .worthMoving(
             from,
-            available(service, nowMillis),
+            withSoftware(available(service, nowMillis), from.softwareVersion()),
             this::inFlight,
             run.expectedTokens(item),
             tokenCapacity(service));
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -11,8 +11,11 @@
 import io.briarward.node.batch.BatchService.SubmitOutcome;
 import io.briarward.node.batch.SamplerClient.RunOutcome;
 import io.briarward.node.fleet.Incarnations;
+import io.briarward.node.testing.FakeFleetDecoder;
 import io.briarward.node.testing.MemoryStore.WriteOutcome;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -351,4 +354,67 @@
     }
     assertComplete(BatchCluster.allResults(processes.get(0), "x19a"), ITEMS);
   }
+
+  private void putSampler(String id, String softwareVersion) {
+    cluster.store.put(
+        new FakeFleetDecoder().upstreamTable(), id, FakeFleetDecoder.samplerRow(softwareVersion));
+  }
+
+  /** Returns the calls that resumed a text which a sampler of another software version began. */
+  private ImmutableList<SamplerClient.ItemCall> resumedAtOtherSoftware() {
+    Map<String, String> softwareByItem = new HashMap<>();
+    ImmutableList.Builder<SamplerClient.ItemCall> joined = ImmutableList.builder();
+    for (SamplerClient.ItemCall call : cluster.samplers.calls()) {
+      String software = call.sampler().softwareVersion();
+      if (call.resumeAfter().isEmpty()) {
+        softwareByItem.put(call.item().id(), software);
+      } else if (!softwareByItem.get(call.item().id()).equals(software)) {
+        joined.add(call);
+      }
+    }
+    return joined.build();
+  }
+
+  @Test
+  void brokenTextResumesOnlyAtTheSoftwareVersionThatBeganIt() {
+    putSampler("n1", "2");
+    putSampler("n2", "2");
+    Set<String> broken = new HashSet<>();
+    cluster.samplers.setOutcomes(
+        call -> broken.add(call.item().id()) ? RunOutcome.BROKEN : RunOutcome.COMPLETE);
+    BatchCluster.Process a = cluster.start("a");
+    a.submit(BatchCluster.spec("x", ITEMS));
+    cluster.advance(TAKEOVER_MILLIS);
+    assertComplete(BatchCluster.allResults(a, "x"), ITEMS);
+    assertThat(resumedAtOtherSoftware()).isEmpty();
+    assertThat(cluster.samplers.calls().stream().filter(call -> call.resumeAfter().isPresent()))
+        .isNotEmpty();
+  }
+
+  @Test
+  void slowTextMovesOnlyToSamplersOfTheSoftwareVersionThatBeganIt() {
+    putSampler("n1", "2");
+    putSampler("n2", "2");
+    cluster.samplers.setEventGaps(3, call -> call.sampler().id().startsWith("n") ? 20 : 300);
+    BatchCluster.Process a = cluster.start("a");
+    a.submit(BatchCluster.spec("x", 12));
+    cluster.advance(2 * DONE_MILLIS);
+    assertComplete(BatchCluster.allResults(a, "x"), 12);
+    assertThat(resumedAtOtherSoftware()).isEmpty();
+  }
+
+  @Test
+  void textBeginsAnewOnceNoSamplerOfItsSoftwareVersionIsLeft() {
+    cluster.samplers.setOutcomes(
+        call ->
+            call.sampler().softwareVersion().equals("1") ? RunOutcome.BROKEN : RunOutcome.COMPLETE);
+    BatchCluster.Process a = cluster.start("a");
+    a.submit(BatchCluster.spec("x", 4));
+    cluster.advance(300);
+    putSampler("s1", "2");
+    putSampler("s2", "2");
+    cluster.advance(DONE_MILLIS);
+    assertComplete(BatchCluster.allResults(a, "x"), 4);
+    assertThat(resumedAtOtherSoftware()).isEmpty();
+  }
 }
--- a/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
+++ b/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
@@ -34,6 +34,15 @@
     return JsonNodeFactory.instance.objectNode().put("version", version).put("leaving", leaving);
   }
 
+  /** Returns the row of a sampler of the given software version with weight version 1. */
+  public static JsonNode samplerRow(String softwareVersion) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("version", 1)
+        .put("leaving", false)
+        .put("software", softwareVersion);
+  }
+
   /** Returns the row of an upstream that scores texts. */
   public static JsonNode scorerRow() {
     return JsonNodeFactory.instance.objectNode().put("version", 1).put("service", SCORERS);
@@ -114,7 +123,7 @@
             4,
             value.path("leaving").asBoolean(),
             false,
-            "1",
+            value.path("software").asText("1"),
             ImmutableMap.of("m", value.path("version").asLong())));
   }
 }
