Continue a stream only at the software version that began it, on any node

What callers saw: nothing was reported here. A caller that took a broken stream up would have got the rest from a sampler of any software version, at the first node and at any other. Cause: a request with Last-Event-Id was routed like a new one, and a node that had not begun the stream had no means to know where it had begun: the caller names only the request that brought the first event. Change: a node records the service and software version at which each resumable stream began, as a row of the store under a hash of organisation and request id, since the node may be gone when the stream is taken up. The request that resumes reads the row and is sent only to upstreams of that origin. If the origin is not known, or no upstream has it, the request is rejected at once as not run (503 origin-unavailable). While a node has seen one software version only for longer than a stream lasts (OriginHistory), nothing is recorded or needed. PacedRowWriter is what CrashRegistry had for its own rows. Why it works: the absence of a record is never taken for a version unless the node itself has followed the registrations without a gap; so a node that is cut from the store rejects instead of guessing.

--- a/core/src/main/java/io/briarward/core/errors/ErrorKind.java
+++ b/core/src/main/java/io/briarward/core/errors/ErrorKind.java
@@ -25,6 +25,8 @@
   OVERLOADED("overloaded", 503, true, "The due time cannot be met at the present load."),
   NO_UPSTREAM("no-upstream", 503, true, "No upstream of the service can take the request."),
   QUARANTINED("quarantined", 503, true, "Upstreams ended while they ran this request."),
+  ORIGIN_UNAVAILABLE(
+      "origin-unavailable", 503, true, "No upstream is known that can continue the stream."),
   NOT_READY("not-ready", 503, true, "The node does not accept this work at present."),
   STOPPING("stopping", 503, true, "The node is shutting down."),
   STORE_UNAVAILABLE("store-unavailable", 503, true, "The platform's store does not answer."),
--- a/core/src/main/java/io/briarward/core/fleet/FleetRoute.java
+++ b/core/src/main/java/io/briarward/core/fleet/FleetRoute.java
@@ -4,6 +4,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 
 /**
  * A route of a deployment: the requests it matches, their target services and the retry rules.
@@ -82,6 +83,11 @@
     return targets.get(0).service();
   }
 
+  /** Returns the services that requests of this route may run at. */
+  public ImmutableSet<String> services() {
+    return targets.stream().map(Target::service).collect(ImmutableSet.toImmutableSet());
+  }
+
   /** Returns whether a request may be retried even if it may have run. */
   public boolean repeatable() {
     return kind == Kind.IDEMPOTENT;
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -221,11 +221,20 @@
         .collect(ImmutableList.toImmutableList());
   }
 
-  /** Chooses an upstream of a service, including ejected ones. */
+  /**
+   * Chooses an upstream of a service, including ejected ones.
+   *
+   * @param excluded the ids that must not be chosen
+   * @param allowed a further condition on the upstream
+   */
   public Optional<UpstreamEntry> chooseIgnoringEjection(
-      String service, ImmutableSet<String> excluded, long nowMillis) {
+      String service,
+      ImmutableSet<String> excluded,
+      Predicate<UpstreamEntry> allowed,
+      long nowMillis) {
     return shortestWait(
         notDraining(service, excluded)
+            .filter(allowed)
             .filter(entry -> limits.permits(entry, nowMillis))
             .collect(ImmutableList.toImmutableList()));
   }
--- a/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
@@ -58,7 +58,8 @@
     balancer.put(entry("a", true, 1));
     balancer.put(entry("b", true, 1));
     assertThat(choose(0)).isEmpty();
-    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of(), 0)).isEmpty();
+    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of(), entry -> true, 0))
+        .isEmpty();
   }
 
   @Test
@@ -73,7 +74,8 @@
     balancer.put(entry("a", false, 1));
     balancer.remove("b");
     assertThat(choose(0)).isEmpty();
-    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of(), 0)).isEmpty();
+    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of(), entry -> true, 0))
+        .isEmpty();
   }
 
   @Test
@@ -101,7 +103,8 @@
     balancer.onSent("a");
     balancer.onFailed("a", 1_000);
     assertThat(choose(1_000)).isEmpty();
-    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of(), 0)).isPresent();
+    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of(), entry -> true, 0))
+        .isPresent();
     assertThat(choose(1_500)).hasValue("a");
   }
 
@@ -199,7 +202,11 @@
     balancer.onLimit(entry("a", false, 1), OptionalDouble.of(1), 0);
     balancer.onFailed("b", 0);
     assertThat(choose(0)).isEmpty();
-    assertThat(balancer.chooseIgnoringEjection("orders", ImmutableSet.of(), 0).orElseThrow().id())
+    assertThat(
+            balancer
+                .chooseIgnoringEjection("orders", ImmutableSet.of(), entry -> true, 0)
+                .orElseThrow()
+                .id())
         .isEqualTo("b");
     assertThat(choose(1_000)).hasValue("a");
   }
--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -12,6 +12,8 @@
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.fleet.UpstreamNotice;
 import io.briarward.core.platform.Row;
+import io.briarward.core.streams.OriginHistory;
+import io.briarward.core.streams.StreamOrigin;
 import io.briarward.node.platform.ChangeFeed.Change;
 import io.briarward.node.telemetry.EventLog;
 import io.reactivex.rxjava3.core.Scheduler;
@@ -37,6 +39,7 @@
   private final Scheduler scheduler;
   private final EventLog log;
   private final UpstreamBalancer balancer;
+  private final OriginHistory origins = OriginHistory.create();
   private final Map<String, Long> announced = new HashMap<>();
   private final Map<String, Disposable> pendingRemovals = new HashMap<>();
   private Optional<FleetConfiguration> configuration = Optional.empty();
@@ -79,6 +82,14 @@
     return balancer;
   }
 
+  /**
+   * Returns the origin of all streams of the given services that may still be taken up; empty if
+   * there are several or an unknown one.
+   */
+  public Optional<StreamOrigin> soleOrigin(ImmutableSet<String> services) {
+    return origins.sole(services, balancer.entries(), nowMillis());
+  }
+
   /** Returns what this node tells the others about limited upstreams. */
   public NodeDemand demand() {
     return balancer.demand(nowMillis());
@@ -163,6 +174,7 @@
       @Override
       public void onSnapshot(ImmutableList<Row> rows) {
         upstreamsKnown = true;
+        origins.onGap(nowMillis());
         ImmutableSet<String> present =
             rows.stream().map(Row::key).collect(ImmutableSet.toImmutableSet());
         rows.forEach(row -> onUpstreamRow(row));
@@ -185,6 +197,7 @@
       @Override
       public void onStoreRecovered() {
         recoveredAtMillis = nowMillis();
+        origins.onGap(nowMillis());
       }
     };
   }
@@ -229,11 +242,12 @@
     Optional<UpstreamEntry> decoded = decoder.upstream(row.key(), row.value());
     if (decoded.isEmpty()) {
       log.warn("upstream-row-rejected", "upstream", row.key(), "rowVersion", row.version());
-      balancer.remove(row.key());
+      remove(row.key());
       return;
     }
     pendingRemovals.getOrDefault(row.key(), Disposable.disposed()).dispose();
     Optional<UpstreamEntry> previous = balancer.entry(decoded.get().id());
+    previous.ifPresent(entry -> origins.onReplaced(entry, nowMillis()));
     UpstreamEntry entry = balancer.put(decoded.get());
     if (!previous.equals(Optional.of(entry))) {
       log.info(
@@ -259,20 +273,25 @@
     long sinceRecoveryMillis = nowMillis() - recoveredAtMillis;
     if (sinceRecoveryMillis >= EXPIRED_ENTRY_GRACE_MILLIS) {
       log.info("upstream-gone", "upstream", id);
-      balancer.remove(id);
+      remove(id);
       return;
     }
     Disposable removal =
         scheduler.scheduleDirect(
             () -> {
               log.info("upstream-gone", "upstream", id, "lapsed", true);
-              balancer.remove(id);
+              remove(id);
             },
             EXPIRED_ENTRY_GRACE_MILLIS - sinceRecoveryMillis,
             TimeUnit.MILLISECONDS);
     pendingRemovals.put(id, removal);
   }
 
+  private void remove(String id) {
+    balancer.entry(id).ifPresent(entry -> origins.onReplaced(entry, nowMillis()));
+    balancer.remove(id);
+  }
+
   private long nowMillis() {
     return scheduler.now(TimeUnit.MILLISECONDS);
   }
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -4,11 +4,14 @@
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
+import io.briarward.core.fleet.FleetRoute;
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.quarantine.RequestFingerprint;
+import io.briarward.core.streams.StreamOrigin;
 import io.briarward.node.gateway.UpstreamProtocol.AnswerKind;
 import io.briarward.node.http.CallerResponse;
 import io.briarward.node.http.ResponseBodies;
+import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
@@ -56,14 +59,18 @@
   /** The part of an answer to an idempotent request that is held back, in bytes. */
   private static final int MAX_HELD_BYTES = 256 << 10;
 
+  private static final int MIN_SUCCESS = 200;
+  private static final int MAX_SUCCESS = 299;
+
   private final LiveForwarder.Context context;
   private final HttpServerRequest downstream;
   private final CallerResponse response;
   private final LiveCall call;
   private final Runnable onFinished;
   private final Set<String> triedUpstreams = new HashSet<>();
-  private final String service;
   private final Supplier<RequestFingerprint> fingerprint;
+  private String service;
+  private Optional<StreamOrigin> origin = Optional.empty();
   private Optional<Attempt> currentAttempt = Optional.empty();
   private Optional<Attempt> countedAttempt = Optional.empty();
   private Optional<UpstreamEntry> lastUpstream = Optional.empty();
@@ -101,10 +108,63 @@
         context
             .scheduler()
             .scheduleDirect(this::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
+    if (isResumption()) {
+      findOrigin();
+    } else {
+      startFirstAttempt();
+    }
+  }
+
+  private boolean isResumption() {
+    return isResumableStream() && call.resumption().isPresent();
+  }
+
+  private boolean isResumableStream() {
+    return call.route().kind() == FleetRoute.Kind.RESUMABLE_STREAM;
+  }
+
+  /** Finds the software version at which the stream began, the only one that can continue it. */
+  private void findOrigin() {
+    ImmutableSet<String> services = call.route().services();
+    var unused =
+        call.resumption()
+            .flatMap(LiveCall.Resumption::firstRequestId)
+            .map(id -> context.origins().find(call.organisation(), id, services))
+            .orElseGet(() -> Single.just(context.origins().sole(services)))
+            .subscribe(this::onOrigin);
+  }
+
+  private void onOrigin(Optional<StreamOrigin> found) {
+    if (finished) {
+      return;
+    }
+    if (found.isEmpty()) {
+      fail(
+          Failure.notRun(
+              ErrorKind.ORIGIN_UNAVAILABLE,
+              "the software version that began the stream is not known",
+              RETRY_AFTER_MILLIS));
+    } else if (!call.route().services().contains(found.get().service())) {
+      fail(
+          Failure.notRun(
+              ErrorKind.ORIGIN_UNAVAILABLE, "the stream began at a service of another route"));
+    } else {
+      origin = found;
+      service = found.get().service();
+      startFirstAttempt();
+    }
+  }
+
+  private void startFirstAttempt() {
     context.balancer().onArrival(service, context.nowMillis());
     startAttempt();
   }
 
+  /** Returns whether an upstream can run the request; only some can continue a stream. */
+  private boolean canRun(UpstreamEntry upstream) {
+    return origin.map(each -> each.equals(StreamOrigin.of(upstream))).orElse(true);
+  }
+
   private void startAttempt() {
     if (!context.crashes().permits(fingerprint)) {
       giveUpQuarantined();
@@ -114,12 +174,13 @@
     Optional<UpstreamEntry> chosen =
         context
             .balancer()
-            .choose(service, excluded, upstream -> true, context.nowMillis())
+            .choose(service, excluded, this::canRun, context.nowMillis())
             .or(
                 () ->
                     context
                         .balancer()
-                        .chooseIgnoringEjection(service, excluded, context.nowMillis()));
+                        .chooseIgnoringEjection(
+                            service, excluded, this::canRun, context.nowMillis()));
     if (chosen.isEmpty()) {
       giveUp(
           context.balancer().hasLimited(service, context.nowMillis())
@@ -223,6 +284,11 @@
    */
   private void relayAnswer(Attempt attempt, HttpClientResponse answer) {
     countRun(attempt);
+    if (isResumableStream() && !isResumption() && isSuccess(answer)) {
+      context
+          .origins()
+          .onBegun(call.organisation(), call.id(), StreamOrigin.of(attempt.upstream()));
+    }
     response.setHead(answer);
     int maxHeldBytes = call.route().repeatable() ? MAX_HELD_BYTES : 0;
     Buffer held = Buffer.buffer();
@@ -244,6 +310,10 @@
         });
   }
 
+  private static boolean isSuccess(HttpClientResponse answer) {
+    return answer.statusCode() >= MIN_SUCCESS && answer.statusCode() <= MAX_SUCCESS;
+  }
+
   private void onAnswerEnd(Attempt attempt, HttpClientResponse answer, Buffer held) {
     if (!isCurrent(attempt)) {
       return;
@@ -335,6 +405,12 @@
   private void giveUp(String detail) {
     if (mayHaveRun) {
       fail(Failure.unknown(ErrorKind.UPSTREAM_FAILED, detail));
+    } else if (origin.isPresent()
+        && context.balancer().entries().stream().noneMatch(this::canRun)) {
+      fail(
+          Failure.notRun(
+              ErrorKind.ORIGIN_UNAVAILABLE,
+              "no upstream has software version " + origin.get().softwareVersion()));
     } else {
       long retryAfterMillis =
           context.balancer().requestIntervalMillis(service, context.nowMillis()).stream()
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.quarantine.CrashRegistry;
+import io.briarward.node.streams.StreamOrigins;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.timing.Timers;
@@ -93,14 +94,15 @@
             dependencies.decoder().operatorTable(),
             FEED_INTERVAL_MILLIS,
             fleet.operatorRows()));
-    parts.push(
+    TableWatch upstreams =
         TableWatch.start(
             dependencies.feed(),
             scheduler,
             log,
             dependencies.decoder().upstreamTable(),
             FEED_INTERVAL_MILLIS,
-            fleet.upstreamRows()));
+            fleet.upstreamRows());
+    parts.push(upstreams);
     String incarnation = Incarnations.create(settings.nodeName(), settings.address());
     this.nodes =
         NodeRegistry.start(
@@ -147,6 +149,10 @@
         CrashRegistry.start(
             dependencies.tables(), dependencies.feed(), nodes, scheduler, log, incarnation);
     parts.push(crashes);
+    StreamOrigins origins =
+        StreamOrigins.start(
+            dependencies.tables(), nodes, fleet, upstreams::ageMillis, scheduler, log, incarnation);
+    parts.push(origins);
     this.forwarder =
         new LiveForwarder(
             new LiveForwarder.Context(
@@ -157,6 +163,7 @@
                 dependencies.callerProtocol(),
                 control.runs(),
                 crashes,
+                origins,
                 metrics,
                 log));
     log.info("started", "node", settings.nodeName(), "incarnation", incarnation);
--- a/node/src/main/java/io/briarward/node/gateway/LiveForwarder.java
+++ b/node/src/main/java/io/briarward/node/gateway/LiveForwarder.java
@@ -5,6 +5,7 @@
 import io.briarward.core.fleet.UpstreamBalancer;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.quarantine.CrashRegistry;
+import io.briarward.node.streams.StreamOrigins;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.telemetry.Metrics;
 import io.reactivex.rxjava3.core.Scheduler;
@@ -18,6 +19,7 @@
    *
    * @param runs counts the requests that started to run
    * @param crashes records the requests under which upstreams ended
+   * @param origins records at which software version each resumable stream began
    */
   record Context(
       Scheduler scheduler,
@@ -27,6 +29,7 @@
       CallerProtocol callerProtocol,
       RunMeter runs,
       CrashRegistry crashes,
+      StreamOrigins origins,
       Metrics metrics,
       EventLog log) {
     Context {
@@ -37,6 +40,7 @@
       checkNotNull(callerProtocol, "callerProtocol");
       checkNotNull(runs, "runs");
       checkNotNull(crashes, "crashes");
+      checkNotNull(origins, "origins");
       checkNotNull(metrics, "metrics");
       checkNotNull(log, "log");
     }
--- a/node/src/main/java/io/briarward/node/quarantine/CrashRegistry.java
+++ b/node/src/main/java/io/briarward/node/quarantine/CrashRegistry.java
@@ -11,7 +11,6 @@
 import io.briarward.core.lease.DutyCandidates;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
-import io.briarward.core.platform.Transaction;
 import io.briarward.core.quarantine.Quarantine;
 import io.briarward.core.quarantine.Quarantine.Crash;
 import io.briarward.core.quarantine.RequestFingerprint;
@@ -19,6 +18,7 @@
 import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.platform.ChangeFeed;
 import io.briarward.node.platform.ChangeFeed.Change;
+import io.briarward.node.platform.PacedRowWriter;
 import io.briarward.node.platform.TableService;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.timing.Timers;
@@ -26,9 +26,7 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -51,8 +49,6 @@
    */
   private static final long WRITE_INTERVAL_PER_NODE_MILLIS = 20;
 
-  private static final long WRITE_TIMEOUT_MILLIS = 1_000;
-  private static final long WRITE_RETRY_DELAY_MILLIS = 200;
   private static final int MAX_ROWS_PER_WRITE = 50; // The platform's limit is 100 entries.
 
   /** The number of rows that wait to be written; more are only counted on this node. */
@@ -60,19 +56,15 @@
 
   private static final long EXPIRY_INTERVAL_MILLIS = 10_000;
 
-  private final TableService tables;
   private final NodeRegistry nodes;
   private final Scheduler scheduler;
   private final EventLog log;
   private final String incarnation;
   private final Quarantine quarantine = Quarantine.create();
-  private final Map<RowKey, Optional<LocalCrash>> pendingRows = new LinkedHashMap<>();
+  private final PacedRowWriter<LocalCrash> writer;
   private final Map<String, Crash> crashByKey = new HashMap<>(); // Those that have a row.
   private TableWatch watch;
   private Disposable expiryTimer = Disposable.disposed();
-  private Disposable nextWrite = Disposable.disposed();
-  private boolean writePending;
-  private long nextWriteMillis = Long.MIN_VALUE / 2;
 
   /** A crash and when this node saw it, on the node's monotonic clock. */
   private record LocalCrash(Crash crash, long atMillis) {}
@@ -83,11 +75,19 @@
       Scheduler scheduler,
       EventLog log,
       String incarnation) {
-    this.tables = checkNotNull(tables, "tables");
     this.nodes = checkNotNull(nodes, "nodes");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.incarnation = checkNotNull(incarnation, "incarnation");
+    this.writer =
+        new PacedRowWriter<>(
+            tables,
+            scheduler,
+            log,
+            new PacedRowWriter.Settings("crash-write-failed", MAX_ROWS_PER_WRITE),
+            () -> WRITE_INTERVAL_PER_NODE_MILLIS * nodes.alive().size(),
+            () -> watch.clockKnown(),
+            this::encode);
   }
 
   /**
@@ -137,7 +137,7 @@
   public void onCrash(RequestFingerprint fingerprint, UpstreamEntry upstream) {
     Crash crash = new Crash(fingerprint, upstream.instanceKey());
     if (add(crash, nowMillis())) {
-      enqueue(rowKey(crash), Optional.of(new LocalCrash(crash, nowMillis())));
+      put(crash, nowMillis());
     }
   }
 
@@ -156,7 +156,7 @@
   @Override
   public void close() {
     expiryTimer.dispose();
-    nextWrite.dispose();
+    writer.close();
     watch.close();
   }
 
@@ -183,7 +183,7 @@
 
   private void delete(Crash crash) {
     forget(crash);
-    enqueue(rowKey(crash), Optional.empty());
+    writer.delete(rowKey(crash));
   }
 
   private static RowKey rowKey(Crash crash) {
@@ -201,9 +201,7 @@
         quarantine.clear();
         crashByKey.clear();
         rows.forEach(row -> onRow(row));
-        pendingRows
-            .values()
-            .forEach(row -> row.ifPresent(each -> add(each.crash(), each.atMillis())));
+        writer.pendingPuts().forEach(each -> add(each.crash(), each.atMillis()));
       }
 
       @Override
@@ -231,74 +229,18 @@
 
   private void onRowRemoved(String key) {
     Crash crash = crashByKey.get(key);
-    if (crash != null && pendingRows.getOrDefault(rowKey(crash), Optional.empty()).isEmpty()) {
+    if (crash != null && !writer.isPut(rowKey(crash))) {
       forget(crash);
     }
   }
 
-  private void enqueue(RowKey key, Optional<LocalCrash> crash) {
-    boolean tooMany = pendingRows.size() >= MAX_PENDING_ROWS || quarantine.isFull();
-    if (crash.isPresent() && tooMany) {
-      log.warn("crash-not-shared", "key", key.key(), "pendingRows", pendingRows.size());
+  private void put(Crash crash, long atMillis) {
+    RowKey key = rowKey(crash);
+    if (writer.pendingRows() >= MAX_PENDING_ROWS || quarantine.isFull()) {
+      log.warn("crash-not-shared", "key", key.key(), "pendingRows", writer.pendingRows());
       return;
     }
-    pendingRows.put(key, crash);
-    scheduleWrite();
-  }
-
-  private void scheduleWrite() {
-    if (writePending || pendingRows.isEmpty()) {
-      return;
-    }
-    writePending = true;
-    nextWrite =
-        scheduler.scheduleDirect(
-            this::writePendingRows,
-            Math.max(0, nextWriteMillis - nowMillis()),
-            TimeUnit.MILLISECONDS);
-  }
-
-  private void onWriteEnded(long delayMillis) {
-    writePending = false;
-    nextWriteMillis = nowMillis() + delayMillis;
-    scheduleWrite();
-  }
-
-  private void writePendingRows() {
-    if (!watch.clockKnown()) {
-      onWriteEnded(WRITE_RETRY_DELAY_MILLIS);
-      return;
-    }
-    Map<RowKey, Optional<LocalCrash>> rows = new LinkedHashMap<>();
-    pendingRows.entrySet().stream()
-        .limit(MAX_ROWS_PER_WRITE)
-        .forEach(entry -> rows.put(entry.getKey(), entry.getValue()));
-    Transaction.Builder transaction = Transaction.builder();
-    rows.forEach(
-        (key, crash) ->
-            crash.ifPresentOrElse(
-                each -> transaction.put(key, encode(each)), () -> transaction.delete(key)));
-    var unused =
-        tables
-            .commit(transaction.build())
-            .timeout(WRITE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler)
-            .observeOn(scheduler)
-            .subscribe(
-                result -> {
-                  rows.forEach(pendingRows::remove);
-                  onWriteEnded(WRITE_INTERVAL_PER_NODE_MILLIS * nodes.alive().size());
-                },
-                error -> {
-                  log.warn(
-                      "crash-write-failed",
-                      "rows",
-                      rows.size(),
-                      "pendingRows",
-                      pendingRows.size(),
-                      "cause",
-                      error.toString());
-                  onWriteEnded(WRITE_RETRY_DELAY_MILLIS);
-                });
+    writer.put(key, new LocalCrash(crash, atMillis));
   }
 
   private JsonNode encode(LocalCrash crash) {
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/streams/StreamOrigins.java
@@ -0,0 +1,245 @@
+package io.briarward.node.streams;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.hash.Hashing;
+import io.briarward.core.lease.DutyCandidates;
+import io.briarward.core.platform.Row;
+import io.briarward.core.platform.RowKey;
+import io.briarward.core.streams.OriginHistory;
+import io.briarward.core.streams.StreamOrigin;
+import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.NodeRegistry;
+import io.briarward.node.platform.PacedRowWriter;
+import io.briarward.node.platform.TableService;
+import io.briarward.node.telemetry.EventLog;
+import io.briarward.node.timing.Timers;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Records at which software version each resumable stream began, so that any node can continue it
+ * there.
+ *
+ * <p>A caller takes a broken stream up at any node, also once the node that began it is gone, so
+ * the origins are rows of the store. Nothing is recorded while this node has seen one software
+ * version only for longer than a stream lasts. A stream without a record has an unknown origin,
+ * unless this node has seen one version only as well. Confined to the event loop.
+ */
+public final class StreamOrigins implements AutoCloseable {
+  /** The table of origins, with one row per stream. */
+  public static final String TABLE = "streams";
+
+  /**
+   * The interval between writes, for each live node; all nodes together write 100 times a second.
+   */
+  private static final long WRITE_INTERVAL_PER_NODE_MILLIS = 10;
+
+  private static final int MAX_ROWS_PER_WRITE = 90; // The platform's limit is 100 entries.
+
+  /** The number of rows that wait to be written; the origins of more streams are not shared. */
+  private static final int MAX_PENDING_ROWS = 2_000;
+
+  /** The number of streams that this node remembers itself; the oldest are forgotten first. */
+  private static final int MAX_REMEMBERED = 16_384;
+
+  /** How long a request waits for the origin of its stream; many times the store's usual answer. */
+  private static final long READ_TIMEOUT_MILLIS = 500;
+
+  /** The age of the view of the registrations from which it does not tell origins. */
+  private static final long STALE_MILLIS = 2_000;
+
+  private static final long REMOVAL_INTERVAL_MILLIS = 30_000;
+  private static final int ROWS_PER_SCAN = 500;
+
+  private final TableService tables;
+  private final NodeRegistry nodes;
+  private final FleetState fleet;
+  private final LongSupplier viewAgeMillis;
+  private final Scheduler scheduler;
+  private final EventLog log;
+  private final String incarnation;
+  private final PacedRowWriter<Begun> writer;
+  private final Map<RowKey, StreamOrigin> remembered =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<RowKey, StreamOrigin> eldest) {
+          return size() > MAX_REMEMBERED;
+        }
+      };
+  private Disposable removalTimer = Disposable.disposed();
+
+  /** A stream's origin and when it began, on the node's monotonic clock. */
+  private record Begun(StreamOrigin origin, long atMillis) {}
+
+  private StreamOrigins(
+      TableService tables,
+      NodeRegistry nodes,
+      FleetState fleet,
+      LongSupplier viewAgeMillis,
+      Scheduler scheduler,
+      EventLog log,
+      String incarnation) {
+    this.tables = checkNotNull(tables, "tables");
+    this.nodes = checkNotNull(nodes, "nodes");
+    this.fleet = checkNotNull(fleet, "fleet");
+    this.viewAgeMillis = checkNotNull(viewAgeMillis, "viewAgeMillis");
+    this.scheduler = checkNotNull(scheduler, "scheduler");
+    this.log = checkNotNull(log, "log");
+    this.incarnation = checkNotNull(incarnation, "incarnation");
+    this.writer =
+        new PacedRowWriter<>(
+            tables,
+            scheduler,
+            log,
+            new PacedRowWriter.Settings("stream-origin-write-failed", MAX_ROWS_PER_WRITE),
+            () -> WRITE_INTERVAL_PER_NODE_MILLIS * nodes.alive().size(),
+            nodes::clockKnown,
+            this::encode);
+  }
+
+  /**
+   * Starts to record origins and to remove old records.
+   *
+   * @param viewAgeMillis returns the age of the fleet's view of the registrations
+   * @param incarnation the incarnation of this process, unique among all processes
+   */
+  public static StreamOrigins start(
+      TableService tables,
+      NodeRegistry nodes,
+      FleetState fleet,
+      LongSupplier viewAgeMillis,
+      Scheduler scheduler,
+      EventLog log,
+      String incarnation) {
+    StreamOrigins origins =
+        new StreamOrigins(tables, nodes, fleet, viewAgeMillis, scheduler, log, incarnation);
+    origins.removalTimer =
+        Timers.every(scheduler, REMOVAL_INTERVAL_MILLIS, origins::removeOldRecords);
+    return origins;
+  }
+
+  /**
+   * Handles a stream that an upstream began.
+   *
+   * @param organisation the organisation of the caller; empty on an open route
+   * @param requestId the id of the request
+   */
+  public void onBegun(Optional<String> organisation, String requestId, StreamOrigin origin) {
+    RowKey key = rowKey(organisation, requestId);
+    remembered.put(key, origin);
+    if (sole(ImmutableSet.of(origin.service())).equals(Optional.of(origin))) {
+      return;
+    }
+    if (writer.pendingRows() >= MAX_PENDING_ROWS) {
+      log.warn("stream-origin-not-shared", "id", requestId, "pendingRows", writer.pendingRows());
+      return;
+    }
+    writer.put(key, new Begun(origin, nowMillis()));
+  }
+
+  /**
+   * Returns the origin of a stream; empty if it is not known.
+   *
+   * @param organisation the organisation of the caller; empty on an open route
+   * @param firstRequestId the id of the request that brought the stream's first event
+   * @param services the services at which the stream may have begun
+   */
+  public Single<Optional<StreamOrigin>> find(
+      Optional<String> organisation, String firstRequestId, ImmutableSet<String> services) {
+    RowKey key = rowKey(organisation, firstRequestId);
+    StreamOrigin local = remembered.get(key);
+    if (local != null) {
+      return Single.just(Optional.of(local));
+    }
+    return tables
+        .read(key)
+        .timeout(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler)
+        .observeOn(scheduler)
+        .map(row -> row.map(StreamOrigins::decode).or(() -> sole(services)))
+        .onErrorReturn(
+            error -> {
+              log.warn("stream-origin-not-read", "id", firstRequestId, "cause", error.toString());
+              return Optional.empty();
+            });
+  }
+
+  /** Returns the origin of all streams of the services, if this node can tell that it is one. */
+  public Optional<StreamOrigin> sole(ImmutableSet<String> services) {
+    return viewAgeMillis.getAsLong() < STALE_MILLIS ? fleet.soleOrigin(services) : Optional.empty();
+  }
+
+  @Override
+  public void close() {
+    removalTimer.dispose();
+    writer.close();
+  }
+
+  /** Callers choose the ids of their requests, so those of two organisations may be equal. */
+  private static RowKey rowKey(Optional<String> organisation, String requestId) {
+    String hash =
+        Hashing.sha256()
+            .hashString(organisation.orElse("") + '\n' + requestId, StandardCharsets.UTF_8)
+            .toString();
+    return RowKey.of(TABLE, hash.substring(0, 32));
+  }
+
+  private JsonNode encode(Begun begun) {
+    long ageMillis = nowMillis() - begun.atMillis();
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("service", begun.origin().service())
+        .put("software", begun.origin().softwareVersion())
+        .put("atMillis", nodes.storeMillis() - ageMillis);
+  }
+
+  private static StreamOrigin decode(Row row) {
+    return new StreamOrigin(
+        row.value().path("service").asText(), row.value().path("software").asText());
+  }
+
+  /** Removes old records, at the one of the live nodes that a hash selects. */
+  private void removeOldRecords() {
+    boolean selected = DutyCandidates.choose(TABLE, nodes.alive(), 1).contains(incarnation);
+    if (selected && nodes.clockKnown()) {
+      removeOldRecords("");
+    }
+  }
+
+  private void removeOldRecords(String after) {
+    var unused =
+        tables
+            .scan(TABLE, "", after, ROWS_PER_SCAN)
+            .observeOn(scheduler)
+            .subscribe(
+                this::removeOld,
+                error -> log.info("stream-origins-not-removed", "cause", error.toString()));
+  }
+
+  private void removeOld(ImmutableList<Row> rows) {
+    long sinceMillis = nodes.storeMillis() - OriginHistory.MAX_STREAM_AGE_MILLIS;
+    rows.stream()
+        .filter(row -> row.value().path("atMillis").asLong() < sinceMillis)
+        .forEach(row -> writer.delete(RowKey.of(TABLE, row.key())));
+    if (rows.size() == ROWS_PER_SCAN) {
+      removeOldRecords(rows.get(rows.size() - 1).key());
+    }
+  }
+
+  private long nowMillis() {
+    return scheduler.now(TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/streams/StreamOriginsTest.java
@@ -0,0 +1,174 @@
+package io.briarward.node.streams;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableSet;
+import io.briarward.core.fleet.LimitShares;
+import io.briarward.core.fleet.NodeDemand;
+import io.briarward.core.streams.OriginHistory;
+import io.briarward.core.streams.StreamOrigin;
+import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.Incarnations;
+import io.briarward.node.fleet.NodeRegistry;
+import io.briarward.node.fleet.TableWatch;
+import io.briarward.node.telemetry.EventLog;
+import io.briarward.node.testing.FakeFleetDecoder;
+import io.briarward.node.testing.MemoryStore;
+import io.briarward.node.testing.MemoryStore.WriteOutcome;
+import io.reactivex.rxjava3.observers.TestObserver;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class StreamOriginsTest {
+  private static final Optional<String> ORGANISATION = Optional.of("nadi-mill");
+  private static final StreamOrigin OLD = new StreamOrigin(FakeFleetDecoder.SAMPLERS, "1");
+  private static final StreamOrigin NEW = new StreamOrigin(FakeFleetDecoder.SAMPLERS, "2");
+  private static final long SHARED_MILLIS = 500;
+  private static final long REMOVED_MILLIS = OriginHistory.MAX_STREAM_AGE_MILLIS + 31_000;
+
+  private final TestScheduler scheduler = new TestScheduler();
+  private final MemoryStore store = MemoryStore.create(scheduler);
+  private final FakeFleetDecoder decoder = new FakeFleetDecoder();
+
+  private final class Node implements AutoCloseable {
+    final FleetState fleet;
+    final TableWatch upstreams;
+    final NodeRegistry nodes;
+    final StreamOrigins origins;
+
+    Node(String name) {
+      EventLog log = EventLog.create(scheduler);
+      String incarnation = Incarnations.create(name, "10.0.0.1");
+      fleet = FleetState.create(decoder, scheduler, log, "nadi", LimitShares.create(name));
+      upstreams =
+          TableWatch.start(
+              store, scheduler, log, decoder.upstreamTable(), 20, fleet.upstreamRows());
+      nodes =
+          NodeRegistry.start(
+              store, store, scheduler, log, name, incarnation, () -> NodeDemand.NONE);
+      origins =
+          StreamOrigins.start(
+              store, nodes, fleet, upstreams::ageMillis, scheduler, log, incarnation);
+      advance(SHARED_MILLIS);
+    }
+
+    Optional<StreamOrigin> find(String requestId) {
+      TestObserver<Optional<StreamOrigin>> observer =
+          origins.find(ORGANISATION, requestId, ImmutableSet.of(FakeFleetDecoder.SAMPLERS)).test();
+      advance(1_000);
+      return observer.values().get(0);
+    }
+
+    @Override
+    public void close() {
+      origins.close();
+      nodes.close();
+      upstreams.close();
+    }
+  }
+
+  private void advance(long millis) {
+    for (long passed = 0; passed < millis; passed += 10) {
+      scheduler.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void register(String id, String softwareVersion) {
+    store.put(decoder.upstreamTable(), id, FakeFleetDecoder.samplerRow(softwareVersion));
+  }
+
+  @Test
+  void originIsKnownToOtherNodesAfterItsNodeIsGone() {
+    register("s1", "1");
+    register("s2", "2");
+    Node a = new Node("a");
+    a.origins.onBegun(ORGANISATION, "r1", OLD);
+    a.origins.onBegun(ORGANISATION, "r2", NEW);
+    advance(SHARED_MILLIS);
+    a.close();
+    try (Node b = new Node("b")) {
+      assertThat(b.find("r1")).isEqualTo(Optional.of(OLD));
+      assertThat(b.find("r2")).isEqualTo(Optional.of(NEW));
+    }
+  }
+
+  @Test
+  void originIsUnknownWithoutRecordWhileTwoVersionsServe() {
+    register("s1", "1");
+    register("s2", "2");
+    try (Node a = new Node("a")) {
+      advance(REMOVED_MILLIS);
+      assertThat(a.find("r1")).isEmpty();
+    }
+  }
+
+  @Test
+  void startedNodeDoesNotTakeTheOnlyVersionForTheOrigin() {
+    register("s1", "1");
+    try (Node a = new Node("a")) {
+      assertThat(a.find("r1")).isEmpty();
+    }
+  }
+
+  @Test
+  void originsOfTheOnlyVersionAreNeitherRecordedNorNeeded() {
+    register("s1", "1");
+    try (Node a = new Node("a");
+        Node b = new Node("b")) {
+      advance(REMOVED_MILLIS);
+      a.origins.onBegun(ORGANISATION, "r1", OLD);
+      advance(SHARED_MILLIS);
+      assertThat(store.rows(StreamOrigins.TABLE)).isEmpty();
+      assertThat(b.find("r1")).isEqualTo(Optional.of(OLD));
+    }
+  }
+
+  @Test
+  void originIsUnknownWhileTheStoreDoesNotAnswer() {
+    register("s1", "1");
+    try (Node a = new Node("a");
+        Node b = new Node("b")) {
+      advance(REMOVED_MILLIS);
+      store.setDown(true);
+      assertThat(b.find("r1")).isEmpty();
+      a.origins.onBegun(ORGANISATION, "r2", OLD);
+      assertThat(a.find("r2")).isEqualTo(Optional.of(OLD));
+    }
+  }
+
+  @Test
+  void recordThatTheStoreDidNotAcceptIsWrittenLater() {
+    register("s1", "1");
+    register("s2", "2");
+    try (Node a = new Node("a");
+        Node b = new Node("b")) {
+      store.setWriteOutcomes(transaction -> WriteOutcome.REJECTED);
+      a.origins.onBegun(ORGANISATION, "r1", NEW);
+      advance(2_000);
+      assertThat(b.find("r1")).isEmpty();
+      store.setWriteOutcomes(transaction -> WriteOutcome.APPLIED);
+      advance(2_000);
+      assertThat(b.find("r1")).isEqualTo(Optional.of(NEW));
+    }
+  }
+
+  @Test
+  void recordsAreRemovedOnceNoStreamIsThatOld() {
+    register("s1", "1");
+    register("s2", "2");
+    Node a = new Node("a");
+    a.origins.onBegun(ORGANISATION, "r1", OLD);
+    advance(SHARED_MILLIS);
+    assertThat(store.rows(StreamOrigins.TABLE)).hasSize(1);
+    a.close();
+    try (Node b = new Node("b")) {
+      advance(OriginHistory.MAX_STREAM_AGE_MILLIS - 10_000);
+      assertThat(store.rows(StreamOrigins.TABLE)).hasSize(1);
+      advance(2 * REMOVED_MILLIS);
+      assertThat(store.rows(StreamOrigins.TABLE)).isEmpty();
+      assertThat(b.find("r1")).isEmpty();
+    }
+  }
+}
