Run requests of a node that is cut off from all upstreams on another node

Trainers whose batch such a node owned got no result until they gave up. Cause: a node knew no way to an upstream but its own connections, so attempts, time-outs and ejection only chose among ways that were all lost: the class of faults in which a path that failed is retried although another path is there. Reporting itself as not ready would not do: with most nodes of a data centre cut off the platform uses them all, and open connections stay. Change: a node takes itself as cut off from a service once three of its upstreams, or all if they are fewer, did not answer since the last contact to one of them (ServiceContacts). Its heartbeat row says so, and at which address it runs requests for others. A request that finds its service cut off, met an upstream that hung, or could not connect to three, goes to a node that reaches the service; that node authorises, routes, retries and bills it as if the caller had sent it there, within what is left of the deadline and of the attempts, and does not pass it on. Batches of a cut off node are released, and only nodes that reach the service take batches over. Why it works: the links between nodes are independent of those to upstreams, and a node that is cut off itself is not asked.

--- /dev/null
+++ b/core/src/main/java/io/briarward/core/fleet/ServiceContacts.java
@@ -0,0 +1,56 @@
+package io.briarward.core.fleet;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Decides when this node is cut off from all upstreams of a service.
+ *
+ * <p>One upstream that does not answer may have failed itself. Several in a row, without contact to
+ * any other upstream of the service in between, show that the node lost its links. Not thread-safe.
+ */
+final class ServiceContacts {
+  /** The number of upstreams that must fail in a row, if the service has as many. */
+  private static final int MIN_UNREACHABLE = 3;
+
+  private final Map<String, Set<String>> unreachableByService = new HashMap<>();
+
+  /** Handles a sign that an upstream of a service can be reached. */
+  void onContact(String service) {
+    unreachableByService.remove(service);
+  }
+
+  /** Handles an upstream that did not accept a connection or left a request without response. */
+  void onUnreachable(String service, String upstreamId) {
+    unreachableByService.computeIfAbsent(service, unused -> new HashSet<>()).add(upstreamId);
+  }
+
+  /** Handles the removal of an upstream. */
+  void onRemoved(String service, String upstreamId) {
+    Set<String> unreachable = unreachableByService.get(service);
+    if (unreachable != null) {
+      unreachable.remove(upstreamId);
+    }
+  }
+
+  /**
+   * Returns whether the node is cut off from a service.
+   *
+   * @param registered the number of upstreams of the service that accept requests
+   */
+  boolean isCutOff(String service, long registered) {
+    checkArgument(registered >= 0, "registered is %s, expected >= 0", registered);
+    int unreachable = unreachableByService.getOrDefault(service, Set.of()).size();
+    return registered > 0 && unreachable >= Math.min(MIN_UNREACHABLE, registered);
+  }
+
+  /** Returns the services of which an upstream did not answer since the last contact. */
+  ImmutableSet<String> suspected() {
+    return ImmutableSet.copyOf(unreachableByService.keySet());
+  }
+}
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -51,6 +51,7 @@
   private final Map<String, UpstreamEntry> entries = new LinkedHashMap<>();
   private final Map<String, UpstreamState> states = new HashMap<>();
   private final LeavingUpstreams leavingUpstreams = new LeavingUpstreams();
+  private final ServiceContacts contacts = new ServiceContacts();
   private final RequestLimits limits;
   private final RequestMeter arrivals = new RequestMeter();
   private ToDoubleFunction<UpstreamEntry> batchNeed = upstream -> 0;
@@ -168,6 +169,7 @@
 
   /** Removes an upstream. */
   public void remove(String id) {
+    entry(id).ifPresent(entry -> contacts.onRemoved(entry.service(), id));
     entries.remove(id);
     states.remove(id);
   }
@@ -257,8 +259,34 @@
     entry(id).ifPresent(limits::onSent);
   }
 
+  /** Handles an upstream that did not accept a connection or left a request without response. */
+  public void onUnreachable(String id) {
+    entry(id).ifPresent(entry -> contacts.onUnreachable(entry.service(), id));
+  }
+
+  /** Handles a sign that an upstream of a service can be reached. */
+  public void onContact(String service) {
+    contacts.onContact(service);
+  }
+
+  /**
+   * Returns whether this node is cut off from a service: several of its upstreams, or all if they
+   * are fewer, did not answer since the last contact to one of them.
+   */
+  public boolean isCutOff(String service) {
+    return contacts.isCutOff(service, notDraining(service, ImmutableSet.of()).count());
+  }
+
+  /** Returns the services from which this node is cut off. */
+  public ImmutableSet<String> cutOffServices() {
+    return contacts.suspected().stream()
+        .filter(this::isCutOff)
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
   /** Handles a request that an upstream accepted and started to run. */
   public void onAccepted(String id) {
+    entry(id).ifPresent(entry -> contacts.onContact(entry.service()));
     state(id).rejected = false;
   }
 
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -114,6 +114,11 @@
     return run.waiting() * 1_000.0 / Math.max(MIN_LEFT_MILLIS, leftMillis);
   }
 
+  /** Returns the service whose samplers run the batch. */
+  String service() {
+    return head.head().terms().service();
+  }
+
   /** Returns when the batch was accepted, on the store's clock. */
   long acceptedAtMillis() {
     return head.head().acceptedAtMillis();
@@ -277,6 +282,7 @@
       @Override
       public boolean onEvent(SampleEvent event) {
         long nowMillis = context.nowMillis();
+        context.balancer().onContact(started.sampler.service());
         context.placement().onEvent(started.sampler, nowMillis - started.progressAtMillis);
         started.progressAtMillis = nowMillis;
         started.events++;
@@ -313,6 +319,11 @@
         context.balancer().onReleased(samplerId);
         run.onInterrupted(itemId, nowMillis);
       }
+      case UNREACHABLE -> {
+        context.balancer().onUnreachable(samplerId);
+        context.balancer().onFailed(samplerId, nowMillis);
+        run.onInterrupted(itemId, nowMillis);
+      }
       case BROKEN -> {
         context.balancer().onFailed(samplerId, nowMillis);
         run.onInterrupted(itemId, nowMillis);
@@ -362,7 +373,7 @@
     long nowMillis = context.nowMillis();
     for (ActiveRun each : ImmutableList.copyOf(activeRuns.values())) {
       if (nowMillis - each.progressAtMillis >= STALL_TIMEOUT_MILLIS) {
-        cancelRun(each, RunOutcome.BROKEN, "no progress in " + STALL_TIMEOUT_MILLIS + " ms");
+        cancelRun(each, RunOutcome.UNREACHABLE, "no progress in " + STALL_TIMEOUT_MILLIS + " ms");
       }
     }
   }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -158,14 +158,7 @@
                 owner
                     .release()
                     .ignoreElement()
-                    .doOnError(
-                        error ->
-                            log.warn(
-                                "batch-release-failed",
-                                "batch",
-                                owner.spec().id(),
-                                "cause",
-                                error.toString()))
+                    .doOnError(error -> logReleaseFailed(owner, error))
                     .onErrorComplete());
   }
 
@@ -206,12 +199,14 @@
   /**
    * Takes over batches without a live owner.
    *
-   * <p>Of the live nodes, the one that the hash of a batch's id selects takes it over.
+   * <p>Of the live nodes that reach the samplers of a batch, the one that the hash of its id
+   * selects takes it over.
    */
   private void takeOver() {
     if (draining || !fleet.known() || !nodes.clockKnown()) {
       return;
     }
+    handOverUnreachable();
     ImmutableSet<String> alive = nodes.alive();
     for (StoredHead stored : directory.cachedHeads()) {
       BatchHead head = stored.head();
@@ -221,12 +216,31 @@
       if (head.owner().equals(Optional.of(incarnation))) {
         loadAndRun(stored);
       } else if (hasNoLiveOwner(head, alive)
-          && DutyCandidates.choose(head.id(), alive, 1).contains(incarnation)) {
+          && DutyCandidates.choose(head.id(), nodes.reaching(head.terms().service()), 1)
+              .contains(incarnation)) {
         claim(stored);
       }
     }
   }
 
+  /** Releases the batches whose samplers another node reaches and this node does not. */
+  private void handOverUnreachable() {
+    for (BatchOwner owner : ImmutableList.copyOf(owners.values())) {
+      String service = owner.service();
+      if (!owner.stopped()
+          && fleet.balancer().isCutOff(service)
+          && nodes.reachedByOthers(service)) {
+        log.info("batch-handed-over", "batch", owner.spec().id(), "service", service);
+        var unused =
+            owner.release().subscribe(released -> {}, error -> logReleaseFailed(owner, error));
+      }
+    }
+  }
+
+  private void logReleaseFailed(BatchOwner owner, Throwable error) {
+    log.warn("batch-release-failed", "batch", owner.spec().id(), "cause", error.toString());
+  }
+
   /** Returns whether a batch was released, or its owner was replaced or is presumed dead. */
   private boolean hasNoLiveOwner(BatchHead head, ImmutableSet<String> alive) {
     if (head.owner().isEmpty() || nodes.replaced(head.owner().get())) {
--- a/node/src/main/java/io/briarward/node/batch/SamplerClient.java
+++ b/node/src/main/java/io/briarward/node/batch/SamplerClient.java
@@ -43,6 +43,8 @@
     MOVED,
     /** The connection failed, or the stream was truncated or invalid. */
     BROKEN,
+    /** The sampler did not accept a connection, or sent nothing for long. */
+    UNREACHABLE,
     /** The sampler rejected the item without running it. */
     NOT_RUN,
     /** The sampler failed to run the item. */
--- a/node/src/main/java/io/briarward/node/fleet/LimitExchange.java
+++ b/node/src/main/java/io/briarward/node/fleet/LimitExchange.java
@@ -33,7 +33,7 @@
   }
 
   private void update() {
-    nodes.publishGrownDemand();
+    nodes.publishChanges();
     shares.update(nodes.demands(), nodes.reliable());
   }
 
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -8,6 +8,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.fleet.NodeDemand;
+import io.briarward.core.fleet.RelayOffer;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
 import io.briarward.core.platform.Transaction;
@@ -23,6 +24,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 /**
  * Tracks which processes are alive, by a heartbeat row that each process renews in the store.
@@ -65,9 +67,12 @@
   private long lastHeartbeatMillis = Long.MIN_VALUE / 2;
   private long heartbeatsSinceMillis = Long.MAX_VALUE / 2;
   private NodeDemand publishedDemand = NodeDemand.NONE;
+  private Supplier<RelayOffer> relayOffer = () -> RelayOffer.NONE;
+  private RelayOffer publishedOffer = RelayOffer.NONE;
   private boolean heartbeatInFlight;
 
-  private record Peer(String incarnation, NodeDemand demand, long seenAtMillis) {}
+  private record Peer(
+      String incarnation, NodeDemand demand, RelayOffer relayOffer, long seenAtMillis) {}
 
   private NodeRegistry(
       TableService tables,
@@ -113,12 +118,9 @@
    * <p>An absent incarnation may be presumed dead only if {@link #reliable} returns true.
    */
   public ImmutableSet<String> alive() {
-    long sinceMillis = nowMillis() - DEAD_AFTER_MILLIS;
     ImmutableSet.Builder<String> alive = ImmutableSet.builder();
     alive.add(incarnation);
-    peers.values().stream()
-        .filter(peer -> peer.seenAtMillis() > sinceMillis)
-        .forEach(peer -> alive.add(peer.incarnation()));
+    others().forEach(peer -> alive.add(peer.incarnation()));
     return alive.build();
   }
 
@@ -148,6 +150,50 @@
         .collect(ImmutableMap.toImmutableMap(Map.Entry::getKey, peer -> peer.getValue().demand()));
   }
 
+  /** Sets what this process offers to run for others, which its row contains from now on. */
+  public void offerRelay(Supplier<RelayOffer> offer) {
+    relayOffer = checkNotNull(offer, "offer");
+  }
+
+  /**
+   * Returns the addresses at which other live processes accept requests of nodes for a service,
+   * without those that are cut off from it.
+   */
+  public ImmutableList<String> relayAddresses(String service) {
+    return others()
+        .flatMap(peer -> peer.relayOffer().addressFor(service).stream())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /**
+   * Returns the incarnations presumed alive that reach a service, or all if none is known to.
+   *
+   * <p>Includes this process if it reaches the service.
+   */
+  public ImmutableSet<String> reaching(String service) {
+    ImmutableSet.Builder<String> reaching = ImmutableSet.builder();
+    if (relayOffer.get().reaches(service)) {
+      reaching.add(incarnation);
+    }
+    others()
+        .filter(peer -> peer.relayOffer().reaches(service))
+        .forEach(peer -> reaching.add(peer.incarnation()));
+    ImmutableSet<String> found = reaching.build();
+    return found.isEmpty() ? alive() : found;
+  }
+
+  /** Returns whether another live process reaches a service, as far as it knows. */
+  public boolean reachedByOthers(String service) {
+    return others().anyMatch(peer -> peer.relayOffer().reaches(service));
+  }
+
+  private Stream<Peer> others() {
+    long sinceMillis = nowMillis() - DEAD_AFTER_MILLIS;
+    return peers.values().stream()
+        .filter(peer -> peer.seenAtMillis() > sinceMillis)
+        .filter(peer -> !peer.incarnation().equals(incarnation));
+  }
+
   /** Returns whether a different process now runs on the VM of the given incarnation. */
   public boolean replaced(String otherIncarnation) {
     Peer now = peers.get(Incarnations.vm(otherIncarnation));
@@ -210,12 +256,16 @@
         new Peer(
             row.value().path("incarnation").asText(),
             NodeDemandCodec.read(row.value()),
+            RelayOfferCodec.read(row.value()),
             nowMillis()));
   }
 
-  /** Renews this process's row before it is due if the demand has grown much since then. */
-  void publishGrownDemand() {
-    if (demand.get().exceedsTwice(publishedDemand)) {
+  /**
+   * Renews this process's row before it is due if the demand has grown much since then, or the
+   * services that it reaches have changed.
+   */
+  void publishChanges() {
+    if (demand.get().exceedsTwice(publishedDemand) || !relayOffer.get().equals(publishedOffer)) {
       sendHeartbeat();
     }
   }
@@ -233,6 +283,8 @@
             .put("beats", heartbeatCount);
     publishedDemand = demand.get();
     NodeDemandCodec.write(publishedDemand, row);
+    publishedOffer = relayOffer.get();
+    RelayOfferCodec.write(publishedOffer, row);
     Transaction transaction = Transaction.builder().put(key, row).build();
     var unused =
         tables
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Suppliers;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.net.HostAndPort;
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
 import io.briarward.core.fleet.FleetRoute;
@@ -11,6 +12,7 @@
 import io.briarward.node.gateway.UpstreamProtocol.AnswerKind;
 import io.briarward.node.http.CallerResponse;
 import io.briarward.node.http.ResponseBodies;
+import io.netty.channel.ConnectTimeoutException;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Future;
@@ -59,6 +61,12 @@
   /** The part of an answer to an idempotent request that is held back, in bytes. */
   private static final int MAX_HELD_BYTES = 256 << 10;
 
+  /** The number of connections that may fail before another node is asked. */
+  private static final int MAX_FAILED_CONNECTIONS = 3;
+
+  /** The number of other nodes that are asked to run a request. */
+  private static final int MAX_RELAYS = 2;
+
   private static final int MIN_SUCCESS = 200;
   private static final int MAX_SUCCESS = 299;
 
@@ -68,16 +76,20 @@
   private final LiveCall call;
   private final Runnable onFinished;
   private final Set<String> triedUpstreams = new HashSet<>();
+  private final Set<HostAndPort> triedNodes = new HashSet<>();
   private final Supplier<RequestFingerprint> fingerprint;
   private String service;
   private Optional<StreamOrigin> origin = Optional.empty();
   private Optional<Attempt> currentAttempt = Optional.empty();
   private Optional<Attempt> countedAttempt = Optional.empty();
+  private Optional<RelayedAttempt> relayedAttempt = Optional.empty();
   private Optional<UpstreamEntry> lastUpstream = Optional.empty();
   private Disposable deadline = Disposable.disposed();
   private Disposable attemptTimeout = Disposable.disposed();
   private int attempts;
   private int rejections;
+  private int failedConnections;
+  private boolean upstreamSilent;
   private boolean mayHaveRun;
   private boolean finished;
 
@@ -170,6 +182,9 @@
       giveUpQuarantined();
       return;
     }
+    if (shouldRelay() && relay()) {
+      return;
+    }
     ImmutableSet<String> excluded = ImmutableSet.copyOf(triedUpstreams);
     Optional<UpstreamEntry> chosen =
         context
@@ -182,6 +197,9 @@
                         .chooseIgnoringEjection(
                             service, excluded, this::canRun, context.nowMillis()));
     if (chosen.isEmpty()) {
+      if (failedConnections > 0 && relay()) {
+        return;
+      }
       giveUp(
           context.balancer().hasLimited(service, context.nowMillis())
               ? "no upstream of " + service + " accepts requests within its limit"
@@ -217,21 +235,118 @@
         .onSuccess(answer -> onAnswer(attempt, answer))
         .onFailure(cause -> onConnectionLost(attempt, cause));
     request.end(call.body());
-    if (canRetry()) {
-      long timeoutMillis = Math.max(MIN_ATTEMPT_TIMEOUT_MILLIS, 2 * call.route().goalMillis());
-      attemptTimeout =
-          context
-              .scheduler()
-              .scheduleDirect(
-                  () -> onAttemptTimeout(attempt), timeoutMillis, TimeUnit.MILLISECONDS);
+    long timeoutMillis = Math.max(MIN_ATTEMPT_TIMEOUT_MILLIS, 2 * call.route().goalMillis());
+    Runnable onTimeout =
+        canRetry() ? () -> onAttemptTimeout(attempt) : () -> probeSilentUpstream(attempt);
+    attemptTimeout =
+        context.scheduler().scheduleDirect(onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Probes an upstream that has not responded to a request which cannot be sent to another one, so
+   * that later requests are not sent to it in vain.
+   */
+  private void probeSilentUpstream(Attempt attempt) {
+    boolean responded = countedAttempt.equals(Optional.of(attempt));
+    if (isCurrent(attempt) && !responded) {
+      context
+          .connections()
+          .probe(attempt.upstream())
+          .onFailure(unused -> context.balancer().onUnreachable(attempt.upstream().id()));
     }
   }
 
   private boolean canRetry() {
-    return call.route().repeatable() && attempts < call.route().maxAttempts();
+    return call.route().repeatable() && attempts < call.maxAttempts();
+  }
+
+  /** Returns whether this node seems to have lost its links to the upstreams of the service. */
+  private boolean shouldRelay() {
+    return context.balancer().isCutOff(service)
+        || upstreamSilent
+        || failedConnections >= MAX_FAILED_CONNECTIONS;
+  }
+
+  /**
+   * Sends the request to another node that reaches the service, unless another node sent it here.
+   *
+   * @return whether there is such a node
+   */
+  private boolean relay() {
+    boolean mayRun = attempts < call.maxAttempts() && (!mayHaveRun || call.route().repeatable());
+    if (call.relayed() || !mayRun || triedNodes.size() >= MAX_RELAYS) {
+      return false;
+    }
+    Optional<HostAndPort> node = context.relays().choose(context.nodes(), service, triedNodes);
+    if (node.isEmpty()) {
+      return false;
+    }
+    triedNodes.add(node.get());
+    RelayedAttempt attempt =
+        new RelayedAttempt(
+            context,
+            downstream,
+            call,
+            node.get(),
+            response,
+            call.maxAttempts() - attempts,
+            new RelayListener());
+    relayedAttempt = Optional.of(attempt);
+    attempt.start();
+    return true;
+  }
+
+  private final class RelayListener implements RelayedAttempt.Listener {
+    @Override
+    public void onNotRun(String cause) {
+      endRelay("not-run", cause);
+      if (!finished) {
+        startAttempt();
+      }
+    }
+
+    @Override
+    public void onBroken(String cause) {
+      endRelay("broken", cause);
+      attempts++;
+      mayHaveRun = true;
+      if (response.isOpen() && canRetry()) {
+        startAttempt();
+      } else {
+        giveUp("the node that ran the request broke off");
+      }
+    }
+
+    @Override
+    public void onRelayed(boolean whole) {
+      String node = relayedAttempt.map(each -> each.node().toString()).orElse("none");
+      relayedAttempt = Optional.empty();
+      finish(whole ? "ok" : "broken", node, "relayed");
+    }
+  }
+
+  private void endRelay(String outcome, String cause) {
+    context
+        .log()
+        .info(
+            "relay",
+            "id",
+            call.id(),
+            "service",
+            service,
+            "node",
+            relayedAttempt.map(each -> each.node().toString()).orElse("none"),
+            "outcome",
+            outcome,
+            "cause",
+            cause);
+    relayedAttempt = Optional.empty();
   }
 
   private void onConnectFailed(UpstreamEntry upstream, Throwable cause) {
+    failedConnections++;
+    upstreamSilent |= cause instanceof ConnectTimeoutException;
+    context.balancer().onUnreachable(upstream.id());
     context.balancer().onFailed(upstream.id(), context.nowMillis());
     logAttempt(upstream, "connect-failed", cause.toString(), false);
     if (!finished) {
@@ -243,6 +358,7 @@
     if (!isCurrent(attempt)) {
       return;
     }
+    context.balancer().onContact(attempt.upstream().service());
     AnswerKind kind = context.upstreamProtocol().classify(answer, call);
     if (kind != AnswerKind.FOREIGN) {
       context
@@ -365,6 +481,8 @@
   private void onAttemptTimeout(Attempt attempt) {
     if (isCurrent(attempt)) {
       mayHaveRun = true;
+      upstreamSilent = true;
+      context.balancer().onUnreachable(attempt.upstream().id());
       abandon(
           attempt,
           "silent",
@@ -434,7 +552,7 @@
     if (finished) {
       return;
     }
-    if (mayHaveRun || currentAttempt.isPresent()) {
+    if (mayHaveRun || currentAttempt.isPresent() || relayedAttempt.isPresent()) {
       fail(Failure.unknown(ErrorKind.DEADLINE_EXCEEDED, "no whole answer within the due time"));
     } else {
       fail(
@@ -470,6 +588,8 @@
           context.balancer().onReleased(attempt.upstream().id());
         });
     currentAttempt = Optional.empty();
+    relayedAttempt.ifPresent(RelayedAttempt::cancel);
+    relayedAttempt = Optional.empty();
     long tookMillis = context.nowMillis() - call.arrivedAtMillis();
     context.metrics().requestFinished(service, outcome, tookMillis / 1e3);
     context
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.net.HostAndPort;
 import io.briarward.core.fleet.LimitShares;
+import io.briarward.core.fleet.RelayOffer;
 import io.briarward.node.batch.BatchService;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.Incarnations;
@@ -18,6 +20,7 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -52,6 +55,7 @@
    *
    * @param nodeName the name of the VM
    * @param address the address at which callers reach the VM
+   * @param relayAddress the address at which the node accepts requests of other nodes
    * @param dataCentre the data centre of the VM
    * @param reacquireDelayMillis the minimum time before a VM that lost the control lease to another
    *     VM may take it back, in milliseconds
@@ -62,6 +66,7 @@
   public record Settings(
       String nodeName,
       String address,
+      Optional<HostAndPort> relayAddress,
       String dataCentre,
       long reacquireDelayMillis,
       long usageWindowMillis,
@@ -71,6 +76,7 @@
     public Settings {
       checkNotNull(nodeName, "nodeName");
       checkNotNull(address, "address");
+      checkNotNull(relayAddress, "relayAddress");
       checkNotNull(dataCentre, "dataCentre");
     }
   }
@@ -79,6 +85,7 @@
       Settings settings,
       GatewayDependencies dependencies,
       UpstreamConnections connections,
+      PeerRelays relays,
       Scheduler scheduler) {
     this.settings = checkNotNull(settings, "settings");
     this.scheduler = checkNotNull(scheduler, "scheduler");
@@ -114,6 +121,12 @@
             incarnation,
             fleet::demand);
     parts.push(nodes);
+    nodes.offerRelay(
+        () ->
+            new RelayOffer(
+                settings.relayAddress().map(HostAndPort::toString),
+                fleet.balancer().cutOffServices()));
+    parts.push(UpstreamProber.start(fleet.balancer(), connections, scheduler, log));
     parts.push(LimitExchange.start(nodes, shares, scheduler));
     this.batches =
         BatchService.start(
@@ -159,6 +172,8 @@
                 scheduler,
                 fleet,
                 connections,
+                nodes,
+                relays,
                 dependencies.upstreamProtocol(),
                 dependencies.callerProtocol(),
                 control.runs(),
@@ -174,8 +189,9 @@
       Settings settings,
       GatewayDependencies dependencies,
       UpstreamConnections connections,
+      PeerRelays relays,
       Scheduler scheduler) {
-    return new Gateway(settings, dependencies, connections, scheduler);
+    return new Gateway(settings, dependencies, connections, relays, scheduler);
   }
 
   /** Returns this node's view of the configuration and upstreams, which may be stale. */
--- a/node/src/main/java/io/briarward/node/gateway/LiveCall.java
+++ b/node/src/main/java/io/briarward/node/gateway/LiveCall.java
@@ -1,5 +1,6 @@
 package io.briarward.node.gateway;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
@@ -22,6 +23,8 @@
  * @param headers the headers to forward, without credentials
  * @param body the complete body
  * @param resumption present if the request continues a stream after an event
+ * @param relayed whether another node sent the request on behalf of the caller
+ * @param maxAttempts the maximum number of upstreams that may run the request
  * @param arrivedAtMillis the arrival time, in milliseconds of the node's monotonic clock
  * @param deadlineMillis the deadline of the response, in milliseconds of the node's monotonic clock
  */
@@ -35,6 +38,8 @@
     ImmutableList<Map.Entry<String, String>> headers,
     Buffer body,
     Optional<Resumption> resumption,
+    boolean relayed,
+    int maxAttempts,
     long arrivedAtMillis,
     long deadlineMillis) {
 
@@ -69,5 +74,6 @@
     checkNotNull(headers, "headers");
     checkNotNull(body, "body");
     checkNotNull(resumption, "resumption");
+    checkArgument(maxAttempts > 0, "maxAttempts is %s, expected > 0", maxAttempts);
   }
 }
--- a/node/src/main/java/io/briarward/node/gateway/LiveForwarder.java
+++ b/node/src/main/java/io/briarward/node/gateway/LiveForwarder.java
@@ -4,6 +4,7 @@
 
 import io.briarward.core.fleet.UpstreamBalancer;
 import io.briarward.node.fleet.FleetState;
+import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.quarantine.CrashRegistry;
 import io.briarward.node.streams.StreamOrigins;
 import io.briarward.node.telemetry.EventLog;
@@ -17,6 +18,7 @@
   /**
    * The dependencies that all exchanges share.
    *
+   * @param nodes knows the nodes that run requests of this one
    * @param runs counts the requests that started to run
    * @param crashes records the requests under which upstreams ended
    * @param origins records at which software version each resumable stream began
@@ -25,6 +27,8 @@
       Scheduler scheduler,
       FleetState fleet,
       UpstreamConnections connections,
+      NodeRegistry nodes,
+      PeerRelays relays,
       UpstreamProtocol upstreamProtocol,
       CallerProtocol callerProtocol,
       RunMeter runs,
@@ -36,6 +40,8 @@
       checkNotNull(scheduler, "scheduler");
       checkNotNull(fleet, "fleet");
       checkNotNull(connections, "connections");
+      checkNotNull(nodes, "nodes");
+      checkNotNull(relays, "relays");
       checkNotNull(upstreamProtocol, "upstreamProtocol");
       checkNotNull(callerProtocol, "callerProtocol");
       checkNotNull(runs, "runs");
--- a/node/src/main/java/io/briarward/node/gateway/UpstreamConnections.java
+++ b/node/src/main/java/io/briarward/node/gateway/UpstreamConnections.java
@@ -6,6 +6,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
 
 /** Opens requests to registered upstreams over pooled connections. */
 public final class UpstreamConnections implements AutoCloseable {
@@ -16,9 +19,11 @@
   private static final int MAX_CONNECTIONS_PER_UPSTREAM = 48;
 
   private final UpstreamRequests requests;
+  private final NetClient probes;
 
-  private UpstreamConnections(UpstreamRequests requests) {
+  private UpstreamConnections(UpstreamRequests requests, NetClient probes) {
     this.requests = requests;
+    this.probes = probes;
   }
 
   /** Creates a client without open connections. */
@@ -27,7 +32,8 @@
         UpstreamRequests.create(
             vertx,
             new UpstreamRequests.Limits(
-                CONNECT_TIMEOUT_MILLIS, KEEP_ALIVE_SECONDS, MAX_CONNECTIONS_PER_UPSTREAM)));
+                CONNECT_TIMEOUT_MILLIS, KEEP_ALIVE_SECONDS, MAX_CONNECTIONS_PER_UPSTREAM)),
+        vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)));
   }
 
   /** Connects to {@code upstream} and returns a request that has not been sent. */
@@ -35,8 +41,14 @@
     return requests.open(upstream.host(), upstream.port(), method, uri);
   }
 
+  /** Opens a connection to {@code upstream} and closes it; fails if none can be opened. */
+  Future<Void> probe(UpstreamEntry upstream) {
+    return probes.connect(upstream.port(), upstream.host()).compose(NetSocket::close);
+  }
+
   @Override
   public void close() {
+    probes.close();
     requests.close();
   }
 }
--- a/node/src/main/java/io/briarward/node/gateway/UpstreamProtocol.java
+++ b/node/src/main/java/io/briarward/node/gateway/UpstreamProtocol.java
@@ -4,6 +4,7 @@
 import io.briarward.core.fleet.UpstreamNotice;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpServerRequest;
 import java.util.Optional;
 
 /** Encodes live requests to upstreams and classifies the responses. */
@@ -26,6 +27,26 @@
   void writeHeaders(
       HttpClientRequest request, LiveCall call, UpstreamEntry upstream, long remainingMillis);
 
+  /**
+   * Writes the headers of a request that another node is to run on behalf of the caller.
+   *
+   * @param downstream the caller's request, whose key the other node checks
+   * @param maxAttempts the maximum number of upstreams on which the other node may run the request
+   * @param remainingMillis the time until the deadline of the call, in milliseconds
+   */
+  void writeRelayHeaders(
+      HttpClientRequest request,
+      HttpServerRequest downstream,
+      LiveCall call,
+      int maxAttempts,
+      long remainingMillis);
+
+  /**
+   * Classifies the response of another node: {@link AnswerKind#ANSWER} if an upstream sent it,
+   * {@link AnswerKind#FOREIGN} if it does not tell whether the request ran.
+   */
+  AnswerKind classifyRelayed(HttpClientResponse response, LiveCall call);
+
   /**
    * Returns what a response says about the upstream to which the request was sent, or empty if
    * another upstream sent it.
--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -10,6 +10,7 @@
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.batch.RewardCall;
 import io.briarward.core.fleet.LimitShares;
+import io.briarward.core.fleet.RelayOffer;
 import io.briarward.node.batch.BatchService.ResultPage;
 import io.briarward.node.batch.BatchService.SubmitOutcome;
 import io.briarward.node.fleet.FleetState;
@@ -21,6 +22,7 @@
 import io.briarward.node.testing.FakeFleetDecoder;
 import io.briarward.node.testing.MemoryStore;
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import io.vertx.core.buffer.Buffer;
@@ -51,6 +53,7 @@
     final NodeRegistry nodes;
     final BatchService batches;
     private final List<AutoCloseable> components = new ArrayList<>();
+    private boolean cutOff;
 
     Process(String name) {
       incarnation = Incarnations.create(name, "10.0.0.1");
@@ -69,16 +72,35 @@
           BatchService.start(
               new BatchService.Settings(incarnation, RETENTION_MILLIS),
               new BatchService.Dependencies(
-                  store, store, store, BatchCluster::decode, samplers, rewards),
+                  store, store, store, BatchCluster::decode, this::runItem, rewards),
               scheduler,
               fleet,
               nodes,
               log);
+      nodes.offerRelay(() -> new RelayOffer(Optional.empty(), fleet.balancer().cutOffServices()));
       components.add(nodes);
       components.add(LimitExchange.start(nodes, shares, scheduler));
       components.add(batches);
     }
 
+    /** Makes all samplers unreachable for this process. */
+    void cutOff() {
+      cutOff = true;
+    }
+
+    private SamplerClient.Run runItem(
+        SamplerClient.ItemCall call, SamplerClient.Listener listener) {
+      if (!cutOff) {
+        return samplers.run(call, listener);
+      }
+      Disposable failure =
+          scheduler.scheduleDirect(
+              () -> listener.onEnd(SamplerClient.RunOutcome.UNREACHABLE, "cut off"),
+              STEP_MILLIS,
+              TimeUnit.MILLISECONDS);
+      return failure::dispose;
+    }
+
     /** Stops the process without releasing its batches or leaving the registry. */
     void kill() {
       for (AutoCloseable component : components) {
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -417,4 +418,31 @@
     assertComplete(BatchCluster.allResults(a, "x"), 4);
     assertThat(resumedAtOtherSoftware()).isEmpty();
   }
+
+  @Test
+  void batchOfNodeThatReachesNoSamplerRunsOnAnotherNode() {
+    BatchCluster.Process a = cluster.start("a");
+    BatchCluster.Process b = cluster.start("b");
+    a.cutOff();
+    assertThat(a.submit(BatchCluster.spec("x", ITEMS))).isEqualTo(SubmitOutcome.ACCEPTED);
+    cluster.advance(DONE_MILLIS);
+    assertComplete(BatchCluster.allResults(a, "x"), ITEMS);
+    assertThat(BatchCluster.allResults(b, "x")).isEqualTo(BatchCluster.allResults(a, "x"));
+  }
+
+  @Test
+  void batchStaysWithItsNodeWhileNoNodeReachesSamplers() {
+    BatchCluster.Process a = cluster.start("a");
+    BatchCluster.Process b = cluster.start("b");
+    a.cutOff();
+    b.cutOff();
+    a.submit(BatchCluster.spec("x", ITEMS));
+    b.submit(BatchCluster.spec("y", ITEMS));
+    cluster.advance(DONE_MILLIS);
+    Optional<String> ownerOfX = cluster.owner("x");
+    Optional<String> ownerOfY = cluster.owner("y");
+    cluster.advance(DONE_MILLIS);
+    assertThat(cluster.owner("x")).isEqualTo(ownerOfX);
+    assertThat(cluster.owner("y")).isEqualTo(ownerOfY);
+  }
 }
