Give the log and the relays of a live request classes of their own; relay only without contact meanwhile

A request whose upstream kept silent goes to another node only if no other upstream of the service was heard of since; otherwise the upstream alone is slow, and another one of this node's runs the request.

--- a/core/src/main/java/io/briarward/core/fleet/ServiceContacts.java
+++ b/core/src/main/java/io/briarward/core/fleet/ServiceContacts.java
@@ -19,10 +19,17 @@
   private static final int MIN_UNREACHABLE = 3;
 
   private final Map<String, Set<String>> unreachableByService = new HashMap<>();
+  private final Map<String, Long> lastContactMillis = new HashMap<>();
 
   /** Handles a sign that an upstream of a service can be reached. */
-  void onContact(String service) {
+  void onContact(String service, long nowMillis) {
     unreachableByService.remove(service);
+    lastContactMillis.put(service, nowMillis);
+  }
+
+  /** Returns whether an upstream of a service gave a sign at or after the given time. */
+  boolean hadContactSince(String service, long sinceMillis) {
+    return lastContactMillis.getOrDefault(service, Long.MIN_VALUE) >= sinceMillis;
   }
 
   /** Handles an upstream that did not accept a connection or left a request without response. */
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -265,8 +265,13 @@
   }
 
   /** Handles a sign that an upstream of a service can be reached. */
-  public void onContact(String service) {
-    contacts.onContact(service);
+  public void onContact(String service, long nowMillis) {
+    contacts.onContact(service, nowMillis);
+  }
+
+  /** Returns whether an upstream of a service gave a sign at or after the given time. */
+  public boolean hadContactSince(String service, long sinceMillis) {
+    return contacts.hadContactSince(service, sinceMillis);
   }
 
   /**
@@ -286,7 +291,6 @@
 
   /** Handles a request that an upstream accepted and started to run. */
   public void onAccepted(String id) {
-    entry(id).ifPresent(entry -> contacts.onContact(entry.service()));
     state(id).rejected = false;
   }
 
--- a/core/src/test/java/io/briarward/core/fleet/ServiceContactsTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/ServiceContactsTest.java
@@ -22,10 +22,13 @@
   void contactToAnyUpstreamOfTheServiceEndsTheSuspicion() {
     contacts.onUnreachable("desk", "a");
     contacts.onUnreachable("desk", "b");
-    contacts.onContact("desk");
+    contacts.onContact("desk", 100);
     contacts.onUnreachable("desk", "c");
     assertThat(contacts.isCutOff("desk", 3)).isFalse();
     assertThat(contacts.suspected()).containsExactly("desk");
+    assertThat(contacts.hadContactSince("desk", 100)).isTrue();
+    assertThat(contacts.hadContactSince("desk", 101)).isFalse();
+    assertThat(contacts.hadContactSince("llm", 0)).isFalse();
   }
 
   @Test
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -275,6 +275,7 @@
       @Override
       public boolean onVersion(long version) {
         started.progressAtMillis = context.nowMillis();
+        context.balancer().onContact(started.sampler.service(), context.nowMillis());
         context.balancer().onAccepted(started.sampler.id());
         return run.onVersion(itemId, version);
       }
@@ -282,7 +283,7 @@
       @Override
       public boolean onEvent(SampleEvent event) {
         long nowMillis = context.nowMillis();
-        context.balancer().onContact(started.sampler.service());
+        context.balancer().onContact(started.sampler.service(), nowMillis);
         context.placement().onEvent(started.sampler, nowMillis - started.progressAtMillis);
         started.progressAtMillis = nowMillis;
         started.events++;
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -22,6 +22,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -64,9 +65,6 @@
   /** The number of connections that may fail before another node is asked. */
   private static final int MAX_FAILED_CONNECTIONS = 3;
 
-  /** The number of other nodes that are asked to run a request. */
-  private static final int MAX_RELAYS = 2;
-
   private static final int MIN_SUCCESS = 200;
   private static final int MAX_SUCCESS = 299;
 
@@ -76,20 +74,20 @@
   private final LiveCall call;
   private final Runnable onFinished;
   private final Set<String> triedUpstreams = new HashSet<>();
-  private final Set<HostAndPort> triedNodes = new HashSet<>();
+  private final ExchangeLog log;
+  private final ExchangeRelays relays;
   private final Supplier<RequestFingerprint> fingerprint;
   private String service;
   private Optional<StreamOrigin> origin = Optional.empty();
   private Optional<Attempt> currentAttempt = Optional.empty();
   private Optional<Attempt> countedAttempt = Optional.empty();
-  private Optional<RelayedAttempt> relayedAttempt = Optional.empty();
   private Optional<UpstreamEntry> lastUpstream = Optional.empty();
   private Disposable deadline = Disposable.disposed();
   private Disposable attemptTimeout = Disposable.disposed();
   private int attempts;
   private int rejections;
   private int failedConnections;
-  private boolean upstreamSilent;
+  private OptionalLong silentSinceMillis = OptionalLong.empty();
   private boolean mayHaveRun;
   private boolean finished;
 
@@ -103,6 +101,8 @@
     this.response = CallerResponse.to(downstream);
     this.call = call;
     this.onFinished = onFinished;
+    this.log = new ExchangeLog(context, call);
+    this.relays = new ExchangeRelays(context, downstream, call, response);
     this.fingerprint = Suppliers.memoize(call::fingerprint);
     this.service = call.route().service(ThreadLocalRandom.current().nextDouble());
   }
@@ -207,13 +207,14 @@
       return;
     }
     UpstreamEntry upstream = chosen.get();
+    long openedAtMillis = context.nowMillis();
     triedUpstreams.add(upstream.id());
     context.balancer().onSent(upstream.id());
     context
         .connections()
         .open(upstream, call.method(), call.uri())
         .onSuccess(request -> send(upstream, request))
-        .onFailure(cause -> onConnectFailed(upstream, cause));
+        .onFailure(cause -> onConnectFailed(upstream, openedAtMillis, cause));
   }
 
   private void send(UpstreamEntry upstream, HttpClientRequest request) {
@@ -263,51 +264,38 @@
   /** Returns whether this node seems to have lost its links to the upstreams of the service. */
   private boolean shouldRelay() {
     return context.balancer().isCutOff(service)
-        || upstreamSilent
+        || lostContact()
         || failedConnections >= MAX_FAILED_CONNECTIONS;
   }
 
+  /** Returns whether an upstream kept silent and no other one was heard of meanwhile. */
+  private boolean lostContact() {
+    return silentSinceMillis.isPresent()
+        && !context.balancer().hadContactSince(service, silentSinceMillis.getAsLong());
+  }
+
   /**
-   * Sends the request to another node that reaches the service, unless another node sent it here.
+   * Sends the request to another node that reaches the service.
    *
-   * @return whether there is such a node
+   * @return whether there is such a node and the request may still run
    */
   private boolean relay() {
     boolean mayRun = attempts < call.maxAttempts() && (!mayHaveRun || call.route().repeatable());
-    if (call.relayed() || !mayRun || triedNodes.size() >= MAX_RELAYS) {
-      return false;
-    }
-    Optional<HostAndPort> node = context.relays().choose(context.nodes(), service, triedNodes);
-    if (node.isEmpty()) {
-      return false;
-    }
-    triedNodes.add(node.get());
-    RelayedAttempt attempt =
-        new RelayedAttempt(
-            context,
-            downstream,
-            call,
-            node.get(),
-            response,
-            call.maxAttempts() - attempts,
-            new RelayListener());
-    relayedAttempt = Optional.of(attempt);
-    attempt.start();
-    return true;
+    return mayRun && relays.start(service, call.maxAttempts() - attempts, new RelayListener());
   }
 
   private final class RelayListener implements RelayedAttempt.Listener {
     @Override
-    public void onNotRun(String cause) {
-      endRelay("not-run", cause);
-      if (!finished) {
-        startAttempt();
-      }
+    public void onNotRun(HostAndPort node, String cause) {
+      relays.onEnded();
+      log.relay(node, service, "not-run", cause);
+      startAttempt();
     }
 
     @Override
-    public void onBroken(String cause) {
-      endRelay("broken", cause);
+    public void onBroken(HostAndPort node, String cause) {
+      relays.onEnded();
+      log.relay(node, service, "broken", cause);
       attempts++;
       mayHaveRun = true;
       if (response.isOpen() && canRetry()) {
@@ -318,37 +306,20 @@
     }
 
     @Override
-    public void onRelayed(boolean whole) {
-      String node = relayedAttempt.map(each -> each.node().toString()).orElse("none");
-      relayedAttempt = Optional.empty();
-      finish(whole ? "ok" : "broken", node, "relayed");
+    public void onRelayed(HostAndPort node, boolean whole) {
+      relays.onEnded();
+      finish(whole ? "ok" : "broken", node.toString(), "run by another node");
     }
   }
 
-  private void endRelay(String outcome, String cause) {
-    context
-        .log()
-        .info(
-            "relay",
-            "id",
-            call.id(),
-            "service",
-            service,
-            "node",
-            relayedAttempt.map(each -> each.node().toString()).orElse("none"),
-            "outcome",
-            outcome,
-            "cause",
-            cause);
-    relayedAttempt = Optional.empty();
-  }
-
-  private void onConnectFailed(UpstreamEntry upstream, Throwable cause) {
+  private void onConnectFailed(UpstreamEntry upstream, long openedAtMillis, Throwable cause) {
     failedConnections++;
-    upstreamSilent |= cause instanceof ConnectTimeoutException;
+    if (cause instanceof ConnectTimeoutException) {
+      silentSinceMillis = OptionalLong.of(openedAtMillis);
+    }
     context.balancer().onUnreachable(upstream.id());
     context.balancer().onFailed(upstream.id(), context.nowMillis());
-    logAttempt(upstream, "connect-failed", cause.toString(), false);
+    logAttempt(upstream, "connect-failed", cause.toString());
     if (!finished) {
       startAttempt();
     }
@@ -358,7 +329,7 @@
     if (!isCurrent(attempt)) {
       return;
     }
-    context.balancer().onContact(attempt.upstream().service());
+    context.balancer().onContact(attempt.upstream().service(), context.nowMillis());
     AnswerKind kind = context.upstreamProtocol().classify(answer, call);
     if (kind != AnswerKind.FOREIGN) {
       context
@@ -384,7 +355,7 @@
     context
         .balancer()
         .onRejected(attempt.upstream().id(), context.nowMillis(), REJECTION_PAUSE_MILLIS);
-    logAttempt(attempt.upstream(), "not-run", "status " + status, false);
+    logAttempt(attempt.upstream(), "not-run", "status " + status);
     if (rejections < MAX_REJECTIONS) {
       startAttempt();
     } else {
@@ -436,7 +407,7 @@
     }
     if (response.isOpen() && answer.statusCode() >= 500 && canRetry()) {
       endAttempt(attempt);
-      logAttempt(attempt.upstream(), "failed", "status " + answer.statusCode(), false);
+      logAttempt(attempt.upstream(), "failed", "status " + answer.statusCode());
       context.balancer().onFailed(attempt.upstream().id(), context.nowMillis());
       startAttempt();
       return;
@@ -481,7 +452,7 @@
   private void onAttemptTimeout(Attempt attempt) {
     if (isCurrent(attempt)) {
       mayHaveRun = true;
-      upstreamSilent = true;
+      silentSinceMillis = OptionalLong.of(attempt.sentAtMillis());
       context.balancer().onUnreachable(attempt.upstream().id());
       abandon(
           attempt,
@@ -495,7 +466,7 @@
   private void abandon(Attempt attempt, String outcome, String cause) {
     endAttempt(attempt);
     attempt.request().reset();
-    logAttempt(attempt.upstream(), outcome, cause, true);
+    logAttempt(attempt.upstream(), outcome, cause, fingerprint.get().toString());
   }
 
   private void endAttempt(Attempt attempt) {
@@ -552,7 +523,7 @@
     if (finished) {
       return;
     }
-    if (mayHaveRun || currentAttempt.isPresent() || relayedAttempt.isPresent()) {
+    if (mayHaveRun || currentAttempt.isPresent() || relays.inProgress()) {
       fail(Failure.unknown(ErrorKind.DEADLINE_EXCEEDED, "no whole answer within the due time"));
     } else {
       fail(
@@ -575,7 +546,7 @@
     finish(outcome, upstream, failure.detail());
   }
 
-  private void finish(String outcome, String upstream, String cause) {
+  private void finish(String outcome, String target, String cause) {
     if (finished) {
       return;
     }
@@ -588,67 +559,19 @@
           context.balancer().onReleased(attempt.upstream().id());
         });
     currentAttempt = Optional.empty();
-    relayedAttempt.ifPresent(RelayedAttempt::cancel);
-    relayedAttempt = Optional.empty();
-    long tookMillis = context.nowMillis() - call.arrivedAtMillis();
-    context.metrics().requestFinished(service, outcome, tookMillis / 1e3);
-    context
-        .log()
-        .info(
-            "request",
-            "id",
-            call.id(),
-            "route",
-            call.route().name(),
-            "service",
-            service,
-            "upstream",
-            upstream,
-            "software",
-            lastUpstream.map(UpstreamEntry::softwareVersion).orElse("none"),
-            "resumes",
-            call.resumption().flatMap(LiveCall.Resumption::firstRequestId).orElse("none"),
-            "resumesAfter",
-            call.resumption().map(LiveCall.Resumption::lastEventId).orElse("none"),
-            "outcome",
-            outcome,
-            "cause",
-            cause,
-            "attempts",
-            attempts,
-            "refusals",
-            rejections,
-            "tookMillis",
-            tookMillis,
-            "leftMillis",
-            call.deadlineMillis() - context.nowMillis());
+    relays.cancel();
+    log.finished(service, target, lastUpstream, outcome, cause, attempts, rejections);
     onFinished.run();
   }
 
-  /**
-   * Logs an attempt that failed.
-   *
-   * @param mayHaveEndedUpstream whether to log the fingerprint, by which repeats of a request that
-   *     ends upstreams are found
-   */
+  /** Logs an attempt that failed; the request is tried again unless it is finished. */
+  private void logAttempt(UpstreamEntry upstream, String outcome, String cause) {
+    logAttempt(upstream, outcome, cause, "");
+  }
+
   private void logAttempt(
-      UpstreamEntry upstream, String outcome, String cause, boolean mayHaveEndedUpstream) {
-    context
-        .log()
-        .info(
-            "attempt",
-            "id",
-            call.id(),
-            "upstream",
-            upstream.id(),
-            "attempt",
-            attempts,
-            "outcome",
-            outcome,
-            "cause",
-            cause,
-            "fingerprint",
-            mayHaveEndedUpstream ? fingerprint.get() : "");
+      UpstreamEntry upstream, String outcome, String cause, String requestFingerprint) {
+    log.attempt(upstream, attempts, outcome, cause, requestFingerprint);
     if (!finished) {
       context.metrics().retried(service);
     }
--- a/node/src/main/java/io/briarward/node/gateway/RelayedAttempt.java
+++ b/node/src/main/java/io/briarward/node/gateway/RelayedAttempt.java
@@ -34,13 +34,13 @@
   /** Receives the end of the attempt; called once, unless the attempt was cancelled. */
   interface Listener {
     /** Handles a request that the other node surely did not run and will not run. */
-    void onNotRun(String cause);
+    void onNotRun(HostAndPort node, String cause);
 
     /** Handles a request that may have run and whose response is missing or incomplete. */
-    void onBroken(String cause);
+    void onBroken(HostAndPort node, String cause);
 
     /** Handles a response that was relayed as far as the caller accepted it. */
-    void onRelayed(boolean whole);
+    void onRelayed(HostAndPort node, boolean whole);
   }
 
   /**
@@ -66,16 +66,12 @@
     this.listener = checkNotNull(listener, "listener");
   }
 
-  HostAndPort node() {
-    return node;
-  }
-
   void start() {
     context
         .relays()
         .open(node, call.method(), call.uri())
         .onSuccess(this::send)
-        .onFailure(cause -> end(() -> listener.onNotRun("connection failed: " + cause)));
+        .onFailure(cause -> end(() -> listener.onNotRun(node, "connection failed: " + cause)));
   }
 
   /** Ends the attempt without a call of the listener. */
@@ -89,7 +85,7 @@
     long leftMillis = call.deadlineMillis() - context.nowMillis();
     if (ended || leftMillis <= 0) {
       opened.reset();
-      end(() -> listener.onNotRun("deadline exceeded"));
+      end(() -> listener.onNotRun(node, "deadline exceeded"));
       return;
     }
     request = Optional.of(opened);
@@ -116,7 +112,7 @@
     switch (context.upstreamProtocol().classifyRelayed(answer, call)) {
       case NOT_RUN -> {
         ResponseBodies.discard(opened, answer, context.scheduler());
-        end(() -> listener.onNotRun("status " + answer.statusCode()));
+        end(() -> listener.onNotRun(node, "status " + answer.statusCode()));
       }
       case FOREIGN -> abort("response belongs to another request or is a failure of the node");
       default -> relay(answer);
@@ -133,12 +129,12 @@
           }
         });
     answer.endHandler(
-        unused -> end(() -> listener.onRelayed(!response.end(Buffer.buffer()).failed())));
+        unused -> end(() -> listener.onRelayed(node, !response.end(Buffer.buffer()).failed())));
   }
 
   private void abort(String cause) {
     request.ifPresent(HttpClientRequest::reset);
-    end(() -> listener.onBroken(cause));
+    end(() -> listener.onBroken(node, cause));
   }
 
   private void end(Runnable notification) {
--- a/node/src/main/java/io/briarward/node/gateway/UpstreamProber.java
+++ b/node/src/main/java/io/briarward/node/gateway/UpstreamProber.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Finds out when a node that is cut off from a service reaches its upstreams again.
@@ -27,6 +28,7 @@
 
   private final UpstreamBalancer balancer;
   private final UpstreamConnections connections;
+  private final Scheduler scheduler;
   private final EventLog log;
   private final Disposable timer;
   private final Map<String, Integer> probesByService = new HashMap<>();
@@ -39,6 +41,7 @@
       EventLog log) {
     this.balancer = checkNotNull(balancer, "balancer");
     this.connections = checkNotNull(connections, "connections");
+    this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.timer = Timers.every(scheduler, PROBE_INTERVAL_MILLIS, this::probe);
   }
@@ -88,7 +91,7 @@
             reached -> {
               probing.remove(service);
               if (reached.succeeded()) {
-                balancer.onContact(service);
+                balancer.onContact(service, scheduler.now(TimeUnit.MILLISECONDS));
               }
             });
   }
