Ask nodes first that ran relayed requests, and let idle nodes learn that they are cut off

Now a node whose service is lost elsewhere opens connections to three of its upstreams if none gave a sign in the last second (UpstreamProber), and a node that ran a relayed request lately is preferred to one that was not asked (RelayHistory).

--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -282,6 +282,11 @@
     return contacts.isCutOff(service, notDraining(service, ImmutableSet.of()).count());
   }
 
+  /** Returns the services of which an upstream did not answer since the last contact to one. */
+  public ImmutableSet<String> suspectedServices() {
+    return contacts.suspected();
+  }
+
   /** Returns the services from which this node is cut off. */
   public ImmutableSet<String> cutOffServices() {
     return contacts.suspected().stream()
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -182,6 +182,13 @@
     return found.isEmpty() ? alive() : found;
   }
 
+  /** Returns the services from which other live processes are cut off. */
+  public ImmutableSet<String> cutOffElsewhere() {
+    return others()
+        .flatMap(peer -> peer.relayOffer().cutOffServices().stream())
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
   /** Returns whether another live process reaches a service, as far as it knows. */
   public boolean reachedByOthers(String service) {
     return others().anyMatch(peer -> peer.relayOffer().reaches(service));
--- a/node/src/main/java/io/briarward/node/gateway/ExchangeRelays.java
+++ b/node/src/main/java/io/briarward/node/gateway/ExchangeRelays.java
@@ -42,7 +42,8 @@
     if (call.relayed() || triedNodes.size() >= MAX_NODES) {
       return false;
     }
-    Optional<HostAndPort> node = context.relays().choose(context.nodes(), service, triedNodes);
+    Optional<HostAndPort> node =
+        context.relays().choose(context.nodes(), service, triedNodes, context.nowMillis());
     if (node.isEmpty()) {
       return false;
     }
@@ -66,8 +67,9 @@
     current = Optional.empty();
   }
 
-  /** Handles the end of the attempt in progress. */
-  void onEnded() {
+  /** Handles the end of the attempt in progress, at which the node ran the request or not. */
+  void onEnded(HostAndPort node, boolean ran) {
     current = Optional.empty();
+    context.relays().onResult(node, ran, context.nowMillis());
   }
 }
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -287,14 +287,14 @@
   private final class RelayListener implements RelayedAttempt.Listener {
     @Override
     public void onNotRun(HostAndPort node, String cause) {
-      relays.onEnded();
+      relays.onEnded(node, false);
       log.relay(node, service, "not-run", cause);
       startAttempt();
     }
 
     @Override
     public void onBroken(HostAndPort node, String cause) {
-      relays.onEnded();
+      relays.onEnded(node, false);
       log.relay(node, service, "broken", cause);
       attempts++;
       mayHaveRun = true;
@@ -307,7 +307,7 @@
 
     @Override
     public void onRelayed(HostAndPort node, boolean whole) {
-      relays.onEnded();
+      relays.onEnded(node, true);
       finish(whole ? "ok" : "broken", node.toString(), "run by another node");
     }
   }
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -126,7 +126,7 @@
             new RelayOffer(
                 settings.relayAddress().map(HostAndPort::toString),
                 fleet.balancer().cutOffServices()));
-    parts.push(UpstreamProber.start(fleet.balancer(), connections, scheduler, log));
+    parts.push(UpstreamProber.start(fleet.balancer(), nodes, connections, scheduler, log));
     parts.push(LimitExchange.start(nodes, shares, scheduler));
     this.batches =
         BatchService.start(
--- a/node/src/main/java/io/briarward/node/gateway/PeerRelays.java
+++ b/node/src/main/java/io/briarward/node/gateway/PeerRelays.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
+import io.briarward.core.fleet.RelayHistory;
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.live.UpstreamRequests;
 import io.vertx.core.Future;
@@ -25,6 +26,7 @@
   private static final int MAX_CONNECTIONS_PER_NODE = 48;
 
   private final UpstreamRequests requests;
+  private final RelayHistory<HostAndPort> history = RelayHistory.create();
 
   private PeerRelays(UpstreamRequests requests) {
     this.requests = requests;
@@ -39,17 +41,25 @@
                 CONNECT_TIMEOUT_MILLIS, KEEP_ALIVE_SECONDS, MAX_CONNECTIONS_PER_NODE)));
   }
 
+  /** Handles a request that a node ran, or that it rejected or left without response. */
+  void onResult(HostAndPort node, boolean ran, long nowMillis) {
+    history.onResult(node, ran, nowMillis);
+  }
+
   /**
    * Returns the address of a node that reaches a service, chosen at random to spread the load.
    *
    * @param excluded the addresses that must not be chosen
    */
-  Optional<HostAndPort> choose(NodeRegistry nodes, String service, Set<HostAndPort> excluded) {
+  Optional<HostAndPort> choose(
+      NodeRegistry nodes, String service, Set<HostAndPort> excluded, long nowMillis) {
     ImmutableList<HostAndPort> candidates =
-        nodes.relayAddresses(service).stream()
-            .map(HostAndPort::fromString)
-            .filter(address -> !excluded.contains(address))
-            .collect(ImmutableList.toImmutableList());
+        history.best(
+            nodes.relayAddresses(service).stream()
+                .map(HostAndPort::fromString)
+                .filter(address -> !excluded.contains(address))
+                .collect(ImmutableList.toImmutableList()),
+            nowMillis);
     return candidates.isEmpty()
         ? Optional.empty()
         : Optional.of(candidates.get(ThreadLocalRandom.current().nextInt(candidates.size())));
