--- a/node/src/main/java/io/briarward/node/gateway/UpstreamProber.java
+++ b/node/src/main/java/io/briarward/node/gateway/UpstreamProber.java
@@ -59,7 +59,7 @@
     this.connections = checkNotNull(connections, "connections");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
-    this.timer = Timers.every(scheduler, PROBE_INTERVAL_MILLIS, this::probe);
+    this.timer = Timers.every(scheduler, PROBE_INTERVAL_MILLIS, this::checkServices);
   }
 
   /** Starts to probe the services from which this node or others may be cut off. */
@@ -77,7 +77,7 @@
     timer.dispose();
   }
 
-  private void probe() {
+  private void checkServices() {
     ImmutableSet<String> cutOff = balancer.cutOffServices();
     logChanges(cutOff);
     for (String service : cutOff) {
@@ -114,11 +114,11 @@
     }
     for (int i = 0; i < Math.min(count, upstreams.size()); i++) {
       probes++;
-      probe(upstreams.get(probes % upstreams.size()));
+      connect(upstreams.get(probes % upstreams.size()));
     }
   }
 
-  private void probe(UpstreamEntry upstream) {
+  private void connect(UpstreamEntry upstream) {
     pendingByService.merge(upstream.service(), 1, Integer::sum);
     connections
         .probe(upstream)
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -422,7 +422,7 @@
   @Test
   void batchOfNodeThatReachesNoSamplerRunsOnAnotherNode() {
     BatchCluster.Process a = cluster.start("a");
-    BatchCluster.Process b = cluster.start("b");
+    final BatchCluster.Process b = cluster.start("b");
     a.cutOff();
     assertThat(a.submit(BatchCluster.spec("x", ITEMS))).isEqualTo(SubmitOutcome.ACCEPTED);
     cluster.advance(DONE_MILLIS);
