--- a/core/src/main/java/io/briarward/core/fleet/ServiceContacts.java
+++ b/core/src/main/java/io/briarward/core/fleet/ServiceContacts.java
@@ -1,12 +1,11 @@
 package io.briarward.core.fleet;
 
-import static com.google.common.base.Preconditions.checkArgument;
-
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 /**
  * Decides when this node is cut off from all upstreams of a service.
@@ -48,12 +47,16 @@
   /**
    * Returns whether the node is cut off from a service.
    *
-   * @param registered the number of upstreams of the service that accept requests
+   * @param registered returns the number of upstreams of the service that accept requests; called
+   *     only if one of them did not answer
    */
-  boolean isCutOff(String service, long registered) {
-    checkArgument(registered >= 0, "registered is %s, expected >= 0", registered);
+  boolean isCutOff(String service, LongSupplier registered) {
     int unreachable = unreachableByService.getOrDefault(service, Set.of()).size();
-    return registered > 0 && unreachable >= Math.min(MIN_UNREACHABLE, registered);
+    if (unreachable == 0) {
+      return false;
+    }
+    long required = Math.min(MIN_UNREACHABLE, registered.getAsLong());
+    return required > 0 && unreachable >= required;
   }
 
   /** Returns the services of which an upstream did not answer since the last contact. */
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -279,7 +279,7 @@
    * are fewer, did not answer since the last contact to one of them.
    */
   public boolean isCutOff(String service) {
-    return contacts.isCutOff(service, notDraining(service, ImmutableSet.of()).count());
+    return contacts.isCutOff(service, () -> notDraining(service, ImmutableSet.of()).count());
   }
 
   /** Returns the services of which an upstream did not answer since the last contact to one. */
--- a/core/src/test/java/io/briarward/core/fleet/ServiceContactsTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/ServiceContactsTest.java
@@ -12,10 +12,10 @@
     contacts.onUnreachable("desk", "a");
     contacts.onUnreachable("desk", "a");
     contacts.onUnreachable("desk", "b");
-    assertThat(contacts.isCutOff("desk", 10)).isFalse();
+    assertThat(contacts.isCutOff("desk", () -> 10)).isFalse();
     contacts.onUnreachable("desk", "c");
-    assertThat(contacts.isCutOff("desk", 10)).isTrue();
-    assertThat(contacts.isCutOff("llm", 10)).isFalse();
+    assertThat(contacts.isCutOff("desk", () -> 10)).isTrue();
+    assertThat(contacts.isCutOff("llm", () -> 10)).isFalse();
   }
 
   @Test
@@ -24,7 +24,7 @@
     contacts.onUnreachable("desk", "b");
     contacts.onContact("desk", 100);
     contacts.onUnreachable("desk", "c");
-    assertThat(contacts.isCutOff("desk", 3)).isFalse();
+    assertThat(contacts.isCutOff("desk", () -> 3)).isFalse();
     assertThat(contacts.suspected()).containsExactly("desk");
     assertThat(contacts.hadContactSince("desk", 100)).isTrue();
     assertThat(contacts.hadContactSince("desk", 101)).isFalse();
@@ -34,15 +34,15 @@
   @Test
   void allUpstreamsOfSmallServiceAreEnough() {
     contacts.onUnreachable("desk", "a");
-    assertThat(contacts.isCutOff("desk", 2)).isFalse();
-    assertThat(contacts.isCutOff("desk", 1)).isTrue();
+    assertThat(contacts.isCutOff("desk", () -> 2)).isFalse();
+    assertThat(contacts.isCutOff("desk", () -> 1)).isTrue();
   }
 
   @Test
   void serviceWithoutUpstreamsIsNotCutOff() {
     contacts.onUnreachable("desk", "a");
     contacts.onRemoved("desk", "a");
-    assertThat(contacts.isCutOff("desk", 0)).isFalse();
-    assertThat(contacts.isCutOff("desk", 1)).isFalse();
+    assertThat(contacts.isCutOff("desk", () -> 0)).isFalse();
+    assertThat(contacts.isCutOff("desk", () -> 1)).isFalse();
   }
 }
