Do not run a batch that ended while it was taken over

Cause: a node that takes a batch over reads the submission and the listed results, and then ran the batch with the head from which it had begun. A head that said meanwhile that the batch had ended found no owner to stop, and no further change of the head follows. Change: the newest head of the directory decides after the reads; a line batch-adopted or batch-not-adopted has its row version. Evidence: batchThatEndsWhileItIsTakenOverDoesNotRun ran 16 items after the end before (24 calls instead of 8), and none now.

--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -279,6 +279,24 @@
                     log.warn("takeover-failed", "batch", next.id(), "cause", error.toString()));
   }
 
+  /** Runs a loaded batch unless it was ended, removed or taken over while it was read. */
+  private void runIfStillOwned(BatchSpec spec, ImmutableSet<String> recordedIds) {
+    Optional<StoredHead> newest =
+        directory
+            .cachedHead(spec.id())
+            .filter(head -> head.head().isOpen())
+            .filter(head -> head.head().owner().equals(Optional.of(incarnation)));
+    newest.ifPresent(head -> run(spec, head, recordedIds));
+    log.info(
+        newest.isPresent() ? "batch-adopted" : "batch-not-adopted",
+        "batch",
+        spec.id(),
+        "rowVersion",
+        directory.cachedHead(spec.id()).map(StoredHead::rowVersion).orElse(0L),
+        "listed",
+        recordedIds.size());
+  }
+
   /** Loads and runs a batch whose head names this process as the owner. */
   private void loadAndRun(StoredHead stored) {
     String id = stored.head().id();
@@ -292,7 +310,7 @@
                   if (spec.isEmpty()) {
                     log.warn("submission-missing", "batch", id);
                   } else if (!owners.containsKey(id)) {
-                    run(spec.get(), stored, ImmutableSet.copyOf(recordedIds));
+                    runIfStillOwned(spec.get(), ImmutableSet.copyOf(recordedIds));
                   }
                   return id;
                 })
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -445,4 +445,27 @@
     assertThat(cluster.owner("x")).isEqualTo(ownerOfX);
     assertThat(cluster.owner("y")).isEqualTo(ownerOfY);
   }
+
+  /** Ends batch {@code x} at {@code process} and returns the number of calls until then. */
+  private int endBatch(BatchCluster.Process process) {
+    assertThat(cluster.await(process.batches.end("x", BatchCluster.ORGANISATION))).isTrue();
+    cluster.advance(200); // The other processes have read the head by then.
+    return cluster.samplers.calls().size();
+  }
+
+  @Test
+  void batchThatEndsWhileItIsTakenOverDoesNotRun() {
+    cluster.samplers.setEventGaps(3, call -> 400);
+    BatchCluster.Process a = cluster.start("a");
+    BatchCluster.Process b = cluster.start("b");
+    a.submit(BatchCluster.spec("x", ITEMS));
+    cluster.store.setObjectDelayMillis(1_000);
+    a.kill();
+    while (!cluster.owner("x").equals(Optional.of(b.incarnation))) {
+      cluster.advance(10);
+    }
+    int calls = endBatch(b);
+    cluster.advance(TAKEOVER_MILLIS);
+    assertThat(cluster.samplers.calls()).hasSize(calls);
+  }
 }
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -59,6 +59,7 @@
   private Predicate<String> tablesWithoutSnapshots = name -> false;
   private Predicate<String> objectsWithoutPuts = name -> false;
   private boolean down;
+  private long objectDelayMillis;
   private long version;
 
   private record LoggedChange(long version, String table, ChangeFeed.Change change) {}
@@ -98,6 +99,11 @@
     version += 1_000;
   }
 
+  /** Sets how long the store takes to return an object. */
+  public void setObjectDelayMillis(long delayMillis) {
+    objectDelayMillis = delayMillis;
+  }
+
   /** Writes a row, as by another process. */
   public void put(String table, String key, JsonNode value) {
     apply(Transaction.builder().put(RowKey.of(table, key), value).build());
@@ -216,7 +222,8 @@
 
   @Override
   public Single<Optional<Buffer>> get(String key) {
-    return respond(() -> Single.just(Optional.ofNullable(objects.get(key))));
+    return respond(() -> Single.just(Optional.ofNullable(objects.get(key))))
+        .delay(objectDelayMillis, TimeUnit.MILLISECONDS, scheduler);
   }
 
   @Override
