Stop a batch that ended while its results wait to be listed

Cause: while an owner waited for the outcome of a listing, it ignored every newer head. If the store refused or did not answer the owner's writes, but told it of the end, it ran further items until the listing was decided. Change: a head that ends the batch, or names another owner, applies at once; only one that may be the owner's own listing waits. Why it works: a stopped owner sends no listing again, and a listing in flight requires the head unchanged, so it has no effect after the end.

--- a/core/src/main/java/io/briarward/core/batch/BatchHead.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchHead.java
@@ -89,6 +89,11 @@
         newToken);
   }
 
+  /** Returns whether the process of the given incarnation owns the batch. */
+  public boolean isOwnedBy(String incarnation) {
+    return owner.filter(incarnation::equals).isPresent();
+  }
+
   /** Returns when all results are due, on the store's clock. */
   public long dueAtMillis() {
     return acceptedAtMillis + terms.dueMillis();
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -142,10 +142,13 @@
 
   /** Handles a head that another process may have written. */
   void onHead(StoredHead newer) {
-    if (newer.rowVersion() <= head.rowVersion() || committing) {
+    if (newer.rowVersion() <= head.rowVersion()) {
       return;
     }
-    applyHead(newer);
+    boolean mayBeOwnCommit = committing && newer.head().isOwnedBy(context.incarnation());
+    if (!mayBeOwnCommit || newer.head().ended()) {
+      applyHead(newer);
+    }
   }
 
   /** Releases the batch, so that another node takes it over without waiting for a time-out. */
@@ -499,7 +502,7 @@
     head = newer;
     if (newer.head().ended()) {
       stop("ended");
-    } else if (!newer.head().owner().equals(Optional.of(context.incarnation()))) {
+    } else if (!newer.head().isOwnedBy(context.incarnation())) {
       stop("taken over by " + newer.head().owner().orElse("nobody"));
     } else if (!newer.head().isOpen()) {
       stop("complete");
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -213,7 +213,7 @@
       if (!head.isOpen() || owners.containsKey(head.id()) || acquiringIds.contains(head.id())) {
         continue;
       }
-      if (head.owner().equals(Optional.of(incarnation))) {
+      if (head.isOwnedBy(incarnation)) {
         loadAndRun(stored);
       } else if (hasNoLiveOwner(head, alive)
           && DutyCandidates.choose(head.id(), nodes.reaching(head.terms().service()), 1)
@@ -285,7 +285,7 @@
         directory
             .cachedHead(spec.id())
             .filter(head -> head.head().isOpen())
-            .filter(head -> head.head().owner().equals(Optional.of(incarnation)));
+            .filter(head -> head.head().isOwnedBy(incarnation));
     newest.ifPresent(head -> run(spec, head, recordedIds));
     log.info(
         newest.isPresent() ? "batch-adopted" : "batch-not-adopted",
--- a/node/src/main/java/io/briarward/node/batch/BatchStore.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchStore.java
@@ -34,7 +34,7 @@
   /** The table with the head of each batch. */
   static final String HEADS_TABLE = "batch-heads";
 
-  private static final String RESULTS_TABLE = "batch-results";
+  static final String RESULTS_TABLE = "batch-results";
 
   /** Results above this size are stored as objects, since rows are limited to 64 KiB. */
   private static final int MAX_ROW_BYTES = 48 << 10;
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -468,4 +468,22 @@
     cluster.advance(TAKEOVER_MILLIS);
     assertThat(cluster.samplers.calls()).hasSize(calls);
   }
+
+  @Test
+  void batchThatEndsWhileItsResultsAreRejectedDoesNotRunOn() {
+    cluster.samplers.setEventGaps(3, call -> 100);
+    BatchCluster.Process a = cluster.start("a");
+    BatchCluster.Process b = cluster.start("b");
+    a.submit(BatchCluster.spec("x", 3 * ITEMS));
+    cluster.store.setWriteOutcomes(
+        transaction ->
+            writesTo(transaction, BatchStore.RESULTS_TABLE)
+                ? WriteOutcome.REJECTED
+                : WriteOutcome.APPLIED);
+    cluster.advance(500);
+    int calls = endBatch(b);
+    assertThat(calls).isLessThan(3 * ITEMS);
+    cluster.advance(TAKEOVER_MILLIS);
+    assertThat(cluster.samplers.calls()).hasSize(calls);
+  }
 }
