--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -457,7 +457,7 @@
   void batchThatEndsWhileItIsTakenOverDoesNotRun() {
     cluster.samplers.setEventGaps(3, call -> 400);
     BatchCluster.Process a = cluster.start("a");
-    BatchCluster.Process b = cluster.start("b");
+    final BatchCluster.Process b = cluster.start("b");
     a.submit(BatchCluster.spec("x", ITEMS));
     cluster.store.setObjectDelayMillis(1_000);
     a.kill();
@@ -473,7 +473,7 @@
   void batchThatEndsWhileItsResultsAreRejectedDoesNotRunOn() {
     cluster.samplers.setEventGaps(3, call -> 100);
     BatchCluster.Process a = cluster.start("a");
-    BatchCluster.Process b = cluster.start("b");
+    final BatchCluster.Process b = cluster.start("b");
     a.submit(BatchCluster.spec("x", 3 * ITEMS));
     cluster.store.setWriteOutcomes(
         transaction ->
