Open another connection when the pool offers one that closes

The HTTP client may lease a pooled connection that the server closes at that moment; `HttpClient.request` then fails with HttpClosedException before anything is sent. Items, live requests, reward calls and calls of the store took that for a failed connect.

What callers saw: an upstream that had closed an idle connection was quarantined and counted as unreachable, which also counts towards "this node is cut off from the service"; the request went on to another upstream.

Change: PooledRequests opens the request again, up to four times, when the connection was closed before use. Nothing has been sent by then, so the request cannot run twice; a refused or timed-out connect still fails at once.

--- a/node/src/main/java/io/briarward/node/live/UpstreamRequests.java
+++ b/node/src/main/java/io/briarward/node/live/UpstreamRequests.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import io.briarward.core.configuration.Upstream;
+import io.briarward.node.http.PooledRequests;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
@@ -76,7 +77,7 @@
             .setPort(port)
             .setURI(uri)
             .setFollowRedirects(false);
-    return client.request(options);
+    return PooledRequests.open(client, options);
   }
 
   @Override
--- a/node/src/main/java/io/briarward/node/platform/JsonHttpClient.java
+++ b/node/src/main/java/io/briarward/node/platform/JsonHttpClient.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
+import io.briarward.node.http.PooledRequests;
 import io.briarward.node.http.ResponseBodies;
 import io.briarward.node.platform.PlatformException.Effect;
 import io.reactivex.rxjava3.core.Single;
@@ -109,8 +110,7 @@
     headers.forEach(options::putHeader);
     return Single.create(
         emitter ->
-            client
-                .request(options)
+            PooledRequests.open(client, options)
                 .recover(e -> Future.failedFuture(toPlatformException(Effect.NONE, server, e)))
                 .compose(request -> exchange(request, body, server))
                 .onSuccess(emitter::onSuccess)
