Score texts while others wait for another service

Cause: RewardRunner.step looked at the first waiting text only.

What callers saw: a batch whose reward calls go to two services stood still while one of them was down.

Change: a step passes over the routes that had no room and goes on with the next text. "reward-route-missing" is logged once until no text lacks a route; with two routes it would have alternated with "reward-route-found".

--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -170,9 +171,13 @@
     }
   }
 
-  /** Returns the next item whose text is to be scored, without starting the call. */
-  public Optional<BatchItem> nextReward(long nowMillis) {
-    return rewards.next(nowMillis, unfinishedByGroup::count);
+  /**
+   * Returns the next item whose text is to be scored, without starting the call.
+   *
+   * @param allowed a further condition on the item
+   */
+  public Optional<BatchItem> nextReward(long nowMillis, Predicate<BatchItem> allowed) {
+    return rewards.next(nowMillis, unfinishedByGroup::count, allowed);
   }
 
   /** Returns the number of items whose text is complete and has no score. */
--- a/core/src/main/java/io/briarward/core/batch/RewardQueue.java
+++ b/core/src/main/java/io/briarward/core/batch/RewardQueue.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 
 /**
@@ -56,10 +57,13 @@
    * Returns the next item to score, without starting its call.
    *
    * @param unfinishedInGroup returns the number of items of a group without a result
+   * @param allowed a further condition on the item
    */
-  Optional<BatchItem> next(long nowMillis, ToIntFunction<String> unfinishedInGroup) {
+  Optional<BatchItem> next(
+      long nowMillis, ToIntFunction<String> unfinishedInGroup, Predicate<BatchItem> allowed) {
     return entries.values().stream()
         .filter(entry -> !entry.inFlight && nowMillis >= entry.notBeforeMillis)
+        .filter(entry -> allowed.test(entry.item))
         .min(Comparator.comparingInt(entry -> unfinishedInGroup.applyAsInt(entry.item.group())))
         .map(entry -> entry.item);
   }
--- a/core/src/test/java/io/briarward/core/batch/RewardQueueTest.java
+++ b/core/src/test/java/io/briarward/core/batch/RewardQueueTest.java
@@ -16,7 +16,7 @@
 
   private String next(long nowMillis, ImmutableMap<String, Integer> unfinished) {
     return queue
-        .next(nowMillis, group -> unfinished.getOrDefault(group, 1))
+        .next(nowMillis, group -> unfinished.getOrDefault(group, 1), item -> true)
         .map(BatchItem::id)
         .orElse("none");
   }
@@ -39,6 +39,14 @@
     assertThat(next(0, ImmutableMap.of())).isEqualTo("b");
   }
 
+  @Test
+  void itemsThatAreNotAllowedArePassedOver() {
+    queue.add(item("a", "g1"));
+    queue.add(item("b", "g1"));
+    Optional<BatchItem> next = queue.next(0, group -> 1, each -> !each.id().equals("a"));
+    assertThat(next.map(BatchItem::id)).isEqualTo(Optional.of("b"));
+  }
+
   @Test
   void interruptedCallIsRepeatedAfterDelayThatDoubles() {
     queue.add(item("a", "g1"));
--- a/node/src/main/java/io/briarward/node/batch/RewardRunner.java
+++ b/node/src/main/java/io/briarward/node/batch/RewardRunner.java
@@ -13,7 +13,9 @@
 import io.briarward.node.batch.RewardClient.Reply;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -55,14 +57,31 @@
 
   /** Starts as many calls as their services have room for. */
   void step() {
+    long nowMillis = context.nowMillis();
+    // The routes without room; the empty route stands for calls that no route matches.
+    Set<Optional<FleetRoute>> full = new HashSet<>();
+    Optional<RewardCall> unrouted = Optional.empty();
     while (true) {
-      long nowMillis = context.nowMillis();
-      Optional<Call> next = run.nextReward(nowMillis).flatMap(item -> place(item, nowMillis));
+      Optional<BatchItem> next =
+          run.nextReward(nowMillis, item -> full.isEmpty() || !full.contains(route(item)));
       if (next.isEmpty()) {
-        return;
+        break;
+      }
+      Optional<FleetRoute> route = route(next.get());
+      if (route.isEmpty()) {
+        unrouted = next.get().rewardCall();
       }
-      start(next.get());
+      Optional<Call> call = route.flatMap(found -> place(next.get(), found, nowMillis));
+      call.ifPresentOrElse(this::start, () -> full.add(route));
     }
+    logRoutes(unrouted);
+  }
+
+  private Optional<FleetRoute> route(BatchItem item) {
+    RewardCall reward = item.rewardCall().orElseThrow();
+    return context
+        .configuration()
+        .flatMap(configuration -> configuration.route(reward.host(), reward.path()));
   }
 
   /** Cancels all calls. */
@@ -71,42 +90,31 @@
     calls.dispose();
   }
 
-  private Optional<Call> place(BatchItem item, long nowMillis) {
-    RewardCall reward = item.rewardCall().orElseThrow();
-    Optional<FleetRoute> route =
-        context
-            .configuration()
-            .flatMap(configuration -> configuration.route(reward.host(), reward.path()));
-    logRoute(route.isPresent(), reward);
-    return route.flatMap(
-        found ->
-            context
-                .balancer()
-                .choose(
-                    found.service(ThreadLocalRandom.current().nextDouble()),
-                    ImmutableSet.of(),
-                    this::hasRoom,
-                    nowMillis)
-                .map(upstream -> new Call(item, found, upstream, nowMillis)));
+  private Optional<Call> place(BatchItem item, FleetRoute route, long nowMillis) {
+    String service = route.service(ThreadLocalRandom.current().nextDouble());
+    return context
+        .balancer()
+        .choose(service, ImmutableSet.of(), this::hasRoom, nowMillis)
+        .map(upstream -> new Call(item, route, upstream, nowMillis));
   }
 
   private boolean hasRoom(UpstreamEntry upstream) {
     return RewardPacing.hasRoom(context.balancer().inFlight(upstream.id()), upstream.slots());
   }
 
-  private void logRoute(boolean found, RewardCall reward) {
-    if (found == routeMissing) {
-      routeMissing = !found;
+  private void logRoutes(Optional<RewardCall> unrouted) {
+    if (unrouted.isPresent() != routeMissing) {
+      routeMissing = unrouted.isPresent();
       context
           .log()
           .info(
-              found ? "reward-route-found" : "reward-route-missing",
+              routeMissing ? "reward-route-missing" : "reward-route-found",
               "batch",
               batchId,
               "call",
-              reward.id(),
+              unrouted.map(RewardCall::id).orElse("none"),
               "path",
-              reward.path());
+              unrouted.map(RewardCall::path).orElse("none"));
     }
   }
 
--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -11,6 +11,7 @@
 import io.briarward.core.batch.RewardCall;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.RelayOffer;
+import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.node.batch.BatchService.ResultPage;
 import io.briarward.node.batch.BatchService.SubmitOutcome;
 import io.briarward.node.fleet.FleetState;
@@ -30,6 +31,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /** Processes that share a store and samplers, in virtual time. */
@@ -54,6 +57,7 @@
     final BatchService batches;
     private final List<AutoCloseable> components = new ArrayList<>();
     private boolean cutOff;
+    private boolean cutOffFromScorers;
 
     Process(String name) {
       incarnation = Incarnations.create(name, "10.0.0.1");
@@ -72,7 +76,7 @@
           BatchService.start(
               new BatchService.Settings(incarnation, RETENTION_MILLIS),
               new BatchService.Dependencies(
-                  store, store, store, BatchCluster::decode, this::runItem, rewards),
+                  store, store, store, BatchCluster::decode, this::runItem, this::score),
               scheduler,
               fleet,
               nodes,
@@ -88,6 +92,21 @@
       cutOff = true;
     }
 
+    /** Makes all upstreams that score texts unreachable for this process. */
+    void cutOffFromScorers() {
+      cutOffFromScorers = true;
+    }
+
+    private Single<RewardClient.Reply> score(
+        RewardCall call, UpstreamEntry upstream, long timeoutMillis) {
+      return cutOffFromScorers
+          ? Single.timer(STEP_MILLIS, TimeUnit.MILLISECONDS, scheduler)
+              .map(
+                  unused ->
+                      RewardClient.Reply.withoutResponse(RewardClient.Outcome.NOT_RUN, "cut off"))
+          : rewards.score(call, upstream, timeoutMillis);
+    }
+
     private SamplerClient.Run runItem(
         SamplerClient.ItemCall call, SamplerClient.Listener listener) {
       if (!cutOff) {
@@ -132,7 +151,20 @@
   /** Registers {@code count} upstreams that score texts. */
   void addScorers(int count) {
     for (int i = 0; i < count; i++) {
-      store.put(new FakeFleetDecoder().upstreamTable(), "r" + i, FakeFleetDecoder.scorerRow());
+      store.put(
+          new FakeFleetDecoder().upstreamTable(),
+          "r" + i,
+          FakeFleetDecoder.scorerRow(FakeFleetDecoder.SCORERS));
+    }
+  }
+
+  /** Registers {@code count} upstreams of the other service that scores texts. */
+  void addOtherScorers(int count) {
+    for (int i = 0; i < count; i++) {
+      store.put(
+          new FakeFleetDecoder().upstreamTable(),
+          "o" + i,
+          FakeFleetDecoder.scorerRow(FakeFleetDecoder.OTHER_SCORERS));
     }
   }
 
@@ -174,10 +206,11 @@
   }
 
   static BatchSpec spec(String id, int items) {
-    return spec(id, items, false);
+    return spec(id, items, itemIndex -> Optional.empty());
   }
 
-  private static BatchSpec spec(String id, int items, boolean scored) {
+  private static BatchSpec spec(
+      String id, int items, IntFunction<Optional<String>> rewardPathPrefix) {
     return new BatchSpec(
         id,
         Optional.of("m"),
@@ -193,27 +226,45 @@
                         ImmutableMap.of(),
                         "",
                         10,
-                        scored ? Optional.of(rewardCall(id + "-item" + i)) : Optional.empty()))
+                        rewardPathPrefix
+                            .apply(i)
+                            .map(prefix -> rewardCall(prefix, id + "-item" + i))))
             .collect(ImmutableList.toImmutableList()));
   }
 
   /** Returns a batch whose texts are scored; the reward call of an item has the id r-ITEM. */
   static BatchSpec scoredSpec(String id, int items) {
-    return spec(id, items, true);
+    return spec(id, items, itemIndex -> Optional.of("/r/"));
   }
 
-  private static RewardCall rewardCall(String itemId) {
-    return new RewardCall("r-" + itemId, FakeFleetDecoder.HOST, "/r/" + itemId, "");
+  /** Returns a batch whose texts are scored by two services in turn, first by the other one. */
+  static BatchSpec specOfTwoScorers(String id, int items) {
+    return spec(id, items, itemIndex -> Optional.of(itemIndex % 2 == 0 ? "/s/" : "/r/"));
   }
 
+  private static RewardCall rewardCall(String pathPrefix, String itemId) {
+    return new RewardCall("r-" + itemId, FakeFleetDecoder.HOST, pathPrefix + itemId, "");
+  }
+
+  /** Encodes a batch by its size and the reward paths of its first two items, which repeat. */
   static Buffer encode(BatchSpec spec) {
-    boolean scored = spec.items().get(0).rewardCall().isPresent();
-    return Buffer.buffer(spec.items().size() + (scored ? " scored" : ""));
+    String prefixes =
+        spec.items().stream()
+            .limit(2)
+            .map(item -> item.rewardCall().map(call -> call.path().substring(0, 3)).orElse("-"))
+            .collect(Collectors.joining(" "));
+    return Buffer.buffer(spec.items().size() + " " + prefixes);
   }
 
   private static BatchSpec decode(String id, Buffer bytes) {
     List<String> words = Splitter.on(' ').splitToList(bytes.toString());
-    return spec(id, Integer.parseInt(words.get(0)), words.size() > 1);
+    List<String> prefixes = words.subList(1, words.size());
+    return spec(
+        id,
+        Integer.parseInt(words.get(0)),
+        itemIndex ->
+            Optional.of(prefixes.get(itemIndex % prefixes.size()))
+                .filter(prefix -> !prefix.equals("-")));
   }
 
   /** Returns all results of a batch that a process serves. */
--- a/node/src/test/java/io/briarward/node/batch/RewardRunnerTest.java
+++ b/node/src/test/java/io/briarward/node/batch/RewardRunnerTest.java
@@ -147,6 +147,18 @@
     assertThat(BatchCluster.allResults(process, "x")).hasSize(runs);
   }
 
+  @Test
+  void textsAreScoredWhileOthersWaitForAnotherService() {
+    cluster.addScorers(2);
+    BatchCluster.Process process = cluster.start("a");
+    process.submit(BatchCluster.specOfTwoScorers("x", ITEMS));
+    cluster.advance(DONE_MILLIS);
+    assertThat(BatchCluster.allResults(process, "x")).hasSize(ITEMS / 2);
+    cluster.addOtherScorers(1);
+    cluster.advance(DONE_MILLIS);
+    assertScored(BatchCluster.allResults(process, "x"));
+  }
+
   /** Each upstream has four slots, of which reward calls leave two to live requests. */
   @Test
   void callsLeaveSlotsToLiveRequests() {
--- a/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
+++ b/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
@@ -21,6 +21,9 @@
   /** The id of the service that scores texts. */
   public static final String SCORERS = "scorers";
 
+  /** The id of another service that scores texts. */
+  public static final String OTHER_SCORERS = "other-scorers";
+
   /** The host of the routes. */
   public static final String HOST = "mill.example";
 
@@ -43,9 +46,26 @@
         .put("software", softwareVersion);
   }
 
-  /** Returns the row of an upstream that scores texts. */
-  public static JsonNode scorerRow() {
-    return JsonNodeFactory.instance.objectNode().put("version", 1).put("service", SCORERS);
+  /** Returns the row of an upstream of a service that scores texts. */
+  public static JsonNode scorerRow(String service) {
+    return JsonNodeFactory.instance.objectNode().put("version", 1).put("service", service);
+  }
+
+  private static FleetRoute rewardRoute(String name, String pathPrefix, String service) {
+    return new FleetRoute(
+        name,
+        HOST,
+        pathPrefix,
+        FleetRoute.Kind.IDEMPOTENT,
+        ImmutableList.of(new FleetRoute.Target(service, 1)),
+        10_000,
+        400,
+        2,
+        1,
+        true,
+        0,
+        0,
+        false);
   }
 
   @Override
@@ -82,20 +102,8 @@
                 7_500,
                 40_000,
                 false),
-            new FleetRoute(
-                "rewards",
-                HOST,
-                "/r/",
-                FleetRoute.Kind.IDEMPOTENT,
-                ImmutableList.of(new FleetRoute.Target(SCORERS, 1)),
-                10_000,
-                400,
-                2,
-                1,
-                true,
-                0,
-                0,
-                false)),
+            rewardRoute("rewards", "/r/", SCORERS),
+            rewardRoute("other-rewards", "/s/", OTHER_SCORERS)),
         ImmutableMap.of(),
         ImmutableMap.of("key", "nadi-mill"),
         true,
