Hand over a batch whose node reaches no upstream that scores its texts

Cause: reward calls told nobody that an upstream could not be reached, and a batch was handed over only when its node was cut off from the samplers. A node that reached the samplers and not the scoring service kept the batch, ran its items and repeated their calls until its links were back. batchOfNodeThatReachesNoScorerIsScoredByAnotherNode failed before: 0 of 20 texts scored while another node reached the service.

What callers saw: no result of such a batch was listed during the cut.

Change: a call that opened no connection, or had no response in time, ends as UNREACHABLE and counts towards the loss of the service; a response ends the loss. A batch is released once its node has been cut off for 3 s from a service that scores its texts and another node reaches both services. The wait keeps a batch in place when the service itself has failed, since the next owner would run its texts again (batchStaysWithItsNodeWhileNoNodeReachesScorers: no text runs twice). Batches without an owner go to nodes that are cut off from no service, if there are any, so that a batch does not move on at once.

Measured: both tests pass, with BatchServiceTest and NodeRegistryTest.

--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -119,6 +119,11 @@
     return head.head().terms().service();
   }
 
+  /** Returns the services that score complete texts of the batch. */
+  ImmutableSet<String> rewardServices() {
+    return rewards.services();
+  }
+
   /** Returns when the batch was accepted, on the store's clock. */
   long acceptedAtMillis() {
     return head.head().acceptedAtMillis();
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -35,6 +35,9 @@
   private static final long STEP_INTERVAL_MILLIS = 50;
   private static final long TAKEOVER_SCAN_INTERVAL_MILLIS = 500;
 
+  /** Two heartbeats and the probes of the other nodes take less. */
+  private static final long MIN_SCORERS_LOST_MILLIS = 3_000;
+
   private final Scheduler scheduler;
   private final FleetState fleet;
   private final NodeRegistry nodes;
@@ -45,6 +48,7 @@
   private final BatchContext context;
   private final Map<String, BatchOwner> owners = new HashMap<>();
   private final Set<String> acquiringIds = new HashSet<>();
+  private final Map<String, Long> lostSinceMillis = new HashMap<>();
   private final CompositeDisposable timers = new CompositeDisposable();
   private boolean stepPending;
   private boolean draining;
@@ -200,7 +204,7 @@
    * Takes over batches without a live owner.
    *
    * <p>Of the live nodes that reach the samplers of a batch, the one that the hash of its id
-   * selects takes it over.
+   * selects takes it over; nodes that are cut off from another service only if there is no other.
    */
   private void takeOver() {
     if (draining || !fleet.known() || !nodes.clockKnown()) {
@@ -216,27 +220,47 @@
       if (head.isOwnedBy(incarnation)) {
         loadAndRun(stored);
       } else if (hasNoLiveOwner(head, alive)
-          && DutyCandidates.choose(head.id(), nodes.reaching(head.terms().service()), 1)
+          && DutyCandidates.choose(head.id(), nodes.bestPlaced(head.terms().service()), 1)
               .contains(incarnation)) {
         claim(stored);
       }
     }
   }
 
-  /** Releases the batches whose samplers another node reaches and this node does not. */
+  /**
+   * Releases the batches that need a service which another node reaches and this node does not.
+   *
+   * <p>The next owner runs again the texts that have no score yet, so a batch is released for the
+   * loss of a service that scores them only once other nodes would have lost it too if it had
+   * failed itself.
+   */
   private void handOverUnreachable() {
+    ImmutableSet<String> lost = fleet.balancer().cutOffServices();
+    lostSinceMillis.keySet().retainAll(lost);
+    lost.forEach(service -> lostSinceMillis.putIfAbsent(service, context.nowMillis()));
     for (BatchOwner owner : ImmutableList.copyOf(owners.values())) {
-      String service = owner.service();
+      Optional<String> service = neededLostService(owner);
       if (!owner.stopped()
-          && fleet.balancer().isCutOff(service)
-          && nodes.reachedByOthers(service)) {
-        log.info("batch-handed-over", "batch", owner.spec().id(), "service", service);
+          && service.isPresent()
+          && nodes.reachedByOthers(ImmutableSet.of(owner.service(), service.get()))) {
+        log.info("batch-handed-over", "batch", owner.spec().id(), "service", service.get());
         var unused =
             owner.release().subscribe(released -> {}, error -> logReleaseFailed(owner, error));
       }
     }
   }
 
+  private Optional<String> neededLostService(BatchOwner owner) {
+    if (lostSinceMillis.containsKey(owner.service())) {
+      return Optional.of(owner.service());
+    }
+    long longEnoughMillis = context.nowMillis() - MIN_SCORERS_LOST_MILLIS;
+    return owner.rewardServices().stream()
+        .filter(
+            service -> lostSinceMillis.getOrDefault(service, Long.MAX_VALUE) <= longEnoughMillis)
+        .findFirst();
+  }
+
   private void logReleaseFailed(BatchOwner owner, Throwable error) {
     log.warn("batch-release-failed", "batch", owner.spec().id(), "cause", error.toString());
   }
--- a/node/src/main/java/io/briarward/node/batch/RewardClient.java
+++ b/node/src/main/java/io/briarward/node/batch/RewardClient.java
@@ -20,7 +20,9 @@
     FAILED,
     /** The upstream did not run the call. */
     NOT_RUN,
-    /** The connection failed, or the response was incomplete or unusable. */
+    /** No connection to the upstream could be opened, or it did not respond in time. */
+    UNREACHABLE,
+    /** The connection was lost, or the response was incomplete or unusable. */
     BROKEN
   }
 
--- a/node/src/main/java/io/briarward/node/batch/RewardRunner.java
+++ b/node/src/main/java/io/briarward/node/batch/RewardRunner.java
@@ -40,6 +40,7 @@
   private final BatchTerms terms;
   private final BatchRun run;
   private final CompositeDisposable calls = new CompositeDisposable();
+  private final Set<String> calledServices = new HashSet<>();
   private boolean routeMissing;
 
   RewardRunner(BatchContext context, String batchId, BatchTerms terms, BatchRun run) {
@@ -77,6 +78,11 @@
     logRoutes(unrouted);
   }
 
+  /** Returns the services that were called for texts of the batch and may be called again. */
+  ImmutableSet<String> services() {
+    return run.unscored() == 0 ? ImmutableSet.of() : ImmutableSet.copyOf(calledServices);
+  }
+
   private Optional<FleetRoute> route(BatchItem item) {
     RewardCall reward = item.rewardCall().orElseThrow();
     return context
@@ -119,13 +125,14 @@
   }
 
   private void start(Call call) {
+    calledServices.add(call.upstream().service());
     context.balancer().onArrival(call.upstream().service(), call.sentAtMillis());
     run.onRewardStarted(call.item().id());
     context.balancer().onSent(call.upstream().id());
     long timeoutMillis = Math.max(MIN_TIMEOUT_MILLIS, TIMEOUT_GOALS * call.route().goalMillis());
     Reply timedOut =
         Reply.withoutResponse(
-            RewardClient.Outcome.BROKEN, "no response in " + timeoutMillis + " ms");
+            RewardClient.Outcome.UNREACHABLE, "no response in " + timeoutMillis + " ms");
     var unused =
         context
             .rewards()
@@ -147,6 +154,9 @@
     long nowMillis = context.nowMillis();
     String upstreamId = call.upstream().id();
     String itemId = call.item().id();
+    if (reply.notice().isPresent()) {
+      context.balancer().onContact(call.upstream().service(), nowMillis);
+    }
     reply
         .notice()
         .ifPresent(notice -> context.onNotice(call.upstream(), notice, call.reward().id()));
@@ -164,6 +174,11 @@
         context.balancer().onRejected(upstreamId, nowMillis, REJECTION_PAUSE_MILLIS);
         run.onRewardInterrupted(itemId, nowMillis);
       }
+      case UNREACHABLE -> {
+        context.balancer().onUnreachable(upstreamId);
+        context.balancer().onFailed(upstreamId, nowMillis);
+        run.onRewardInterrupted(itemId, nowMillis);
+      }
       case BROKEN -> {
         context.balancer().onFailed(upstreamId, nowMillis);
         run.onRewardInterrupted(itemId, nowMillis);
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -23,6 +23,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 
@@ -166,20 +167,27 @@
   }
 
   /**
-   * Returns the incarnations presumed alive that reach a service, or all if none is known to.
+   * Returns the incarnations presumed alive that are best placed to use a service.
    *
-   * <p>Includes this process if it reaches the service.
+   * <p>These are the ones that are cut off from no service at all; if there are none, those that
+   * reach this one; if there are none either, all. May include this process.
    */
-  public ImmutableSet<String> reaching(String service) {
-    ImmutableSet.Builder<String> reaching = ImmutableSet.builder();
-    if (relayOffer.get().reaches(service)) {
-      reaching.add(incarnation);
+  public ImmutableSet<String> bestPlaced(String service) {
+    ImmutableSet<String> unimpaired = incarnations(offer -> offer.cutOffServices().isEmpty());
+    ImmutableSet<String> candidates =
+        unimpaired.isEmpty() ? incarnations(offer -> offer.reaches(service)) : unimpaired;
+    return candidates.isEmpty() ? alive() : candidates;
+  }
+
+  private ImmutableSet<String> incarnations(Predicate<RelayOffer> condition) {
+    ImmutableSet.Builder<String> matching = ImmutableSet.builder();
+    if (condition.test(relayOffer.get())) {
+      matching.add(incarnation);
     }
     others()
-        .filter(peer -> peer.relayOffer().reaches(service))
-        .forEach(peer -> reaching.add(peer.incarnation()));
-    ImmutableSet<String> found = reaching.build();
-    return found.isEmpty() ? alive() : found;
+        .filter(peer -> condition.test(peer.relayOffer()))
+        .forEach(peer -> matching.add(peer.incarnation()));
+    return matching.build();
   }
 
   /** Returns the services from which other live processes are cut off. */
@@ -189,9 +197,9 @@
         .collect(ImmutableSet.toImmutableSet());
   }
 
-  /** Returns whether another live process reaches a service, as far as it knows. */
-  public boolean reachedByOthers(String service) {
-    return others().anyMatch(peer -> peer.relayOffer().reaches(service));
+  /** Returns whether another live process reaches all the given services, as far as it knows. */
+  public boolean reachedByOthers(ImmutableSet<String> services) {
+    return others().anyMatch(peer -> services.stream().allMatch(peer.relayOffer()::reaches));
   }
 
   private Stream<Peer> others() {
--- a/node/src/main/java/io/briarward/node/gateway/UpstreamProber.java
+++ b/node/src/main/java/io/briarward/node/gateway/UpstreamProber.java
@@ -95,7 +95,11 @@
     for (String service : Sets.difference(cutOff, lostServices).immutableCopy()) {
       lostServices.add(service);
       log.warn(
-          "service-lost", "service", service, "reachedByOthers", nodes.reachedByOthers(service));
+          "service-lost",
+          "service",
+          service,
+          "reachedByOthers",
+          nodes.reachedByOthers(ImmutableSet.of(service)));
     }
     for (String service : Sets.difference(lostServices, cutOff).immutableCopy()) {
       lostServices.remove(service);
--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -103,7 +103,8 @@
           ? Single.timer(STEP_MILLIS, TimeUnit.MILLISECONDS, scheduler)
               .map(
                   unused ->
-                      RewardClient.Reply.withoutResponse(RewardClient.Outcome.NOT_RUN, "cut off"))
+                      RewardClient.Reply.withoutResponse(
+                          RewardClient.Outcome.UNREACHABLE, "cut off"))
           : rewards.score(call, upstream, timeoutMillis);
     }
 
--- a/node/src/test/java/io/briarward/node/batch/RewardRunnerTest.java
+++ b/node/src/test/java/io/briarward/node/batch/RewardRunnerTest.java
@@ -9,6 +9,7 @@
 import io.briarward.node.batch.RewardClient.Outcome;
 import io.briarward.node.batch.SamplerClient.RunOutcome;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -159,6 +160,32 @@
     assertScored(BatchCluster.allResults(process, "x"));
   }
 
+  @Test
+  void batchOfNodeThatReachesNoScorerIsScoredByAnotherNode() {
+    cluster.addScorers(2);
+    BatchCluster.Process a = cluster.start("a");
+    final BatchCluster.Process b = cluster.start("b");
+    a.cutOffFromScorers();
+    assertThat(a.submit(BatchCluster.scoredSpec("x", ITEMS))).isEqualTo(SubmitOutcome.ACCEPTED);
+    cluster.advance(TAKEOVER_MILLIS);
+    assertScored(BatchCluster.allResults(b, "x"));
+  }
+
+  @Test
+  void batchStaysWithItsNodeWhileNoNodeReachesScorers() {
+    cluster.addScorers(2);
+    BatchCluster.Process a = cluster.start("a");
+    BatchCluster.Process b = cluster.start("b");
+    a.cutOffFromScorers();
+    b.cutOffFromScorers();
+    a.submit(BatchCluster.scoredSpec("x", ITEMS));
+    b.submit(BatchCluster.scoredSpec("y", ITEMS));
+    cluster.advance(TAKEOVER_MILLIS);
+    assertThat(cluster.owner("x")).isEqualTo(Optional.of(a.incarnation));
+    assertThat(cluster.owner("y")).isEqualTo(Optional.of(b.incarnation));
+    assertThat(cluster.samplers.calls()).hasSize(2 * ITEMS);
+  }
+
   /** Each upstream has four slots, of which reward calls leave two to live requests. */
   @Test
   void callsLeaveSlotsToLiveRequests() {
