--- /dev/null
+++ b/standins/src/main/java/io/briarward/standins/input/package-info.java
@@ -0,0 +1,2 @@
+/** Input as a faulty sender produces it. */
+package io.briarward.standins.input;
