Keep an ended batch from running again before the feed shows its end

Its directory still held the head from before, since its feed was behind; the next scan took that for a batch of its own without a runner, loaded it and ran nine items from 44.72 s until the next rejected listing at 46.56 s. The end had been acknowledged 4.9 s before.

What callers saw: items of a batch reached samplers after its end was acknowledged; the same could happen after a takeover by another node, and after a release, until the feed showed it.

Change: an owner passes every head that the store returns for its writes to the directory (BatchContext.onHeadSeen): the one that rejected a listing, the one that it released, and the removal of one.

Measured: ownerThatLearnsOfTheEndBeforeItsFeedDoesNotRunTheBatchAgain failed before (304 calls instead of 48) and passes; BatchServiceTest, RewardRunnerTest and BatchProperties pass.

--- a/node/src/main/java/io/briarward/node/batch/BatchContext.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchContext.java
@@ -13,7 +13,6 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -30,7 +29,7 @@
   private final EventLog log;
   private final String incarnation;
   private final LongSupplier storeClockMillis;
-  private final Consumer<StoredHead> onHeadWritten;
+  private final BatchDirectory directory;
   private final Runnable onStepRequested;
   private final RunPlacement placement = RunPlacement.create();
   private long tokenCount;
@@ -44,7 +43,7 @@
       EventLog log,
       String incarnation,
       LongSupplier storeClockMillis,
-      Consumer<StoredHead> onHeadWritten,
+      BatchDirectory directory,
       Runnable onStepRequested) {
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.fleet = checkNotNull(fleet, "fleet");
@@ -54,7 +53,7 @@
     this.log = checkNotNull(log, "log");
     this.incarnation = checkNotNull(incarnation, "incarnation");
     this.storeClockMillis = checkNotNull(storeClockMillis, "storeClockMillis");
-    this.onHeadWritten = checkNotNull(onHeadWritten, "onHeadWritten");
+    this.directory = checkNotNull(directory, "directory");
     this.onStepRequested = checkNotNull(onStepRequested, "onStepRequested");
   }
 
@@ -115,9 +114,19 @@
     return incarnation + "#" + tokenCount;
   }
 
-  /** Reports a head that this process has written. */
-  void onHeadWritten(StoredHead head) {
-    onHeadWritten.accept(head);
+  /**
+   * Reports a head that this process has written, or that the store returned for a write.
+   *
+   * <p>The change feed may show it much later, and until then this process would take itself for
+   * the owner of a batch that has ended or that another process runs.
+   */
+  void onHeadSeen(StoredHead head) {
+    directory.update(head);
+  }
+
+  /** Reports a batch whose head was removed. */
+  void onHeadRemoved(String batchId) {
+    directory.remove(batchId);
   }
 
   /** Requests a step of all owners before the next periodic one. */
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -163,7 +163,16 @@
     }
     BatchHead next = head.head().withOwner(Optional.empty(), context.nextToken());
     stop("released");
-    return context.store().replace(head, next, ImmutableList.of()).map(CommitResult::committed);
+    return context
+        .store()
+        .replace(head, next, ImmutableList.of())
+        .doOnSuccess(
+            result -> {
+              if (result instanceof CommitResult.Committed committed) {
+                context.onHeadSeen(StoredHead.written(next, committed));
+              }
+            })
+        .map(CommitResult::committed);
   }
 
   /** Cancels stalled runs, starts and moves runs, scores texts and records results. */
@@ -480,6 +489,7 @@
         ((CommitResult.Conflict) result).conflicts().get(BatchStore.headKey(spec.id()));
     if (present == null || present.isEmpty()) {
       committing = false;
+      context.onHeadRemoved(spec.id());
       stop("head removed");
       return;
     }
@@ -489,6 +499,7 @@
     } else {
       committing = false;
       applyHead(stored);
+      context.onHeadSeen(stored);
     }
   }
 
@@ -497,7 +508,7 @@
     run.removeResults(count);
     nextCommitMillis = context.nowMillis() + MIN_COMMIT_INTERVAL_MILLIS;
     head = written;
-    context.onHeadWritten(head);
+    context.onHeadSeen(head);
     if (!written.head().isOpen()) {
       stop("complete");
     }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -80,7 +80,7 @@
             log,
             incarnation,
             nodes::storeMillis,
-            directory::update,
+            directory,
             this::requestStep);
   }
 
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -486,4 +486,21 @@
     cluster.advance(TAKEOVER_MILLIS);
     assertThat(cluster.samplers.calls()).hasSize(calls);
   }
+
+  /** The owner learns of the end from its rejected write, before the feed shows it. */
+  @Test
+  void ownerThatLearnsOfTheEndBeforeItsFeedDoesNotRunTheBatchAgain() {
+    cluster.samplers.setEventGaps(3, call -> 100);
+    BatchCluster.Process a = cluster.start("a");
+    final BatchCluster.Process b = cluster.start("b");
+    a.submit(BatchCluster.spec("x", 10 * ITEMS));
+    cluster.advance(500);
+    cluster.store.delayFeeds(BatchStore.HEADS_TABLE::equals);
+    endBatch(b);
+    cluster.advance(1_000); // The owner lists results meanwhile.
+    int calls = cluster.samplers.calls().size();
+    assertThat(calls).isLessThan(10 * ITEMS);
+    cluster.advance(TAKEOVER_MILLIS);
+    assertThat(cluster.samplers.calls()).hasSize(calls);
+  }
 }
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -57,6 +57,7 @@
   private final PublishSubject<String> changed = PublishSubject.create();
   private Function<Transaction, WriteOutcome> outcomes = transaction -> WriteOutcome.APPLIED;
   private Predicate<String> tablesWithoutSnapshots = name -> false;
+  private Predicate<String> tablesWithLaggingFeed = name -> false;
   private Predicate<String> objectsWithoutPuts = name -> false;
   private boolean down;
   private long objectDelayMillis;
@@ -83,6 +84,11 @@
     tablesWithoutSnapshots = decision;
   }
 
+  /** Sets which tables have a feed that responds and lacks the newest changes. */
+  public void delayFeeds(Predicate<String> decision) {
+    tablesWithLaggingFeed = decision;
+  }
+
   /** Sets the objects for which a put has no effect and gets no response. */
   public void blockPuts(Predicate<String> decision) {
     objectsWithoutPuts = decision;
@@ -190,7 +196,7 @@
             return Single.error(new HistoryLostException(table));
           }
           Changes now = since(table, afterVersion);
-          if (!now.changes().isEmpty()) {
+          if (!now.changes().isEmpty() && !tablesWithLaggingFeed.test(table)) {
             return Single.just(now);
           }
           return changed
@@ -198,7 +204,11 @@
               .firstOrError()
               .timeout(waitMillis, TimeUnit.MILLISECONDS, scheduler)
               .onErrorReturnItem(table)
-              .map(unused -> since(table, afterVersion));
+              .map(
+                  unused ->
+                      tablesWithLaggingFeed.test(table)
+                          ? new Changes(ImmutableList.of(), afterVersion, clockMillis())
+                          : since(table, afterVersion));
         });
   }
 
