--- a/node/src/test/java/io/briarward/node/testing/TestDeployment.java
+++ b/node/src/test/java/io/briarward/node/testing/TestDeployment.java
@@ -63,6 +63,11 @@
 
   /** Starts a node whose stop has no delay before it rejects requests. */
   public Node node(String vmId) {
+    return node(vmId, 0);
+  }
+
+  /** Starts a node as {@link #node(String)} does that listens for peers at a given port. */
+  public Node node(String vmId, int peerPort) {
     NodeSettings settings =
         SettingsParser.parse(
                 new NodeSettings(),
@@ -76,7 +81,7 @@
                 "--operator-port",
                 "0",
                 "--peer-port",
-                "0",
+                Integer.toString(peerPort),
                 "--stop-delay-millis",
                 "0",
                 "--operator-token-sha256",
