Keep the connection of a peer whose message cannot be handled

Cause: a handler that threw closed the connection, so the answers to other requests on it were lost and timed out.

What callers saw: nothing directly; shares of limits, configuration and membership waited for time-outs while one peer sent bad values.

Change: a message that cannot be handled is dropped and its connection stays; only bytes that are no message close it.

--- a/node/src/main/java/io/briarward/node/peer/NettyPeerNetwork.java
+++ b/node/src/main/java/io/briarward/node/peer/NettyPeerNetwork.java
@@ -7,6 +7,7 @@
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
 import io.briarward.core.errors.FailureException;
+import io.briarward.node.telemetry.RepeatedErrors;
 import io.briarward.wire.proto.PeerMessage;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -20,6 +21,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.AttributeKey;
 import io.netty.util.concurrent.Future;
+import io.reactivex.rxjava3.core.Maybe;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
@@ -41,6 +43,7 @@
 public final class NettyPeerNetwork implements PeerNetwork {
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int EVENT_LOOP_THREADS = 1;
+  private static final long ERROR_LOG_INTERVAL_MILLIS = 10_000;
   private static final AttributeKey<PeerLink> LINK = AttributeKey.valueOf("briarward.peerLink");
 
   private final PeerSettings settings;
@@ -53,6 +56,7 @@
       new MultiThreadIoEventLoopGroup(EVENT_LOOP_THREADS, NioIoHandler.newFactory());
   private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
   private volatile ImmutableMap<String, InetSocketAddress> addresses = ImmutableMap.of();
+  private final RepeatedErrors errors = RepeatedErrors.withInterval(ERROR_LOG_INTERVAL_MILLIS);
   private final Channel server;
 
   private NettyPeerNetwork(PeerSettings settings, Scheduler scheduler) {
@@ -201,7 +205,7 @@
   }
 
   private PeerPipeline pipeline() {
-    return new PeerPipeline(settings.maxFrameBytes(), this::onMessage);
+    return new PeerPipeline(settings.maxFrameBytes(), this::onMessage, this::onConnectionError);
   }
 
   private void onMessage(Channel channel, PeerMessage message) {
@@ -220,11 +224,24 @@
       return;
     }
     var unused =
-        handler
-            .onMessage(message)
+        Maybe.defer(() -> handler.onMessage(message))
             .subscribe(
                 answer -> sendAnswer(channel, message.getCorrelationId(), answer),
-                error -> Logger.warn(error, "failed to handle a message from a peer"));
+                error -> logError("handling a message of type " + message.getBodyCase(), error));
+  }
+
+  private void onConnectionError(Throwable error) {
+    logError("reading from a peer, whose connection is closed", error);
+  }
+
+  /** Logs an error, once a kind and interval, since a faulty peer may cause any number of them. */
+  private void logError(String action, Throwable error) {
+    errors
+        .onError(action + " " + error.getClass().getName(), scheduler.now(TimeUnit.MILLISECONDS))
+        .ifPresent(
+            count ->
+                Logger.warn(
+                    "failed {} times at {}, last with {}", count, action, error.toString()));
   }
 
   private void completeRequest(PeerMessage answer) {
--- a/node/src/main/java/io/briarward/node/peer/PeerPipeline.java
+++ b/node/src/main/java/io/briarward/node/peer/PeerPipeline.java
@@ -12,7 +12,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import org.tinylog.Logger;
+import java.util.function.Consumer;
 
 /** Initializes the pipeline of a connection: framing, message encoding and the idle time-out. */
 final class PeerPipeline extends ChannelInitializer<Channel> {
@@ -21,10 +21,18 @@
 
   private final int maxFrameBytes;
   private final BiConsumer<Channel, PeerMessage> receiver;
+  private final Consumer<Throwable> onError;
 
-  PeerPipeline(int maxFrameBytes, BiConsumer<Channel, PeerMessage> receiver) {
+  /**
+   * Creates an initializer.
+   *
+   * @param onError receives the error after which a connection is closed
+   */
+  PeerPipeline(
+      int maxFrameBytes, BiConsumer<Channel, PeerMessage> receiver, Consumer<Throwable> onError) {
     this.maxFrameBytes = maxFrameBytes;
     this.receiver = receiver;
+    this.onError = onError;
   }
 
   @Override
@@ -53,8 +61,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      Logger.debug(
-          "closing peer connection {} after an error: {}", context.channel(), cause.toString());
+      onError.accept(cause);
       Future<?> unused = context.close();
     }
   }
--- a/node/src/test/java/io/briarward/node/RandomInputTest.java
+++ b/node/src/test/java/io/briarward/node/RandomInputTest.java
@@ -53,6 +53,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -319,13 +320,15 @@
             .setSenderVmId(text())
             .setCorrelationId(number())
             .setAnswer(random.nextInt(4) == 0);
-    switch (random.nextInt(5)) {
-      case 0 -> setMembership(message);
-      case 1 -> setConfiguration(message);
-      case 2 -> setUsage(message);
-      case 3 -> setAdmission(message);
-      default -> {} // A message of a type that this version does not know.
-    }
+    // The fifth kind is a message of a type that this version does not know.
+    ImmutableList<Consumer<PeerMessage.Builder>> kinds =
+        ImmutableList.of(
+            this::setMembership,
+            this::setConfiguration,
+            this::setUsage,
+            this::setAdmission,
+            unknown -> {});
+    kinds.get(random.nextInt(kinds.size())).accept(message);
     return message.build();
   }
 
--- a/node/src/test/java/io/briarward/node/peer/NettyPeerNetworkTest.java
+++ b/node/src/test/java/io/briarward/node/peer/NettyPeerNetworkTest.java
@@ -7,11 +7,14 @@
 import io.briarward.core.errors.FailureException;
 import io.briarward.wire.proto.MembershipMessage;
 import io.briarward.wire.proto.PeerMessage;
+import io.briarward.wire.proto.UsageMessage;
 import io.reactivex.rxjava3.core.Maybe;
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
+import io.reactivex.rxjava3.subjects.SingleSubject;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -52,6 +55,30 @@
     observer.assertError(error -> kindOf(error) == ErrorKind.DEADLINE_EXCEEDED);
   }
 
+  /** A request whose answer is on its way shares the connection with the message that fails. */
+  @Test
+  void messageThatCannotBeHandledDoesNotLoseTheAnswerToAnother() throws Exception {
+    connect();
+    SingleSubject<PeerMessage> pending = SingleSubject.create();
+    CountDownLatch failed = new CountDownLatch(1);
+    second.setHandler(PeerMessage.BodyCase.MEMBERSHIP, message -> pending.toMaybe());
+    second.setHandler(
+        PeerMessage.BodyCase.USAGE,
+        message -> {
+          failed.countDown();
+          throw new IllegalArgumentException("sequence is -1, expected >= 0");
+        });
+
+    final TestObserver<PeerMessage> observer = first.request("vm-2", PROBE, 1_000).test();
+    first.send(
+        "vm-2", PeerMessage.newBuilder().setUsage(UsageMessage.getDefaultInstance()).build());
+    assertThat(failed.await(5, TimeUnit.SECONDS)).isTrue();
+    pending.onSuccess(PROBE);
+
+    observer.await(5, TimeUnit.SECONDS);
+    assertThat(observer.values()).hasSize(1);
+  }
+
   @Test
   void requestToUnknownVmFailsAtOnce() {
     first
