--- a/node/src/test/java/io/briarward/node/RandomInputTest.java
+++ b/node/src/test/java/io/briarward/node/RandomInputTest.java
@@ -83,7 +83,7 @@
               + HEADERS
               + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
           "POST /v1/rollouts HTTP/1.1\r\n" + HEADERS + "Content-Length: 12\r\n\r\n{\"groups\":1}",
-          "GET /v1/rollouts/r1?wait=%31 HTTP/1.1\r\n" + HEADERS + "\r\n",
+          "GET /v1/rollouts/r1/groups?after=%31 HTTP/1.1\r\n" + HEADERS + "\r\n",
           "PUT /v1/configuration HTTP/1.1\r\n"
               + HEADERS
               + "If-Match: \"1\"\r\nContent-Length: 2\r\n\r\n{}",
