Count reward calls by service and outcome, and their durations

BatchOwnership takes the dependencies of the batch service as one record.

Measured: callsAreCountedByServiceAndOutcome; BatchServiceTest, BatchProperties, RewardRunnerTest and PlatformNodeTest pass.

--- a/node/src/main/java/io/briarward/node/batch/BatchContext.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchContext.java
@@ -10,6 +10,7 @@
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.telemetry.EventLog;
+import io.briarward.node.telemetry.Metrics;
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,7 @@
   private final BatchStore store;
   private final SamplerClient samplers;
   private final RewardClient rewards;
+  private final Metrics metrics;
   private final EventLog log;
   private final String incarnation;
   private final LongSupplier storeClockMillis;
@@ -40,6 +42,7 @@
       BatchStore store,
       SamplerClient samplers,
       RewardClient rewards,
+      Metrics metrics,
       EventLog log,
       String incarnation,
       LongSupplier storeClockMillis,
@@ -50,6 +53,7 @@
     this.store = checkNotNull(store, "store");
     this.samplers = checkNotNull(samplers, "samplers");
     this.rewards = checkNotNull(rewards, "rewards");
+    this.metrics = checkNotNull(metrics, "metrics");
     this.log = checkNotNull(log, "log");
     this.incarnation = checkNotNull(incarnation, "incarnation");
     this.storeClockMillis = checkNotNull(storeClockMillis, "storeClockMillis");
@@ -73,6 +77,10 @@
     return rewards;
   }
 
+  Metrics metrics() {
+    return metrics;
+  }
+
   EventLog log() {
     return log;
   }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -55,8 +55,7 @@
 
   private BatchOwnership(
       String incarnation,
-      SamplerClient samplers,
-      RewardClient rewards,
+      BatchService.Dependencies dependencies,
       BatchStore store,
       BatchDirectory directory,
       Scheduler scheduler,
@@ -75,8 +74,9 @@
             scheduler,
             fleet,
             store,
-            samplers,
-            rewards,
+            dependencies.samplers(),
+            dependencies.rewards(),
+            dependencies.metrics(),
             log,
             incarnation,
             nodes::storeMillis,
@@ -87,8 +87,7 @@
   /** Starts to run this process's batches and to take over those without a live owner. */
   static BatchOwnership start(
       String incarnation,
-      SamplerClient samplers,
-      RewardClient rewards,
+      BatchService.Dependencies dependencies,
       BatchStore store,
       BatchDirectory directory,
       Scheduler scheduler,
@@ -97,7 +96,7 @@
       EventLog log) {
     BatchOwnership ownership =
         new BatchOwnership(
-            incarnation, samplers, rewards, store, directory, scheduler, fleet, nodes, log);
+            incarnation, dependencies, store, directory, scheduler, fleet, nodes, log);
     fleet
         .balancer()
         .setBatchNeed(
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -22,6 +22,7 @@
 import io.briarward.node.platform.PlatformException;
 import io.briarward.node.platform.TableService;
 import io.briarward.node.telemetry.EventLog;
+import io.briarward.node.telemetry.Metrics;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
@@ -57,7 +58,8 @@
       ChangeFeed feed,
       BatchDecoder decoder,
       SamplerClient samplers,
-      RewardClient rewards) {
+      RewardClient rewards,
+      Metrics metrics) {
     /** Validates the components. */
     public Dependencies {
       checkNotNull(tables, "tables");
@@ -66,6 +68,7 @@
       checkNotNull(decoder, "decoder");
       checkNotNull(samplers, "samplers");
       checkNotNull(rewards, "rewards");
+      checkNotNull(metrics, "metrics");
     }
   }
 
@@ -99,15 +102,7 @@
     this.directory = BatchDirectory.start(dependencies.feed(), scheduler, log, store);
     this.ownership =
         BatchOwnership.start(
-            incarnation,
-            dependencies.samplers(),
-            dependencies.rewards(),
-            store,
-            directory,
-            scheduler,
-            fleet,
-            nodes,
-            log);
+            incarnation, dependencies, store, directory, scheduler, fleet, nodes, log);
     this.retention =
         BatchRetention.start(
             settings.retentionMillis(), incarnation, store, directory, scheduler, nodes, log);
--- a/node/src/main/java/io/briarward/node/batch/RewardRunner.java
+++ b/node/src/main/java/io/briarward/node/batch/RewardRunner.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.batch.BatchItem;
 import io.briarward.core.batch.BatchRun;
@@ -35,6 +36,8 @@
   /** How long this node sends nothing to an upstream that rejected a call, in milliseconds. */
   private static final long REJECTION_PAUSE_MILLIS = 50;
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private final BatchContext context;
   private final String batchId;
   private final BatchTerms terms;
@@ -185,6 +188,13 @@
       }
       default -> throw new AssertionError(reply.outcome());
     }
+    long tookMillis = nowMillis - call.sentAtMillis();
+    context
+        .metrics()
+        .rewardCallFinished(
+            call.upstream().service(),
+            Ascii.toLowerCase(reply.outcome().name()).replace('_', '-'),
+            tookMillis / MILLIS_PER_SECOND);
     context
         .log()
         .info(
@@ -202,7 +212,7 @@
             "cause",
             reply.cause(),
             "tookMillis",
-            nowMillis - call.sentAtMillis(),
+            tookMillis,
             "unscored",
             run.unscored());
     context.requestStep();
--- a/node/src/main/java/io/briarward/node/telemetry/Metrics.java
+++ b/node/src/main/java/io/briarward/node/telemetry/Metrics.java
@@ -57,6 +57,19 @@
           .labelNames("service")
           .register(registry);
 
+  private final Counter rewardCalls =
+      Counter.builder()
+          .name("briarward_reward_calls_total")
+          .help("Reward calls by service and outcome.")
+          .labelNames("service", "outcome")
+          .register(registry);
+  private final Histogram rewardCallSeconds =
+      Histogram.builder()
+          .name("briarward_reward_call_duration_seconds")
+          .help("Time from the start of a reward call to its end.")
+          .labelNames("service")
+          .register(registry);
+
   private Metrics() {}
 
   /** Returns the metrics of a new node, all at their initial values. */
@@ -105,6 +118,12 @@
     usageUnprotected.set((double) count);
   }
 
+  /** Counts a finished reward call and records its duration. */
+  public void rewardCallFinished(String service, String outcome, double durationSeconds) {
+    rewardCalls.labelValues(service, outcome).inc();
+    rewardCallSeconds.labelValues(service).observe(durationSeconds);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   public String scrape() {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -20,6 +20,7 @@
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.telemetry.EventLog;
+import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.testing.FakeFleetDecoder;
 import io.briarward.node.testing.MemoryStore;
 import io.reactivex.rxjava3.core.Single;
@@ -55,6 +56,7 @@
     final String incarnation;
     final NodeRegistry nodes;
     final BatchService batches;
+    final Metrics metrics = Metrics.create();
     private final List<AutoCloseable> components = new ArrayList<>();
     private boolean cutOff;
     private boolean cutOffFromScorers;
@@ -76,7 +78,7 @@
           BatchService.start(
               new BatchService.Settings(incarnation, RETENTION_MILLIS),
               new BatchService.Dependencies(
-                  store, store, store, BatchCluster::decode, this::runItem, this::score),
+                  store, store, store, BatchCluster::decode, this::runItem, this::score, metrics),
               scheduler,
               fleet,
               nodes,
--- a/node/src/test/java/io/briarward/node/batch/RewardRunnerTest.java
+++ b/node/src/test/java/io/briarward/node/batch/RewardRunnerTest.java
@@ -99,6 +99,20 @@
         .isEqualTo(BatchCluster.TERMS.maxAttempts());
   }
 
+  @Test
+  void callsAreCountedByServiceAndOutcome() {
+    cluster.addScorers(2);
+    Set<String> seen = new HashSet<>();
+    cluster.rewards.setOutcomes(call -> seen.add(call.id()) ? Outcome.NOT_RUN : Outcome.SCORED);
+    String metrics = "briarward_reward_calls_total{outcome=\"%s\",service=\"scorers\"} " + ITEMS;
+    BatchCluster.Process process = startAndSubmit();
+    cluster.advance(DONE_MILLIS);
+    String scraped = process.metrics.scrape();
+    assertThat(scraped).contains(metrics.formatted("not-run"));
+    assertThat(scraped).contains(metrics.formatted("scored"));
+    assertThat(scraped).contains("briarward_reward_call_duration_seconds_count");
+  }
+
   @Test
   void callWithoutResponseIsRepeated() {
     cluster.addScorers(2);
