Send nothing to an upstream of the own interface that says it leaves

Change: an upstream that leaves says so in every response (X-Upstream-Leaving). Live requests, completions of rollouts and load polls all read it at the head of the response, and the router sends nothing further to it, whatever its row says. LeavingMarks decides: the mark lasts until the upstream is no longer listed, or until a request that was sent after the mark is answered without it, which is another process under the same id. The stand-ins have the fault "leaving". Load polls open another connection when the pool offers one that closes, as other requests do.

LeavingMarksTest, LiveProxyTest, RolloutApiTest, RolloutServiceTest and StandInsTest pass.

The platform's nodes run none of the changed classes except UpstreamRequests, whose observer does nothing there.

--- a/core/src/main/java/io/briarward/core/routing/DataCentrePool.java
+++ b/core/src/main/java/io/briarward/core/routing/DataCentrePool.java
@@ -77,7 +77,7 @@
     }
     for (UpstreamState old : byId.values()) {
       if (next.get(old.upstream().id()) != old) {
-        old.markLeaving();
+        old.setLeaving(true);
         ejected.remove(old);
         updatePartition(old);
       }
@@ -288,11 +288,16 @@
   }
 
   void markLeaving(UpstreamState state) {
-    state.markLeaving();
+    state.setLeaving(true);
     ejected.remove(state);
     updatePartition(state);
   }
 
+  void unmarkLeaving(UpstreamState state) {
+    state.setLeaving(false);
+    updatePartition(state);
+  }
+
   void onLoadReport(UpstreamState state, LoadReport report, long nowMillis) {
     update(state, () -> state.onLoadReport(report, nowMillis));
     newestWeightVersion = Math.max(newestWeightVersion, state.weightVersion());
--- a/core/src/main/java/io/briarward/core/routing/Router.java
+++ b/core/src/main/java/io/briarward/core/routing/Router.java
@@ -167,11 +167,19 @@
     forUpstream(upstreamId, (pool, state) -> pool.onUnreachable(state, nowMillis));
   }
 
-  /** Stops sending new work to an upstream until its entry is replaced by a different one. */
+  /**
+   * Stops sending new work to an upstream until it is unmarked or its entry is replaced by a
+   * different one.
+   */
   public synchronized void markLeaving(String upstreamId) {
     forUpstream(upstreamId, DataCentrePool::markLeaving);
   }
 
+  /** Sends new work to an upstream again after {@link #markLeaving}. */
+  public synchronized void unmarkLeaving(String upstreamId) {
+    forUpstream(upstreamId, DataCentrePool::unmarkLeaving);
+  }
+
   /** Records the aggregate load of a service in another data centre. */
   public synchronized void onDataCentreLoad(String service, DataCentreLoad load) {
     checkNotNull(load, "load");
--- a/core/src/main/java/io/briarward/core/routing/UpstreamState.java
+++ b/core/src/main/java/io/briarward/core/routing/UpstreamState.java
@@ -39,8 +39,8 @@
     return leaving;
   }
 
-  void markLeaving() {
-    leaving = true;
+  void setLeaving(boolean value) {
+    leaving = value;
   }
 
   /** Returns whether new work may be sent to this upstream. */
--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -97,7 +97,7 @@
     this.context = context;
     this.active = ActiveRequests.create();
     this.serving = Serving.start(context);
-    UpstreamRequests upstreams = UpstreamRequests.create(context.vertx());
+    UpstreamRequests upstreams = UpstreamRequests.create(context.vertx(), serving::observe);
     this.usage = startUsage();
     this.live =
         LiveProxy.create(
--- a/node/src/main/java/io/briarward/node/live/UpstreamRequests.java
+++ b/node/src/main/java/io/briarward/node/live/UpstreamRequests.java
@@ -12,12 +12,14 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.util.function.BiConsumer;
 
 /** Opens requests to upstreams over pooled connections. */
 public final class UpstreamRequests implements AutoCloseable {
   private static final Limits DEFAULT_LIMITS = new Limits(1_000, 15, 1_024);
 
   private final HttpClient client;
+  private final BiConsumer<String, HttpClientRequest> observer;
 
   /**
    * The limits of the connection pool.
@@ -43,29 +45,41 @@
     }
   }
 
-  private UpstreamRequests(HttpClient client) {
+  private UpstreamRequests(HttpClient client, BiConsumer<String, HttpClientRequest> observer) {
     this.client = client;
+    this.observer = observer;
   }
 
-  /** Creates a client with the default limits and without open connections. */
-  public static UpstreamRequests create(Vertx vertx) {
-    return create(vertx, DEFAULT_LIMITS);
+  /**
+   * Creates a client with the default limits and without open connections.
+   *
+   * @param observer receives the id of an upstream and each request to it before it is sent
+   */
+  public static UpstreamRequests create(
+      Vertx vertx, BiConsumer<String, HttpClientRequest> observer) {
+    return create(vertx, DEFAULT_LIMITS, observer);
   }
 
   /** Creates a client with the given limits and without open connections. */
   public static UpstreamRequests create(Vertx vertx, Limits limits) {
+    return create(vertx, limits, (upstreamId, request) -> {});
+  }
+
+  private static UpstreamRequests create(
+      Vertx vertx, Limits limits, BiConsumer<String, HttpClientRequest> observer) {
     HttpClientOptions options =
         new HttpClientOptions()
             .setConnectTimeout(limits.connectTimeoutMillis())
             .setKeepAliveTimeout(limits.keepAliveSeconds())
             .setDecompressionSupported(false);
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(limits.maxConnectionsPerUpstream());
-    return new UpstreamRequests(vertx.createHttpClient(options, pool));
+    return new UpstreamRequests(vertx.createHttpClient(options, pool), observer);
   }
 
   /** Connects to {@code upstream} and returns a request that has not been sent. */
   public Future<HttpClientRequest> open(Upstream upstream, HttpMethod method, String uri) {
-    return open(upstream.host(), upstream.port(), method, uri);
+    return open(upstream.host(), upstream.port(), method, uri)
+        .onSuccess(request -> observer.accept(upstream.id(), request));
   }
 
   /** Connects to an address and returns a request that has not been sent. */
--- a/node/src/main/java/io/briarward/node/serving/BoundedJsonClient.java
+++ b/node/src/main/java/io/briarward/node/serving/BoundedJsonClient.java
@@ -4,6 +4,7 @@
 import io.briarward.core.configuration.Upstream;
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
+import io.briarward.node.http.PooledRequests;
 import io.briarward.node.http.ResponseBodies;
 import io.briarward.node.platform.JsonHttpClient;
 import io.reactivex.rxjava3.core.Single;
@@ -25,20 +26,22 @@
   private static final int MAX_CONNECTIONS_PER_UPSTREAM = 1;
 
   private final HttpClient client;
+  private final LeavingObserver observer;
   private final int maxBytes;
 
-  private BoundedJsonClient(HttpClient client, int maxBytes) {
+  private BoundedJsonClient(HttpClient client, LeavingObserver observer, int maxBytes) {
     this.client = client;
+    this.observer = observer;
     this.maxBytes = maxBytes;
   }
 
-  static BoundedJsonClient create(Vertx vertx, int maxBytes) {
+  static BoundedJsonClient create(Vertx vertx, LeavingObserver observer, int maxBytes) {
     HttpClientOptions options =
         new HttpClientOptions()
             .setConnectTimeout(TIMEOUT_MILLIS)
             .setKeepAliveTimeout(KEEP_ALIVE_SECONDS);
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_UPSTREAM);
-    return new BoundedJsonClient(vertx.createHttpClient(options, pool), maxBytes);
+    return new BoundedJsonClient(vertx.createHttpClient(options, pool), observer, maxBytes);
   }
 
   /**
@@ -59,8 +62,8 @@
             .setIdleTimeout(TIMEOUT_MILLIS);
     return Single.create(
         emitter ->
-            client
-                .request(options)
+            PooledRequests.open(client, options)
+                .onSuccess(request -> observer.observe(upstream.id(), request))
                 .compose(request -> request.send().compose(response -> readBody(request, response)))
                 .map(JsonHttpClient::parse)
                 .onSuccess(emitter::onSuccess)
--- a/node/src/main/java/io/briarward/node/serving/LoadPoller.java
+++ b/node/src/main/java/io/briarward/node/serving/LoadPoller.java
@@ -51,13 +51,14 @@
       Vertx vertx,
       Router router,
       UpstreamCatalogue catalogue,
+      LeavingObserver observer,
       Scheduler scheduler,
       LongSupplier wallMillis) {
     this.router = router;
     this.catalogue = catalogue;
     this.scheduler = scheduler;
     this.wallMillis = wallMillis;
-    this.client = BoundedJsonClient.create(vertx, MAX_RESPONSE_BYTES);
+    this.client = BoundedJsonClient.create(vertx, observer, MAX_RESPONSE_BYTES);
     this.tickTimer = Timers.every(scheduler, TICK_INTERVAL_MILLIS, this::pollNext);
   }
 
@@ -71,9 +72,10 @@
       Vertx vertx,
       Router router,
       UpstreamCatalogue catalogue,
+      LeavingObserver observer,
       Scheduler scheduler,
       LongSupplier wallMillis) {
-    return new LoadPoller(vertx, router, catalogue, scheduler, wallMillis);
+    return new LoadPoller(vertx, router, catalogue, observer, scheduler, wallMillis);
   }
 
   @Override
--- a/node/src/main/java/io/briarward/node/serving/Serving.java
+++ b/node/src/main/java/io/briarward/node/serving/Serving.java
@@ -11,6 +11,7 @@
 import io.briarward.node.admission.AdmissionGate;
 import io.briarward.node.admission.ShareExchange;
 import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.http.HttpClientRequest;
 import java.util.SplittableRandom;
 
 /**
@@ -24,6 +25,7 @@
   private final AdmissionGate gate;
   private final ShareExchange shareExchange;
   private final UpstreamCatalogue upstreamCatalogue;
+  private final LeavingObserver observer;
   private final LoadPoller loadPoller;
   private final Disposable configurationChanges;
 
@@ -44,9 +46,15 @@
                 context.peers(),
                 context.scheduler()));
     upstreamCatalogue = new UpstreamCatalogue(router, dataCentre);
+    observer = new LeavingObserver(upstreamCatalogue, context::nowMillis);
     loadPoller =
         LoadPoller.start(
-            context.vertx(), router, upstreamCatalogue, context.scheduler(), context::wallMillis);
+            context.vertx(),
+            router,
+            upstreamCatalogue,
+            observer,
+            context.scheduler(),
+            context::wallMillis);
     configurationChanges =
         context.configuration().changes().subscribe(next -> onConfiguration(next.configuration()));
   }
@@ -81,9 +89,14 @@
     upstreamCatalogue.setOrdered(byService);
   }
 
-  /** Stops sending new work to an upstream that is about to leave. */
-  public void markLeaving(String upstreamId) {
-    upstreamCatalogue.markLeaving(upstreamId);
+  /**
+   * Learns from the response to a request whether the upstream leaves; no new work is sent to it
+   * then.
+   *
+   * @param request a request that has not been sent
+   */
+  public void observe(String upstreamId, HttpClientRequest request) {
+    observer.observe(upstreamId, request);
   }
 
   @Override
--- a/node/src/main/java/io/briarward/node/serving/UpstreamCatalogue.java
+++ b/node/src/main/java/io/briarward/node/serving/UpstreamCatalogue.java
@@ -7,15 +7,17 @@
 import io.briarward.core.configuration.Configuration;
 import io.briarward.core.configuration.Service;
 import io.briarward.core.configuration.Upstream;
+import io.briarward.core.routing.LeavingMarks;
 import io.briarward.core.routing.Router;
 import java.util.HashSet;
 import java.util.Set;
+import org.tinylog.Logger;
 
 /** Keeps the router's list of configured and ordered upstreams. Confined to the event loop. */
 final class UpstreamCatalogue {
   private final Router router;
   private final String localDataCentre;
-  private final Set<String> leaving = new HashSet<>();
+  private final LeavingMarks leaving = LeavingMarks.create();
   private Configuration configuration = Configuration.empty();
   private ImmutableListMultimap<String, Upstream> ordered = ImmutableListMultimap.of();
   private ImmutableList<LocalUpstream> localUpstreams = ImmutableList.of();
@@ -43,9 +45,21 @@
     update();
   }
 
-  void markLeaving(String upstreamId) {
-    leaving.add(upstreamId);
-    router.markLeaving(upstreamId);
+  /**
+   * Handles a response of an upstream.
+   *
+   * @param saysLeaving whether the response says that the upstream leaves
+   * @param sentAtMillis a time before the request was sent
+   */
+  void onResponse(String upstreamId, boolean saysLeaving, long sentAtMillis, long nowMillis) {
+    if (leaving.onResponse(upstreamId, saysLeaving, sentAtMillis, nowMillis)) {
+      Logger.info("upstream {} {}", upstreamId, saysLeaving ? "leaves" : "was replaced");
+      if (saysLeaving) {
+        router.markLeaving(upstreamId);
+      } else {
+        router.unmarkLeaving(upstreamId);
+      }
+    }
   }
 
   /** Returns the upstreams in the local data centre, whose load is polled. */
@@ -71,7 +85,7 @@
       }
     }
     localUpstreams = next.build();
-    leaving.retainAll(listed);
-    leaving.forEach(router::markLeaving);
+    leaving.retain(listed);
+    leaving.ids().forEach(router::markLeaving);
   }
 }
--- a/node/src/test/java/io/briarward/node/live/LiveProxyTest.java
+++ b/node/src/test/java/io/briarward/node/live/LiveProxyTest.java
@@ -94,6 +94,26 @@
     assertThat(executions()).isEqualTo(0);
   }
 
+  @Test
+  void upstreamThatSaysThatItLeavesGetsNoFurtherRequests() throws Exception {
+    deployment.fault(plain, "leaving", 1);
+    while (executions(plain) == 0) {
+      assertThat(get("/orders/7", KEY).status()).isEqualTo(200);
+    }
+    long before = executions(plain);
+    for (int i = 0; i < 40; i++) {
+      assertThat(get("/orders/" + i, KEY).status()).isEqualTo(200);
+    }
+    assertThat(executions(plain)).isEqualTo(before);
+
+    deployment.fault(plain, "leaving", 0); // Another process answers under its id.
+    for (int i = 0; executions(plain) == before && i < 200; i++) {
+      assertThat(get("/orders/" + i, KEY).status()).isEqualTo(200);
+      Thread.sleep(10);
+    }
+    assertThat(executions(plain)).isGreaterThan(before);
+  }
+
   @Test
   void nonIdempotentRequestIsNotRetriedWhenResponseIsLost() {
     deployment.fault(plain, "answerLostShare", 1);
@@ -399,8 +419,11 @@
   }
 
   private long executions() {
-    return deployment.state(plain).path("executions").asLong()
-        + deployment.state(otherPlain).path("executions").asLong();
+    return executions(plain) + executions(otherPlain);
+  }
+
+  private long executions(RunningStandIn standIn) {
+    return deployment.state(standIn).path("executions").asLong();
   }
 
   private long leakedCredentials(RunningStandIn standIn) {
--- a/standins/src/main/java/io/briarward/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/io/briarward/standins/engine/EngineStandIn.java
@@ -62,6 +62,7 @@
         Fault.WEIGHT_LOAD_FAILURE,
         Fault.CACHE_EVENT_GAP_SHARE,
         Fault.IGNORE_FENCING,
+        Fault.LEAVING,
         Fault.LAG_MILLIS);
   }
 
--- a/standins/src/main/java/io/briarward/standins/http/Fault.java
+++ b/standins/src/main/java/io/briarward/standins/http/Fault.java
@@ -35,6 +35,8 @@
   WEIGHT_LOAD_FAILURE,
   /** Drops a share of cache events. */
   CACHE_EVENT_GAP_SHARE,
+  /** Says in every response that the upstream leaves. */
+  LEAVING,
   /** Accepts orders with a stale fencing number. */
   IGNORE_FENCING,
   /** Rejects start orders with the error no-capacity, in one data centre or in all. */
--- a/standins/src/main/java/io/briarward/standins/http/StandInServer.java
+++ b/standins/src/main/java/io/briarward/standins/http/StandInServer.java
@@ -26,6 +26,7 @@
 public final class StandInServer implements RunningStandIn {
   private static final long RETRY_AFTER_SECONDS = 1;
   private static final String CONTROL_PREFIX = "/control/";
+  private static final String LEAVING_HEADER = "X-Upstream-Leaving";
 
   private final HttpServer server;
   private final StandIn standIn;
@@ -146,6 +147,9 @@
     if (faults.isOn(Fault.HANG)) {
       return;
     }
+    if (faults.isOn(Fault.LEAVING)) {
+      request.response().putHeader(LEAVING_HEADER, "1");
+    }
     if (faults.shouldInject(Fault.REQUEST_LOST_SHARE)) {
       request.connection().close();
       return;
--- a/standins/src/main/java/io/briarward/standins/plain/PlainStandIn.java
+++ b/standins/src/main/java/io/briarward/standins/plain/PlainStandIn.java
@@ -65,7 +65,8 @@
 
   /** Returns the faults that this stand-in supports, all switched off. */
   public static Faults faults(long seed) {
-    return Faults.of(seed, Fault.GARBAGE_SHARE, Fault.TRUNCATED_SHARE, Fault.SLOWDOWN);
+    return Faults.of(
+        seed, Fault.GARBAGE_SHARE, Fault.TRUNCATED_SHARE, Fault.SLOWDOWN, Fault.LEAVING);
   }
 
   /** Creates a stand-in that has run no requests. */
