--- a/node/src/test/java/io/briarward/node/live/LiveProxyTest.java
+++ b/node/src/test/java/io/briarward/node/live/LiveProxyTest.java
@@ -401,7 +401,7 @@
   @Test
   void responsesWithoutEndDoNotFillTheMemory() throws Exception {
     int callers = 10;
-    long maxBytesPerCaller = 16 << 20;
+    final long maxBytesPerCaller = 16 << 20;
     EndlessUpstream upstream = startEndlessUpstream("HTTP/1.1 200 OK\r\n\r\n", "x");
     for (int i = 0; i < callers; i++) {
       deployment
