Readmit an upstream that was ejected while it left

Cause: an upstream that fails while it leaves is ejected but not put into the queue of those to be readmitted, since it was to be gone for good. Now that a mark can end, the process that takes its id would never have received work: the usual way of a replacement.

Change: the end of the mark puts an ejected upstream into the queue.

Measured: upstreamThatReplacesOneThatLeftReceivesWork failed before (no upstream) and passes; RouterProperties passes. Found in the last read of the diff, before it landed.

--- a/core/src/main/java/io/briarward/core/routing/DataCentrePool.java
+++ b/core/src/main/java/io/briarward/core/routing/DataCentrePool.java
@@ -295,6 +295,9 @@
 
   void unmarkLeaving(UpstreamState state) {
     state.setLeaving(false);
+    if (state.health().isEjected() && !ejected.contains(state)) {
+      ejected.add(state); // It failed while it left, when it was not to be readmitted.
+    }
     updatePartition(state);
   }
 
--- a/core/src/test/java/io/briarward/core/routing/RouterTest.java
+++ b/core/src/test/java/io/briarward/core/routing/RouterTest.java
@@ -31,6 +31,20 @@
     assertThat(rejectionKind(request().build(), 0)).isEqualTo(ErrorKind.NO_UPSTREAM);
   }
 
+  /** The usual way: it leaves, ends, cannot be reached, and another process takes its id. */
+  @Test
+  void upstreamThatReplacesOneThatLeftReceivesWork() {
+    router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a"), upstream("b")));
+    RouteRequest toA = request().excluded(ImmutableSet.of("b")).build();
+    router.markLeaving("a");
+    for (int i = 0; i < UpstreamHealth.FAILURES_BEFORE_EJECTION; i++) {
+      router.onUnreachable("a", 0);
+    }
+    router.unmarkLeaving("a");
+    assertThat(rejectionKind(toA, 0)).isEqualTo(ErrorKind.NO_UPSTREAM);
+    assertThat(chosenId(toA, UpstreamHealth.MIN_EJECTION_MILLIS)).isEqualTo("a");
+  }
+
   @Test
   void removedUpstreamReceivesNoWork() {
     router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a"), upstream("b")));
