--- a/core/src/test/java/io/briarward/core/routing/RouterTest.java
+++ b/core/src/test/java/io/briarward/core/routing/RouterTest.java
@@ -35,12 +35,12 @@
   @Test
   void upstreamThatReplacesOneThatLeftReceivesWork() {
     router.replaceUpstreams(SERVICE, ImmutableList.of(upstream("a"), upstream("b")));
-    RouteRequest toA = request().excluded(ImmutableSet.of("b")).build();
     router.markLeaving("a");
     for (int i = 0; i < UpstreamHealth.FAILURES_BEFORE_EJECTION; i++) {
       router.onUnreachable("a", 0);
     }
     router.unmarkLeaving("a");
+    RouteRequest toA = request().excluded(ImmutableSet.of("b")).build();
     assertThat(rejectionKind(toA, 0)).isEqualTo(ErrorKind.NO_UPSTREAM);
     assertThat(chosenId(toA, UpstreamHealth.MIN_EJECTION_MILLIS)).isEqualTo("a");
   }
