Share the raw client and the endless sender of the tests

The two RandomInputTest, LiveProxyTest and PlatformNodeFixture each had code of their own that sends bytes on a socket and collects the answer, and LiveProxyTest and ScriptedUpstream each sent bytes without end. RawClient and EndlessBytes in the stand-ins serve them all, with a test.

--- a/node/src/test/java/io/briarward/node/RandomInputTest.java
+++ b/node/src/test/java/io/briarward/node/RandomInputTest.java
@@ -22,6 +22,7 @@
 import io.briarward.standins.StandIns;
 import io.briarward.standins.http.RunningStandIn;
 import io.briarward.standins.input.RandomChanges;
+import io.briarward.standins.input.RawClient;
 import io.briarward.wire.proto.AdmissionMessage;
 import io.briarward.wire.proto.ConfigurationDigest;
 import io.briarward.wire.proto.ConfigurationMessage;
@@ -38,11 +39,7 @@
 import io.briarward.wire.proto.UsageMessage;
 import io.briarward.wire.proto.WholeConfiguration;
 import io.reactivex.rxjava3.schedulers.Schedulers;
-import io.vertx.core.Future;
-import io.vertx.core.Promise;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.net.NetClient;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -91,13 +88,12 @@
 
   private final TestDeployment deployment = TestDeployment.start();
   private final Random random = new Random(SEED);
-  private NetClient sockets;
+  private final RawClient rawClient = RawClient.create(deployment.vertx());
   private int peerPort;
   private Node node;
 
   @BeforeEach
   void startNode() throws Exception {
-    sockets = deployment.vertx().createNetClient();
     try (ServerSocket free = new ServerSocket(0)) {
       peerPort = free.getLocalPort();
     }
@@ -108,7 +104,7 @@
 
   @AfterEach
   void stop() throws Exception {
-    sockets.close();
+    rawClient.close();
     node.stop().blockingAwait();
     deployment.close();
   }
@@ -132,32 +128,12 @@
         ImmutableList.of());
   }
 
-  /** Sends bytes, and returns what arrives until the connection ends or its time is over. */
-  private Future<String> send(int port, byte[] bytes) {
-    Promise<String> ended = Promise.promise();
-    Buffer received = Buffer.buffer();
-    sockets
-        .connect(port, "127.0.0.1")
-        .onFailure(ended::tryFail)
-        .onSuccess(
-            socket -> {
-              socket.exceptionHandler(unused -> {});
-              socket.handler(received::appendBuffer);
-              socket.closeHandler(unused -> ended.tryComplete(received.toString("ISO-8859-1")));
-              socket.write(Buffer.buffer(bytes));
-              deployment.vertx().setTimer(CONNECTION_MILLIS, unused -> socket.close());
-            });
-    return ended.future();
-  }
-
-  /** Sends what {@code input} returns on many connections at once and returns the responses. */
-  private List<String> sendRound(int port, List<byte[]> input) throws Exception {
-    List<Future<String>> received = new ArrayList<>();
-    for (byte[] bytes : input) {
-      received.add(send(port, bytes));
-    }
-    Future.join(received).toCompletionStage().toCompletableFuture().get(30, TimeUnit.SECONDS);
-    return received.stream().map(Future::result).toList();
+  private List<String> sendRound(int port, List<byte[]> inputs) throws Exception {
+    return rawClient
+        .sendAll(port, inputs, CONNECTION_MILLIS)
+        .toCompletionStage()
+        .toCompletableFuture()
+        .get(30, TimeUnit.SECONDS);
   }
 
   private void assertServes(int round) {
@@ -181,7 +157,7 @@
       }
       List<String> responses = sendRound(port, sent);
       for (int i = 0; i < sent.size(); i++) {
-        String request = Buffer.buffer(sent.get(i)).toString("ISO-8859-1");
+        String request = new String(sent.get(i), StandardCharsets.ISO_8859_1);
         if (!responses.get(i).isEmpty()) {
           // The protocol may be the damaged one of the request; the status is always there.
           assertWithMessage(request)
--- a/node/src/test/java/io/briarward/node/live/LiveProxyTest.java
+++ b/node/src/test/java/io/briarward/node/live/LiveProxyTest.java
@@ -24,16 +24,16 @@
 import io.briarward.standins.StandIns;
 import io.briarward.standins.engine.CompletionText;
 import io.briarward.standins.http.RunningStandIn;
+import io.briarward.standins.input.EndlessBytes;
+import io.briarward.standins.input.RawClient;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -310,22 +310,11 @@
         Thread.sleep(10);
       }
     }
-
-    void sendWithoutEnd(NetSocket socket, Buffer bytes) {
-      socket
-          .write(bytes)
-          .onSuccess(
-              unused -> {
-                sentBytes.addAndGet(bytes.length());
-                sendWithoutEnd(socket, bytes);
-              });
-    }
   }
 
   /** Starts an upstream that sends {@code head} and then {@code filler} until it is cut off. */
   private EndlessUpstream startEndlessUpstream(String head, String filler) throws Exception {
     EndlessUpstream upstream = new EndlessUpstream();
-    Buffer bytes = Buffer.buffer(filler.repeat(1 + (1 << 16) / filler.length()));
     var endless =
         deployment
             .vertx()
@@ -338,8 +327,7 @@
                   socket.handler(
                       unused -> {
                         upstream.requests.incrementAndGet();
-                        socket.write(head);
-                        upstream.sendWithoutEnd(socket, bytes);
+                        EndlessBytes.send(socket, head, filler, upstream.sentBytes::addAndGet);
                       });
                 })
             .listen(0, "127.0.0.1")
@@ -360,21 +348,13 @@
   }
 
   private String callRaw(String request) throws Exception {
-    CompletableFuture<String> received = new CompletableFuture<>();
-    StringBuilder bytes = new StringBuilder();
-    var connected =
-        deployment
-            .vertx()
-            .createNetClient()
-            .connect(node.httpPort(), "127.0.0.1")
-            .onSuccess(
-                socket -> {
-                  socket.handler(chunk -> bytes.append(chunk));
-                  socket.closeHandler(unused -> received.complete(bytes.toString()));
-                  socket.write(request);
-                });
-    assertThat(connected.isComplete() && connected.failed()).isFalse();
-    return received.get(30, TimeUnit.SECONDS);
+    try (RawClient client = RawClient.create(deployment.vertx())) {
+      return client
+          .send(node.httpPort(), request)
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(30, TimeUnit.SECONDS);
+    }
   }
 
   @Test
