--- a/core/src/main/java/io/briarward/core/routing/DataCentrePool.java
+++ b/core/src/main/java/io/briarward/core/routing/DataCentrePool.java
@@ -77,9 +77,7 @@
     }
     for (UpstreamState old : byId.values()) {
       if (next.get(old.upstream().id()) != old) {
-        old.setLeaving(true);
-        ejected.remove(old);
-        updatePartition(old);
+        markLeaving(old);
       }
     }
     byId = next;
--- a/core/src/main/java/io/briarward/core/routing/LeavingMarks.java
+++ b/core/src/main/java/io/briarward/core/routing/LeavingMarks.java
@@ -30,7 +30,7 @@
    *
    * @param leaving whether the response says that the upstream leaves
    * @param sentAtMillis a time before the request was sent
-   * @return whether the response changed what {@link #contains} returns for the upstream
+   * @return whether the response changed whether the upstream leaves
    */
   public boolean onResponse(String upstreamId, boolean leaving, long sentAtMillis, long nowMillis) {
     checkNotNull(upstreamId, "upstreamId");
@@ -44,11 +44,6 @@
     return replaced;
   }
 
-  /** Returns whether an upstream leaves. */
-  public boolean contains(String upstreamId) {
-    return markedAtMillis.containsKey(upstreamId);
-  }
-
   /** Returns the upstreams that leave. */
   public ImmutableSet<String> ids() {
     return ImmutableSet.copyOf(markedAtMillis.keySet());
--- a/core/src/test/java/io/briarward/core/routing/LeavingMarksTest.java
+++ b/core/src/test/java/io/briarward/core/routing/LeavingMarksTest.java
@@ -20,14 +20,14 @@
   void responseToEarlierRequestDoesNotEndTheMark() {
     marks.onResponse("a", true, 0, 10);
     assertThat(marks.onResponse("a", false, 10, 30)).isFalse();
-    assertThat(marks.contains("a")).isTrue();
+    assertThat(marks.ids()).containsExactly("a");
   }
 
   @Test
   void responseWithoutMarkToLaterRequestEndsIt() {
     marks.onResponse("a", true, 0, 10);
     assertThat(marks.onResponse("a", false, 11, 12)).isTrue();
-    assertThat(marks.contains("a")).isFalse();
+    assertThat(marks.ids()).isEmpty();
   }
 
   @Test
--- a/node/src/main/java/io/briarward/node/batch/RewardRunner.java
+++ b/node/src/main/java/io/briarward/node/batch/RewardRunner.java
@@ -157,12 +157,13 @@
     long nowMillis = context.nowMillis();
     String upstreamId = call.upstream().id();
     String itemId = call.item().id();
-    if (reply.notice().isPresent()) {
-      context.balancer().onContact(call.upstream().service(), nowMillis);
-    }
     reply
         .notice()
-        .ifPresent(notice -> context.onNotice(call.upstream(), notice, call.reward().id()));
+        .ifPresent(
+            notice -> {
+              context.balancer().onContact(call.upstream().service(), nowMillis);
+              context.onNotice(call.upstream(), notice, call.reward().id());
+            });
     switch (reply.outcome()) {
       case SCORED -> {
         context.balancer().onAnswered(upstreamId, nowMillis - call.sentAtMillis());
