--- a/review/standins/review/AnswersJoined.java
+++ b/review/standins/review/AnswersJoined.java
@@ -4,23 +4,34 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Sends lookups with long answers while one of two samplers is slow.
- *
- * <p>The answers have no length and are sent in chunks.
+ * Sends lookups while one of three samplers sends bytes without end in the bodies of a few answers.
  */
 final class AnswersJoined {
-  private static final int CHUNKS = 80;
-  private static final int CHUNK_BYTES = 10_000;
-  private static final long CHUNK_GAP_MILLIS = 2;
-  private static final double SLOW_FACTOR = 3.5;
+  private static final int ANSWER_BYTES = 800;
   private static final int SLOTS = 6;
-  private static final int REQUESTS = 24;
-  private static final long REQUEST_GAP_MILLIS = 250;
-  private static final long SLOW_MILLIS = 6_500;
+  private static final long WORK_MILLIS = 25;
+  private static final int CALLERS = 10;
+  private static final long CALL_GAP_MILLIS = 100;
+  private static final long CALM_MILLIS = 1_500;
+  private static final long TROUBLE_MILLIS = 5_500;
+  private static final int SPOILT_ONE_IN = 50;
+  private static final int ENDLESS_CHUNK_BYTES = 8_192;
+  private static final int READ_TIMEOUT_MILLIS = 5_000;
 
-  private static volatile boolean slow;
+  private static final AtomicInteger joined = new AtomicInteger();
+  private static final AtomicInteger brokenOff = new AtomicInteger();
+  private static final AtomicInteger whole = new AtomicInteger();
+  private static final AtomicInteger failures = new AtomicInteger();
+  private static final AtomicInteger spoilt = new AtomicInteger();
+  private static final AtomicInteger answers = new AtomicInteger();
+  private static volatile boolean inTrouble;
 
   private AnswersJoined() {}
 
@@ -31,100 +42,132 @@
   private static boolean run(Installation installation) throws Exception {
     String[] zones = {"lautoka", "nadi", "ba"};
     for (int i = 0; i < zones.length; i++) {
-      boolean slowed = i == 0;
+      boolean faulty = i == 0;
       installation.addSampler(
           "i-" + i,
           Installation.LOOKUP_SERVICE,
           zones[i],
           SLOTS,
           (sampler, request, exchange) ->
-              answer(installation, sampler, request, exchange, slowed));
+              answer(installation, sampler, request, exchange, faulty));
     }
     Nodes.Node node = installation.nodes.start("front-lautoka-1", zones[0]);
     node.awaitReady();
     Thread.sleep(3_000); // No disruption for as long as stableMs.
-    int joined = 0;
-    // A few answers before the disruption, so that the node knows all samplers.
-    for (int i = 0; i < REQUESTS / 4; i++) {
-      joined += call(installation, node, "before" + i) ? 0 : 1;
-      Thread.sleep(REQUEST_GAP_MILLIS);
+    long startMillis = System.currentTimeMillis();
+    long endMillis = startMillis + CALM_MILLIS + TROUBLE_MILLIS;
+    List<Thread> callers = new ArrayList<>();
+    for (int i = 0; i < CALLERS; i++) {
+      int number = i;
+      Thread caller = new Thread(() -> callUntil(installation, node, number, endMillis));
+      caller.start();
+      callers.add(caller);
     }
-    long endMillis = System.currentTimeMillis() + SLOW_MILLIS;
-    slow = installation.trouble;
-    installation.record.line("sampler i-0 slow: %s", slow);
-    for (int i = 0; i < REQUESTS && System.currentTimeMillis() < endMillis; i++) {
-      joined += call(installation, node, "during" + i) ? 0 : 1;
-      Thread.sleep(REQUEST_GAP_MILLIS);
+    Thread.sleep(CALM_MILLIS);
+    inTrouble = installation.trouble;
+    installation.record.line("sampler i-0 in trouble: %s", inTrouble);
+    for (Thread caller : callers) {
+      caller.join();
     }
-    slow = false;
-    installation.record.line("%d successes had another body than any sampler sent", joined);
-    return joined == 0;
+    installation.record.line(
+        "%d answers were whole, %d failures, %d broken off; %d spoilt by i-0", whole.get(),
+        failures.get(), brokenOff.get(), spoilt.get());
+    installation.record.line(
+        "%d successes ended regularly with a body that no sampler sent", joined.get());
+    return joined.get() == 0;
   }
 
-  /** Sends the answer of one sampler, whose bytes tell which sampler made them. */
   private static void answer(
       Installation installation,
       Sampler sampler,
       HttpIo.Message request,
       LoopbackServer.Exchange exchange,
-      boolean slowed)
+      boolean faulty)
       throws Exception {
     String id = request.header("Briarward-Request-Id").orElseThrow();
-    installation.record.line("run: request %s at %s", id, sampler.id());
-    var headers = Sampler.answerHeaders(request, "seal-" + id + "-" + sampler.id());
+    Thread.sleep(WORK_MILLIS);
+    Map<String, String> headers = Sampler.answerHeaders(request, "seal-" + id + "-" + sampler.id());
     headers.remove("Briarward-Weight-Versions");
-    headers.put("Transfer-Encoding", "chunked");
+    if (faulty && inTrouble && answers.getAndIncrement() % SPOILT_ONE_IN == 0) {
+      spoilt.incrementAndGet();
+      installation.record.line("run: request %s at %s, whose body has no end", id, sampler.id());
+      sendWithoutEnd(exchange, headers);
+    } else {
+      exchange.respond(200, headers, body(id, sampler.id()));
+    }
+  }
+
+  /** Sends bytes until the caller closes the connection. */
+  private static void sendWithoutEnd(
+      LoopbackServer.Exchange exchange, Map<String, String> headers) throws IOException {
     exchange.out().write(HttpIo.head("HTTP/1.1 200 OK", headers));
-    String chunk = body(id, sampler.id()).substring(0, CHUNK_BYTES);
-    for (int i = 0; i < CHUNKS; i++) {
-      Thread.sleep((long) (CHUNK_GAP_MILLIS * (slowed && slow ? SLOW_FACTOR : 1)));
-      Sampler.writeChunk(exchange, chunk);
+    byte[] chunk = new byte[ENDLESS_CHUNK_BYTES];
+    Arrays.fill(chunk, (byte) '?');
+    while (true) {
+      exchange.out().write(chunk);
     }
-    exchange.out().write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
-    exchange.out().flush();
   }
 
-  private static String body(String requestId, String samplerId) {
+  private static byte[] body(String requestId, String samplerId) {
     String unit = requestId + "@" + samplerId + ";";
-    return unit.repeat(CHUNK_BYTES / unit.length() + 1).substring(0, CHUNK_BYTES).repeat(CHUNKS);
+    return unit.repeat(ANSWER_BYTES / unit.length() + 1)
+        .substring(0, ANSWER_BYTES)
+        .getBytes(StandardCharsets.UTF_8);
   }
 
-  /** Sends one lookup and returns whether a success has the body that one sampler sent. */
-  private static boolean call(Installation installation, Nodes.Node node, String name)
-      throws IOException {
-    String id = String.format("%16s", name).replace(' ', '0');
+  private static void callUntil(
+      Installation installation, Nodes.Node node, int caller, long endMillis) {
+    for (int i = 0; System.currentTimeMillis() < endMillis; i++) {
+      call(installation, node, String.format("%08x%08x", caller, i));
+      Sampler.sleep(CALL_GAP_MILLIS);
+    }
+  }
+
+  /** Sends one lookup and checks that a success has the body that one sampler sent. */
+  private static void call(Installation installation, Nodes.Node node, String id) {
     HttpIo.Message answer;
     try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), node.callerPort)) {
-      socket.setSoTimeout(5_000);
+      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
       Caller.write(
           socket,
-          "POST " + Installation.LOOKUP_PREFIX + "2f",
+          "POST " + Installation.LOOKUP_PREFIX + id,
           Installation.HOST,
           Installation.headers(id, 1_500),
           new byte[600]);
       answer = HttpIo.readResponse(HttpIo.buffered(socket.getInputStream()));
     } catch (IOException e) {
       // An answer that ends early does not look complete.
+      brokenOff.incrementAndGet();
       installation.record.line("answer: request %s broken off: %s", id, e);
-      return true;
+      return;
     }
     String receipt = answer.header("Briarward-Response-Seal").orElse("none");
-    boolean success = answer.status() / 100 == 2;
     String samplerId = receipt.substring(receipt.lastIndexOf("-i-") + 1);
-    boolean whole = !success || answer.text().equals(body(id, samplerId));
-    installation.record.line(
-        "answer: request %s status %d receipt %s, %d bytes, %s",
-        id, answer.status(), receipt, answer.body().length, whole ? "whole" : describe(answer, id));
-    return whole;
+    if (answer.status() / 100 != 2) {
+      failures.incrementAndGet();
+    } else if (Arrays.equals(answer.body(), body(id, samplerId))) {
+      whole.incrementAndGet();
+    } else {
+      joined.incrementAndGet();
+      installation.record.line(
+          "answer: request %s status %d receipt %s, %d bytes, the last %d are the answer of %s",
+          id,
+          answer.status(),
+          receipt,
+          answer.body().length,
+          ANSWER_BYTES,
+          senderOfEnd(answer.body(), id));
+    }
   }
 
-  private static String describe(HttpIo.Message answer, String id) {
-    StringBuilder parts = new StringBuilder("NOT WHOLE:");
+  /** Returns the sampler whose whole answer is at the end of a body. */
+  private static String senderOfEnd(byte[] body, String id) {
+    byte[] end = Arrays.copyOfRange(body, Math.max(0, body.length - ANSWER_BYTES), body.length);
     for (int i = 0; i < 3; i++) {
-      String unit = id + "@i-" + i + ";";
-      long bytes = (long) answer.text().split(unit, -1).length - 1;
-      parts.append(' ').append(bytes * unit.length()).append(" bytes of i-").append(i);
+      if (Arrays.equals(end, body(id, "i-" + i))) {
+        return "i-" + i;
+      }
     }
-    return parts.toString();
+    return "no sampler";
   }
 }
