--- a/review/standins/review/Nodes.java
+++ b/review/standins/review/Nodes.java
@@ -67,7 +67,8 @@
     /** Sends a signal to the process. */
     void signal(String signal) throws Exception {
       record.line("node %s: SIG%s", name, signal);
-      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+      // The kill of the shell, since a machine may have no program of this name.
+      new ProcessBuilder("bash", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
     }
 
     boolean isAlive() {
