--- a/review/standins/review/AnswersJoined.java
+++ b/review/standins/review/AnswersJoined.java
@@ -48,8 +48,7 @@
           Installation.LOOKUP_SERVICE,
           zones[i],
           SLOTS,
-          (sampler, request, exchange) ->
-              answer(installation, sampler, request, exchange, faulty));
+          (sampler, request, exchange) -> answer(installation, sampler, request, exchange, faulty));
     }
     Nodes.Node node = installation.nodes.start("front-lautoka-1", zones[0]);
     node.awaitReady();
@@ -70,8 +69,8 @@
       caller.join();
     }
     installation.record.line(
-        "%d answers were whole, %d failures, %d broken off; %d spoilt by i-0", whole.get(),
-        failures.get(), brokenOff.get(), spoilt.get());
+        "%d answers were whole, %d failures, %d broken off; %d spoilt by i-0",
+        whole.get(), failures.get(), brokenOff.get(), spoilt.get());
     installation.record.line(
         "%d successes ended regularly with a body that no sampler sent", joined.get());
     return joined.get() == 0;
@@ -98,8 +97,8 @@
   }
 
   /** Sends bytes until the caller closes the connection. */
-  private static void sendWithoutEnd(
-      LoopbackServer.Exchange exchange, Map<String, String> headers) throws IOException {
+  private static void sendWithoutEnd(LoopbackServer.Exchange exchange, Map<String, String> headers)
+      throws IOException {
     exchange.out().write(HttpIo.head("HTTP/1.1 200 OK", headers));
     byte[] chunk = new byte[ENDLESS_CHUNK_BYTES];
     Arrays.fill(chunk, (byte) '?');
--- a/review/standins/review/EndlessItems.java
+++ b/review/standins/review/EndlessItems.java
@@ -41,8 +41,7 @@
               installation.record.line("run: item %s at %s, no end", item, sampler.id());
               sendWithoutEnd(request, exchange);
             } else {
-              Sampler.streamEvents(
-                  request, exchange, item, EVENTS, EVENT_BYTES, EVENT_GAP_MILLIS);
+              Sampler.streamEvents(request, exchange, item, EVENTS, EVENT_BYTES, EVENT_GAP_MILLIS);
             }
           });
     }
@@ -73,9 +72,7 @@
   /** Sends lines that never complete an event, until the trouble ends or the caller closes. */
   private static void sendWithoutEnd(HttpIo.Message request, LoopbackServer.Exchange exchange)
       throws Exception {
-    exchange
-        .out()
-        .write(HttpIo.head("HTTP/1.1 200 OK", Sampler.answerHeaders(request, "seal")));
+    exchange.out().write(HttpIo.head("HTTP/1.1 200 OK", Sampler.answerHeaders(request, "seal")));
     byte[] chunk = "data:x\n".repeat(1_000).getBytes(StandardCharsets.UTF_8);
     while (inTrouble) {
       exchange.out().write(chunk);
--- a/review/standins/review/HttpIo.java
+++ b/review/standins/review/HttpIo.java
@@ -133,8 +133,7 @@
   }
 
   /** Writes a message whose body has a length. */
-  static void write(
-      OutputStream out, String startLine, Map<String, String> headers, byte[] body)
+  static void write(OutputStream out, String startLine, Map<String, String> headers, byte[] body)
       throws IOException {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     bytes.writeBytes(head(startLine, headers));
--- a/review/standins/review/Installation.java
+++ b/review/standins/review/Installation.java
@@ -60,8 +60,7 @@
     int exitCode;
     try (Record record = new Record(Path.of(arguments[1]).resolve("record.txt"))) {
       record.line("disruption: %s", trouble ? "yes" : "no");
-      try (Installation installation =
-          new Installation(Path.of(arguments[0]), record, trouble)) {
+      try (Installation installation = new Installation(Path.of(arguments[0]), record, trouble)) {
         exitCode = each.run(installation) ? 0 : 1;
       } catch (Exception e) {
         record.line("cannot run: %s", e);
@@ -228,8 +227,7 @@
       throw new IOException("results answered with " + answer.startLine());
     }
     JsonNode body = MAPPER.readTree(answer.body());
-    return new Page(
-        body.path("total").asInt(), body.path("next").asInt(), body.path("results"));
+    return new Page(body.path("total").asInt(), body.path("next").asInt(), body.path("results"));
   }
 
   /** Returns the number of results that a batch lists, as the store has it. */
--- a/review/standins/review/ItemsListedTwice.java
+++ b/review/standins/review/ItemsListedTwice.java
@@ -40,8 +40,7 @@
             String item = request.header("Briarward-Request-Id").orElseThrow();
             runs.merge(item, 1, Integer::sum);
             installation.record.line("run: item %s at %s", item, sampler.id());
-            Sampler.streamEvents(
-                request, exchange, item, EVENTS, EVENT_BYTES, EVENT_GAP_MILLIS);
+            Sampler.streamEvents(request, exchange, item, EVENTS, EVENT_BYTES, EVENT_GAP_MILLIS);
           });
     }
     Nodes.Node owner = installation.nodes.start("front-lautoka-1", zones[0]);
@@ -51,8 +50,7 @@
     second.awaitReady();
     third.awaitReady();
     Thread.sleep(3_000); // No disruption for as long as stableMs.
-    installation.submit(
-        owner, BATCH, Installation.submission(GROUPS, ITEMS_PER_GROUP));
+    installation.submit(owner, BATCH, Installation.submission(GROUPS, ITEMS_PER_GROUP));
     if (installation.trouble) {
       while (installation.listed(BATCH) < LISTED_AT_KILL) {
         Thread.sleep(20);
--- a/review/standins/review/ItemsLostEarly.java
+++ b/review/standins/review/ItemsLostEarly.java
@@ -141,7 +141,8 @@
     long early =
         lostAfterSeconds.values().stream().filter(seconds -> seconds < MAX_WAIT_SECONDS).count();
     installation.record.line(
-        "%d of %d batches had a lost item before %.1f s", early, sentNanos.size(), MAX_WAIT_SECONDS);
+        "%d of %d batches had a lost item before %.1f s",
+        early, sentNanos.size(), MAX_WAIT_SECONDS);
     if (lostAfterSeconds.isEmpty()) {
       throw new CannotRunException("no item was given up");
     }
--- a/review/standins/review/Lookups.java
+++ b/review/standins/review/Lookups.java
@@ -104,9 +104,7 @@
         threads.size(), pastTimeout.get(), TIMEOUT_MILLIS, late.get(), ANSWER_SLACK_MILLIS);
     installation.record.line(
         "node %s is %s, %d log lines with OutOfMemoryError",
-        node.name,
-        node.isAlive() ? "running" : "ended",
-        node.logLines("OutOfMemoryError").size());
+        node.name, node.isAlive() ? "running" : "ended", node.logLines("OutOfMemoryError").size());
     return late.get() < MIN_LATE || late.get() * 2 <= pastTimeout.get();
   }
 }
--- a/review/standins/review/Nodes.java
+++ b/review/standins/review/Nodes.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -20,8 +21,9 @@
   private final Store store;
   private final Record record;
   private final List<Node> nodes = new ArrayList<>();
+  private final Shell shell = new Shell();
 
-  Nodes(Path root, Path directory, Store store, Record record) {
+  Nodes(Path root, Path directory, Store store, Record record) throws IOException {
     this.root = root;
     this.directory = directory;
     this.store = store;
@@ -36,6 +38,31 @@
     }
   }
 
+  /** A running shell, so that a signal is sent without the delay of starting a process. */
+  private static final class Shell implements AutoCloseable {
+    private final Process process;
+    private final BufferedReader answers;
+
+    Shell() throws IOException {
+      process = new ProcessBuilder("bash").redirectErrorStream(true).start();
+      answers = process.inputReader();
+    }
+
+    synchronized void run(String command) throws IOException {
+      process.outputWriter().write(command + "; echo done\n");
+      process.outputWriter().flush();
+      String answer = answers.readLine();
+      if (!"done".equals(answer)) {
+        throw new CannotRunException("'" + command + "' failed: " + answer);
+      }
+    }
+
+    @Override
+    public void close() {
+      process.destroyForcibly();
+    }
+  }
+
   /** A process of the system. */
   final class Node {
     final String name;
@@ -65,10 +92,9 @@
     }
 
     /** Sends a signal to the process. */
-    void signal(String signal) throws Exception {
+    void signal(String signal) throws IOException {
       record.line("node %s: SIG%s", name, signal);
-      // The kill of the shell, since a machine may have no program of this name.
-      new ProcessBuilder("bash", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
+      shell.run("kill -" + signal + " " + process.pid());
     }
 
     boolean isAlive() {
@@ -77,7 +103,8 @@
 
     boolean ready() {
       try {
-        return new Caller(readyPort).send("GET /briarward/readyz", "localhost", "", new byte[0])
+        return new Caller(readyPort)
+                .send("GET /briarward/readyz", "localhost", "", new byte[0])
                 .status()
             == 200;
       } catch (IOException e) {
@@ -160,6 +187,7 @@
 
   @Override
   public void close() throws Exception {
+    shell.close();
     for (Node node : nodes) {
       // A stopped process ends at SIGKILL as well.
       node.process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
--- a/review/standins/review/Sampler.java
+++ b/review/standins/review/Sampler.java
@@ -36,8 +36,7 @@
         throws Exception;
   }
 
-  Sampler(
-      Store store, Record record, String id, String service, String zone, int slots, Work work)
+  Sampler(Store store, Record record, String id, String service, String zone, int slots, Work work)
       throws IOException {
     this.store = store;
     this.record = record;
@@ -108,12 +107,17 @@
       record.line("order at %s: %s", id, order);
       orders++;
       exchange.respond(202, Map.of(), new byte[0]);
-    } else if (request.header("Briarward-Expect-Instance").filter(each -> !each.equals(id)).isPresent()) {
+    } else if (request
+        .header("Briarward-Expect-Instance")
+        .filter(each -> !each.equals(id))
+        .isPresent()) {
       exchange.respond(421, Map.of("Briarward-Instance-Id", id), new byte[0]);
     } else if (!freeSlots.tryAcquire()) {
       Map<String, String> headers = new LinkedHashMap<>();
       headers.put("Briarward-Not-Run", "1");
-      request.header("Briarward-Request-Id").ifPresent(it -> headers.put("Briarward-Request-Id", it));
+      request
+          .header("Briarward-Request-Id")
+          .ifPresent(it -> headers.put("Briarward-Request-Id", it));
       exchange.respond(503, headers, new byte[0]);
     } else {
       try {
--- a/review/standins/review/Store.java
+++ b/review/standins/review/Store.java
@@ -58,8 +58,7 @@
   synchronized String addressFor(String caller) throws IOException {
     if (!serverByCaller.containsKey(caller)) {
       serverByCaller.put(
-          caller,
-          LoopbackServer.start((request, exchange) -> handle(caller, request, exchange)));
+          caller, LoopbackServer.start((request, exchange) -> handle(caller, request, exchange)));
     }
     return serverByCaller.get(caller).address();
   }
@@ -240,8 +239,7 @@
   private Answer feed(HttpIo.Message request) throws InterruptedException {
     String table = request.parameter("table").orElse("");
     long after = Long.parseLong(request.parameter("after").orElse("0"));
-    long endMillis =
-        nowMillis() + request.parameter("waitMs").map(Long::parseLong).orElse(0L);
+    long endMillis = nowMillis() + request.parameter("waitMs").map(Long::parseLong).orElse(0L);
     Thread.sleep(ANSWER_MILLIS);
     synchronized (this) {
       List<ObjectNode> changed = changes(table, after);
