--- a/review/standins/review/Installation.java
+++ b/review/standins/review/Installation.java
@@ -52,11 +52,12 @@
    * Runs a case and exits with 0 if the rule held, 1 if it was broken and 2 if the case could not
    * run.
    *
-   * @param arguments the repository root and the folder of the case
+   * @param arguments the repository root, the folder of the case, and 0 to run it without the
+   *     disruption
    */
   static void main(String[] arguments, Case each) throws Exception {
     LoopbackServer.startThread(Installation::exitAfterTimeLimit);
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    boolean trouble = !arguments[2].equals("0");
     int exitCode;
     try (Record record = new Record(Path.of(arguments[1]).resolve("record.txt"))) {
       record.line("disruption: %s", trouble ? "yes" : "no");
