--- a/review/standins/review/AnswersJoined.java
+++ b/review/standins/review/AnswersJoined.java
@@ -17,7 +17,7 @@
   private static final int ANSWER_BYTES = 800;
   private static final int SLOTS = 6;
   private static final long WORK_MILLIS = 25;
-  private static final int CALLERS = 10;
+  private static final int CALLERS = 20;
   private static final long CALL_GAP_MILLIS = 100;
   private static final long CALM_MILLIS = 1_500;
   private static final long TROUBLE_MILLIS = 5_500;
@@ -87,7 +87,7 @@
     Thread.sleep(WORK_MILLIS);
     Map<String, String> headers = Sampler.answerHeaders(request, "seal-" + id + "-" + sampler.id());
     headers.remove("Briarward-Weight-Versions");
-    if (faulty && inTrouble && answers.getAndIncrement() % SPOILT_ONE_IN == 0) {
+    if (faulty && inTrouble && answers.incrementAndGet() % SPOILT_ONE_IN == 0) {
       spoilt.incrementAndGet();
       installation.record.line("run: request %s at %s, whose body has no end", id, sampler.id());
       sendWithoutEnd(exchange, headers);
