http: report bytes that servers send outside of responses

A pooled connection that got bytes while no response was awaited was not logged at all, and a finished request's line had no status.

Change: `HttpClients` creates the HTTP clients of a node and installs `ResponseBoundaryGuard` on their connections, which for now only reports: `stray-bytes` lines, at most one a second and position. The `request` line has `status` and `upstreamStatus`. No decision changes.

--- a/node/src/main/java/io/briarward/node/gateway/ExchangeLog.java
+++ b/node/src/main/java/io/briarward/node/gateway/ExchangeLog.java
@@ -4,18 +4,28 @@
 
 import com.google.common.net.HostAndPort;
 import io.briarward.core.fleet.UpstreamEntry;
+import io.vertx.core.http.HttpServerRequest;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /** Logs and counts what happens to one live request. Confined to the event loop. */
 final class ExchangeLog {
   private final LiveForwarder.Context context;
+  private final HttpServerRequest downstream;
   private final LiveCall call;
+  private OptionalInt upstreamStatus = OptionalInt.empty();
 
-  ExchangeLog(LiveForwarder.Context context, LiveCall call) {
+  ExchangeLog(LiveForwarder.Context context, HttpServerRequest downstream, LiveCall call) {
     this.context = checkNotNull(context, "context");
+    this.downstream = checkNotNull(downstream, "downstream");
     this.call = checkNotNull(call, "call");
   }
 
+  /** Records the status of the response that is relayed to the caller; the last one counts. */
+  void relaying(int status) {
+    upstreamStatus = OptionalInt.of(status);
+  }
+
   /**
    * Logs an attempt at an upstream that failed.
    *
@@ -90,6 +100,10 @@
             call.resumption().map(LiveCall.Resumption::lastEventId).orElse("none"),
             "outcome",
             outcome,
+            "status",
+            downstream.response().getStatusCode(),
+            "upstreamStatus",
+            upstreamStatus.isPresent() ? upstreamStatus.getAsInt() : "none",
             "cause",
             cause,
             "attempts",
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -97,7 +97,7 @@
     this.response = CallerResponse.to(downstream);
     this.call = call;
     this.onFinished = onFinished;
-    this.log = new ExchangeLog(context, call);
+    this.log = new ExchangeLog(context, downstream, call);
     this.relays = new ExchangeRelays(context, downstream, call, response);
     this.origin = new ExchangeOrigin(context, call);
     this.fingerprint = Suppliers.memoize(call::fingerprint);
@@ -339,6 +339,7 @@
     if (StatusCodes.isSuccess(answer.statusCode())) {
       origin.onSuccess(attempt.upstream());
     }
+    log.relaying(answer.statusCode());
     response.setHead(answer);
     int maxHeldBytes = call.route().repeatable() ? MAX_HELD_BYTES : 0;
     Buffer held = Buffer.buffer();
--- /dev/null
+++ b/node/src/main/java/io/briarward/node/http/HttpClients.java
@@ -0,0 +1,28 @@
+package io.briarward.node.http;
+
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+
+/**
+ * Creates the HTTP clients of a node.
+ *
+ * <p>Their connections are guarded by a {@link ResponseBoundaryGuard}. Thread-safe.
+ */
+public final class HttpClients {
+  private static final StrayBytesLog LOG = StrayBytesLog.create(Schedulers.trampoline());
+
+  private HttpClients() {}
+
+  /** Creates a client without open connections. */
+  public static HttpClient create(Vertx vertx, HttpClientOptions options, PoolOptions pool) {
+    return vertx
+        .httpClientBuilder()
+        .with(options)
+        .with(pool)
+        .withConnectHandler(connection -> ResponseBoundaryGuard.install(connection, LOG))
+        .build();
+  }
+}
--- a/node/src/main/java/io/briarward/node/live/UpstreamRequests.java
+++ b/node/src/main/java/io/briarward/node/live/UpstreamRequests.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import io.briarward.core.configuration.Upstream;
+import io.briarward.node.http.HttpClients;
 import io.briarward.node.http.PooledRequests;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -73,7 +74,7 @@
             .setKeepAliveTimeout(limits.keepAliveSeconds())
             .setDecompressionSupported(false);
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(limits.maxConnectionsPerUpstream());
-    return new UpstreamRequests(vertx.createHttpClient(options, pool), observer);
+    return new UpstreamRequests(HttpClients.create(vertx, options, pool), observer);
   }
 
   /** Connects to {@code upstream} and returns a request that has not been sent. */
--- a/node/src/main/java/io/briarward/node/platform/JsonHttpClient.java
+++ b/node/src/main/java/io/briarward/node/platform/JsonHttpClient.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
+import io.briarward.node.http.HttpClients;
 import io.briarward.node.http.PooledRequests;
 import io.briarward.node.http.ResponseBodies;
 import io.briarward.node.platform.PlatformException.Effect;
@@ -60,7 +61,7 @@
         new PoolOptions()
             .setHttp1MaxSize(MAX_CONNECTIONS_PER_HOST)
             .setMaxWaitQueueSize(MAX_WAITING_REQUESTS);
-    return new JsonHttpClient(vertx.createHttpClient(options, pool), timeoutMillis);
+    return new JsonHttpClient(HttpClients.create(vertx, options, pool), timeoutMillis);
   }
 
   /**
--- a/node/src/main/java/io/briarward/node/serving/BoundedJsonClient.java
+++ b/node/src/main/java/io/briarward/node/serving/BoundedJsonClient.java
@@ -4,6 +4,7 @@
 import io.briarward.core.configuration.Upstream;
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
+import io.briarward.node.http.HttpClients;
 import io.briarward.node.http.PooledRequests;
 import io.briarward.node.http.ResponseBodies;
 import io.briarward.node.platform.JsonHttpClient;
@@ -41,7 +42,7 @@
             .setConnectTimeout(TIMEOUT_MILLIS)
             .setKeepAliveTimeout(KEEP_ALIVE_SECONDS);
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_UPSTREAM);
-    return new BoundedJsonClient(vertx.createHttpClient(options, pool), observer, maxBytes);
+    return new BoundedJsonClient(HttpClients.create(vertx, options, pool), observer, maxBytes);
   }
 
   /**
