http: decode a server's bytes only as part of the awaited response

Cause: an HTTP decoder keeps an incomplete head and completes it with the bytes that follow. The beginning of a second response that an upstream sends on a pooled connection (late, or together with the end of the first) stayed in the decoder, and the response to the next request became its rest: the status of the one with the id, receipt and body of the other, so the comparison of ids accepted it. The class of fault is response desynchronisation: state of one exchange leaks into the next over a reused connection.

The record's "Connection closed before received headers" is what the decoder says when a connection ends after a status line and before the end of the head.

Change: ResponseBoundaryGuard closes a connection that gets bytes while no response is awaited, or together with the end of a response, before it can be used again, and rejects a head that contains a second status line. All HTTP clients of a node are created by HttpClients and guarded: live requests, items, reward calls, orders, relays between nodes, the store, the own interface; LayeringTest checks that there is no other one.

Why it works: a response is decoded from the first byte that arrives after its request was written, and a beginning that arrives after that is recognised by the status line of the response that follows it, since no head has two.

--- a/cli/src/test/java/io/briarward/cli/LayeringTest.java
+++ b/cli/src/test/java/io/briarward/cli/LayeringTest.java
@@ -1,5 +1,9 @@
 package io.briarward.cli;
 
+import static com.tngtech.archunit.core.domain.JavaCall.Predicates.target;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.assignableTo;
+import static com.tngtech.archunit.core.domain.properties.HasName.Predicates.nameMatching;
+import static com.tngtech.archunit.core.domain.properties.HasOwner.Predicates.With.owner;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
@@ -7,6 +11,7 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import io.vertx.core.Vertx;
 
 @AnalyzeClasses(packages = "io.briarward", importOptions = ImportOption.DoNotIncludeTests.class)
 class LayeringTest {
@@ -58,6 +63,18 @@
           .dependOnClassesThat()
           .resideInAPackage("io.briarward.platform..");
 
+  @ArchTest
+  static final ArchRule ALL_HTTP_CLIENTS_OF_NODES_ARE_GUARDED =
+      noClasses()
+          .that()
+          .resideInAnyPackage("io.briarward.node..", "io.briarward.platform..")
+          .and()
+          .doNotHaveFullyQualifiedName("io.briarward.node.http.HttpClients")
+          .should()
+          .callMethodWhere(
+              target(nameMatching("createHttpClient|httpClientBuilder"))
+                  .and(target(owner(assignableTo(Vertx.class)))));
+
   @ArchTest
   static final ArchRule CORE_PACKAGES_ARE_FREE_OF_CYCLES =
       slices().matching("io.briarward.core.(*)..").should().beFreeOfCycles();
--- a/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
+++ b/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
@@ -2,36 +2,52 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.annotations.VisibleForTesting;
+import io.briarward.core.forwarding.JoinedHeads;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
 import io.vertx.core.net.SocketAddress;
+import java.util.Optional;
 
 /**
- * Reports bytes that a server sends on a client connection outside of responses.
+ * Closes a client connection on which the server sends bytes that belong to no response.
  *
- * <p>Confined to the event loop of the connection.
+ * <p>A decoder keeps an incomplete head and completes it with the bytes that follow. So if a server
+ * sends the beginning of a surplus response on a pooled connection, the response to the next
+ * request would be read as the rest of it and get its status. Bytes are therefore decoded only
+ * while a response is awaited, a response must end with the last of the bytes that were received
+ * together, and a head must not contain another status line. Confined to the event loop of the
+ * connection.
  */
 final class ResponseBoundaryGuard {
   private final Listener listener;
   private final SocketAddress server;
+  private final MessageHandler messageHandler = new MessageHandler();
   private int awaitedResponses;
-  private long endedResponses;
+  private boolean decoding;
+  private boolean rejecting;
+  private Optional<LastHttpContent> heldEnd = Optional.empty();
 
   /** Where stray bytes were received. */
   enum Position {
     /** While no response was awaited. */
     IDLE("idle"),
     /** Together with the end of a response. */
-    AFTER_RESPONSE("after-response");
+    AFTER_RESPONSE("after-response"),
+    /** Before a response, so that the two have one head. */
+    BEFORE_RESPONSE("before-response");
 
     private final String label;
 
@@ -49,11 +65,11 @@
   @FunctionalInterface
   interface Listener {
     /**
-     * Handles stray bytes.
+     * Handles stray bytes, after which the connection is closed.
      *
-     * @param bytes the number of bytes that were seen, > 0; more may have been received
+     * @param server the address of the server that sent them
      */
-    void onStrayBytes(SocketAddress server, Position position, int bytes);
+    void onStrayBytes(SocketAddress server, Position position);
   }
 
   private ResponseBoundaryGuard(Listener listener, SocketAddress server) {
@@ -63,44 +79,79 @@
 
   /** Guards a new connection of an HTTP/1.1 client, on which nothing was sent. */
   static void install(HttpConnection connection, Listener listener) {
-    ChannelHandlerContext client =
-        ((HttpClientConnectionInternal) connection).channelHandlerContext();
-    ResponseBoundaryGuard guard = new ResponseBoundaryGuard(listener, connection.remoteAddress());
+    install(
+        ((HttpClientConnectionInternal) connection).channelHandlerContext(),
+        connection.remoteAddress(),
+        listener);
+  }
+
+  /**
+   * Guards a new connection.
+   *
+   * @param client the context of the handler that sends requests and receives decoded responses
+   */
+  @VisibleForTesting
+  static void install(ChannelHandlerContext client, SocketAddress server, Listener listener) {
+    ResponseBoundaryGuard guard = new ResponseBoundaryGuard(listener, server);
     client.pipeline().addFirst(guard.new ByteHandler());
-    client.pipeline().addBefore(client.name(), null, guard.new MessageHandler());
+    client.pipeline().addBefore(client.name(), null, guard.messageHandler);
+  }
+
+  /** Ignores what the server sends from now on; the connection is about to be closed. */
+  private void reject(Position position) {
+    rejecting = true;
+    listener.onStrayBytes(server, position);
   }
 
   /** Sees the bytes before they are decoded. */
   private final class ByteHandler extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-      if (message instanceof ByteBuf bytes && awaitedResponses == 0) {
-        listener.onStrayBytes(server, Position.IDLE, bytes.readableBytes());
-        context.fireChannelRead(bytes);
-      } else if (message instanceof ByteBuf bytes && bytes.readableBytes() > 1) {
-        decode(context, bytes);
-      } else {
+      if (!(message instanceof ByteBuf bytes)) {
         context.fireChannelRead(message);
+      } else if (awaitedResponses == 0) {
+        close(context, Position.IDLE, bytes);
+      } else {
+        decode(context, bytes);
       }
     }
 
-    /** Decodes the last byte apart: if the response ends before it, it belongs to no response. */
+    /**
+     * Decodes the last byte apart from the others: if the response ends before it, the byte belongs
+     * to no response. The client is told of the end afterwards, so that it does not send a request
+     * on a connection that is closed.
+     */
     private void decode(ChannelHandlerContext context, ByteBuf bytes) {
-      long endedBefore = endedResponses;
+      decoding = true;
       int lastIndex = bytes.writerIndex() - 1;
       ByteBuf lastByte = bytes.retainedSlice(lastIndex, 1);
       context.fireChannelRead(bytes.writerIndex(lastIndex));
-      if (endedResponses > endedBefore) {
-        listener.onStrayBytes(server, Position.AFTER_RESPONSE, 1);
+      if (heldEnd.isPresent()) {
+        close(context, Position.AFTER_RESPONSE, lastByte);
+      } else {
+        context.fireChannelRead(lastByte);
       }
-      context.fireChannelRead(lastByte);
+      decoding = false;
+      messageHandler.releaseEnd();
+    }
+
+    private void close(ChannelHandlerContext context, Position position, ByteBuf strayBytes) {
+      strayBytes.release();
+      reject(position);
+      context.close();
     }
   }
 
   /** Sees the requests before they are encoded and the responses after they were decoded. */
   private final class MessageHandler extends ChannelDuplexHandler {
+    private Optional<ChannelHandlerContext> ownContext = Optional.empty();
     private boolean informational;
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+      ownContext = Optional.of(context);
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
       if (message instanceof HttpRequest) {
@@ -111,14 +162,39 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+      if (heldEnd.isPresent() || rejecting) {
+        ReferenceCountUtil.release(message);
+        return;
+      }
       if (message instanceof HttpResponse response) {
-        informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        onHead(response);
       }
-      if (message instanceof LastHttpContent && !informational && awaitedResponses > 0) {
+      boolean failed = message instanceof HttpObject part && part.decoderResult().isFailure();
+      if (!failed && !informational && message instanceof LastHttpContent end) {
         awaitedResponses--;
-        endedResponses++;
+        heldEnd = Optional.of(end);
+        if (!decoding) {
+          releaseEnd(); // A body without a length ends with the connection.
+        }
+        return;
       }
       context.fireChannelRead(message);
     }
+
+    private void onHead(HttpResponse response) {
+      informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      if (JoinedHeads.isJoined(response.status().reasonPhrase(), response.headers())) {
+        reject(Position.BEFORE_RESPONSE);
+        // The client closes the connection on which a response is invalid.
+        response.setDecoderResult(
+            DecoderResult.failure(new IllegalArgumentException("head joined from two responses")));
+      }
+    }
+
+    void releaseEnd() {
+      Optional<LastHttpContent> end = heldEnd;
+      heldEnd = Optional.empty();
+      end.ifPresent(message -> ownContext.orElseThrow().fireChannelRead(message));
+    }
   }
 }
--- a/node/src/main/java/io/briarward/node/http/StrayBytesLog.java
+++ b/node/src/main/java/io/briarward/node/http/StrayBytesLog.java
@@ -23,17 +23,15 @@
   }
 
   @Override
-  public void onStrayBytes(
-      SocketAddress server, ResponseBoundaryGuard.Position position, int bytes) {
+  public void onStrayBytes(SocketAddress server, ResponseBoundaryGuard.Position position) {
     errors
         .onError(position.label(), clock.now(TimeUnit.MILLISECONDS))
         .ifPresent(
             count ->
                 Logger.warn(
-                    "event=stray-bytes server={} position={} bytes={} count={}",
+                    "event=stray-bytes server={} position={} count={}",
                     server,
                     position.label(),
-                    bytes,
                     count));
   }
 }
