--- a/node/src/test/java/io/briarward/node/RandomInputTest.java
+++ b/node/src/test/java/io/briarward/node/RandomInputTest.java
@@ -21,6 +21,7 @@
 import io.briarward.node.testing.TestDeployment;
 import io.briarward.standins.StandIns;
 import io.briarward.standins.http.RunningStandIn;
+import io.briarward.standins.input.FreePorts;
 import io.briarward.standins.input.RandomChanges;
 import io.briarward.standins.input.RawClient;
 import io.briarward.wire.proto.AdmissionMessage;
@@ -42,7 +43,6 @@
 import io.vertx.core.http.HttpMethod;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -94,9 +94,7 @@
 
   @BeforeEach
   void startNode() throws Exception {
-    try (ServerSocket free = new ServerSocket(0)) {
-      peerPort = free.getLocalPort();
-    }
+    peerPort = FreePorts.next();
     RunningStandIn plain = deployment.standIn(StandIns.Name.PLAIN, Map.of());
     node = deployment.node("vm-1", peerPort);
     deployment.apply(node, configuration(plain.port()), 0);
