A page of rows says whether it is the last one

The store cuts a page at 500 rows or 1 MB and says that more rows follow. The scan of the table service dropped this, and its callers took a page with fewer rows than they had asked for as the last one. So the next owner of a batch knew only some of the listed items; the sum of a usage window lacked counts; the removal of a window and of old origins of streams ended early.

A scan now returns a RowPage, which says whether it is truncated and after which key the next page starts, and every caller uses it. The log of the configuration is read on while the node is behind, not while pages are full. On the own interface the response has a field "truncated". The stand-ins cut pages as the platform does.

--- a/core/src/main/java/io/briarward/core/distribution/ControlNode.java
+++ b/core/src/main/java/io/briarward/core/distribution/ControlNode.java
@@ -359,7 +359,7 @@
       long nowMillis,
       ImmutableList.Builder<ControlAction> actions) {
     replica.install(rows.stream().map(row -> StoreLayout.logEntry(row).delta()).toList());
-    if (rows.size() == StoreRead.MAX_LOG_ROWS && replica.version() > read.version()) {
+    if (replica.version() > read.version() && isBehind()) {
       actions.add(read(StoreRead.logAfter(replica.version()), nowMillis));
     }
   }
--- a/core/src/main/java/io/briarward/core/platform/TableState.java
+++ b/core/src/main/java/io/briarward/core/platform/TableState.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -16,6 +17,12 @@
  * <p>Used by tests and by the stand-in of the table service. Thread-safe: every method is atomic.
  */
 public final class TableState {
+  /** The largest number of rows on a page. */
+  private static final int MAX_PAGE_ROWS = 500;
+
+  /** The largest size of the values on a page, which is 1 MB once they are Base64-encoded. */
+  private static final int MAX_PAGE_BYTES = 750_000;
+
   private final Map<String, NavigableMap<String, Row>> tables = new HashMap<>();
   private long lastVersion;
 
@@ -60,6 +67,28 @@
         .collect(ImmutableList.toImmutableList());
   }
 
+  /**
+   * Returns the first page of what {@link #scan} matches, limited in its size like a page of a
+   * table service.
+   *
+   * @param limit the maximum number of rows returned, above 0
+   */
+  public synchronized RowPage scanPage(String table, String prefix, String after, int limit) {
+    checkArgument(limit > 0, "limit is %s, expected > 0", limit);
+    int maxRows = Math.min(limit, MAX_PAGE_ROWS);
+    ImmutableList<Row> found = scan(table, prefix, after, maxRows + 1);
+    int count = 0;
+    int bytes = 0;
+    while (count < Math.min(found.size(), maxRows)) {
+      bytes += found.get(count).value().toString().getBytes(StandardCharsets.UTF_8).length;
+      if (count > 0 && bytes > MAX_PAGE_BYTES) {
+        break;
+      }
+      count++;
+    }
+    return new RowPage(found.subList(0, count), count < found.size());
+  }
+
   private CommitResult apply(Transaction transaction) {
     ImmutableMap.Builder<RowKey, Long> versions = ImmutableMap.builder();
     for (Transaction.Write write : transaction.writes()) {
--- a/node/src/main/java/io/briarward/node/batch/BatchStore.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchStore.java
@@ -39,7 +39,7 @@
   /** Results above this size are stored as objects, since rows are limited to 64 KiB. */
   private static final int MAX_ROW_BYTES = 48 << 10;
 
-  /** The largest number of rows read by one scan; that many results take about 1 MB. */
+  /** The largest number of rows read by one scan. */
   private static final int MAX_SCAN_ROWS = 60;
 
   /** The number of object names that are tried for a submission. */
@@ -154,7 +154,7 @@
     return withTimeout(
         tables
             .scan(RESULTS_TABLE, batchId + "/", resultKey(batchId, from - 1), MAX_SCAN_ROWS)
-            .flatMap(this::toResult));
+            .flatMap(page -> toResult(page.rows())));
   }
 
   /** Returns the ids of all items whose results are recorded. */
@@ -200,7 +200,8 @@
     return tables
         .scan(RESULTS_TABLE, batchId + "/", batchId + "/", MAX_SCAN_ROWS)
         .flatMapCompletable(
-            rows -> {
+            page -> {
+              ImmutableList<Row> rows = page.rows();
               if (rows.isEmpty()) {
                 return Completable.complete();
               }
--- a/node/src/main/java/io/briarward/node/configuration/StoreReads.java
+++ b/node/src/main/java/io/briarward/node/configuration/StoreReads.java
@@ -4,6 +4,7 @@
 import io.briarward.core.distribution.StoreLayout;
 import io.briarward.core.distribution.StoreRead;
 import io.briarward.core.platform.Row;
+import io.briarward.core.platform.RowPage;
 import io.briarward.node.platform.TableService;
 import io.reactivex.rxjava3.core.Single;
 import java.util.Optional;
@@ -20,8 +21,13 @@
     return switch (read.kind()) {
       case HEAD -> tables.read(StoreLayout.HEAD).map(StoreReads::toList);
       case LOG ->
-          tables.scan(
-              StoreLayout.LOG_TABLE, "", StoreLayout.key(read.version()), StoreRead.MAX_LOG_ROWS);
+          tables
+              .scan(
+                  StoreLayout.LOG_TABLE,
+                  "",
+                  StoreLayout.key(read.version()),
+                  StoreRead.MAX_LOG_ROWS)
+              .map(RowPage::rows);
       case SNAPSHOT -> tables.read(StoreLayout.snapshotRow(read.version())).map(StoreReads::toList);
     };
   }
--- a/node/src/main/java/io/briarward/node/duty/PlatformCalls.java
+++ b/node/src/main/java/io/briarward/node/duty/PlatformCalls.java
@@ -60,12 +60,10 @@
         .flatMap(
             page -> {
               ImmutableList<Row> rows =
-                  ImmutableList.<Row>builder().addAll(previousRows).addAll(page).build();
-              if (page.size() < pageRows) {
-                return Single.just(rows);
-              }
-              String last = page.get(page.size() - 1).key();
-              return scanRemaining(tables, table, prefix, pageRows, last, rows);
+                  ImmutableList.<Row>builder().addAll(previousRows).addAll(page.rows()).build();
+              return page.nextAfter()
+                  .map(last -> scanRemaining(tables, table, prefix, pageRows, last, rows))
+                  .orElseGet(() -> Single.just(rows));
             });
   }
 }
--- a/node/src/main/java/io/briarward/node/gateway/UsageStore.java
+++ b/node/src/main/java/io/briarward/node/gateway/UsageStore.java
@@ -70,10 +70,10 @@
     return tables
         .scan(COUNTS, window + "/", window + "/", MAX_DELETED_ROWS)
         .flatMap(
-            rows -> {
+            page -> {
               Transaction.Builder transaction = Transaction.builder();
-              rows.forEach(row -> transaction.delete(RowKey.of(COUNTS, row.key())));
-              if (rows.size() < MAX_DELETED_ROWS) {
+              page.rows().forEach(row -> transaction.delete(RowKey.of(COUNTS, row.key())));
+              if (!page.truncated()) {
                 return tables.commit(transaction.delete(frozenKey(window)).build());
               }
               return tables.commit(transaction.build()).flatMap(unused -> remove(window));
--- a/node/src/main/java/io/briarward/node/platform/HttpTableService.java
+++ b/node/src/main/java/io/briarward/node/platform/HttpTableService.java
@@ -11,6 +11,7 @@
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.RowPage;
 import io.briarward.core.platform.Transaction;
 import io.briarward.node.platform.JsonHttpClient.Reply;
 import io.briarward.node.platform.PlatformException.Effect;
@@ -52,7 +53,7 @@
   }
 
   @Override
-  public Single<ImmutableList<Row>> scan(String table, String prefix, String after, int limit) {
+  public Single<RowPage> scan(String table, String prefix, String after, int limit) {
     String path =
         "/v1/tables/"
             + escape(table)
@@ -62,7 +63,7 @@
             + escape(after)
             + "&limit="
             + limit;
-    return client.send(HttpMethod.GET, server, path).map(HttpTableService::toRows);
+    return client.send(HttpMethod.GET, server, path).map(HttpTableService::toPage);
   }
 
   private static ObjectNode toJson(Transaction transaction) {
@@ -119,13 +120,15 @@
     };
   }
 
-  private static ImmutableList<Row> toRows(Reply reply) {
+  private static RowPage toPage(Reply reply) {
     if (reply.status() != OK) {
       throw unexpectedStatus(reply);
     }
-    ImmutableList.Builder<Row> rows = ImmutableList.builder();
-    reply.json().path("rows").forEach(row -> rows.add(toRow(row)));
-    return rows.build();
+    ImmutableList.Builder<Row> builder = ImmutableList.builder();
+    reply.json().path("rows").forEach(row -> builder.add(toRow(row)));
+    ImmutableList<Row> rows = builder.build();
+    // A service that does not tell is read until a page is empty.
+    return new RowPage(rows, reply.json().path("truncated").asBoolean(!rows.isEmpty()));
   }
 
   private static RowKey toRowKey(JsonNode node) {
--- a/node/src/main/java/io/briarward/node/platform/TableService.java
+++ b/node/src/main/java/io/briarward/node/platform/TableService.java
@@ -1,9 +1,9 @@
 package io.briarward.node.platform;
 
-import com.google.common.collect.ImmutableList;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.RowPage;
 import io.briarward.core.platform.Transaction;
 import io.reactivex.rxjava3.core.Single;
 import java.util.Optional;
@@ -22,8 +22,10 @@
   Single<Optional<Row>> read(RowKey key);
 
   /**
-   * Returns up to {@code limit} rows whose keys start with {@code prefix} and sort after {@code
-   * after}.
+   * Returns the first rows whose keys start with {@code prefix} and sort after {@code after}.
+   *
+   * <p>A page holds up to {@code limit} rows. It may hold fewer although more rows match, so only
+   * {@link RowPage#truncated} tells whether it is the last one.
    */
-  Single<ImmutableList<Row>> scan(String table, String prefix, String after, int limit);
+  Single<RowPage> scan(String table, String prefix, String after, int limit);
 }
--- a/node/src/main/java/io/briarward/node/rollout/RolloutStore.java
+++ b/node/src/main/java/io/briarward/node/rollout/RolloutStore.java
@@ -6,6 +6,7 @@
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.RowPage;
 import io.briarward.core.platform.Transaction;
 import io.briarward.core.rollout.GroupResult;
 import io.briarward.core.rollout.RolloutCodec;
@@ -94,7 +95,7 @@
   }
 
   /** Returns the rows of unfinished shards that follow the key {@code after}, ordered by key. */
-  Single<ImmutableList<Row>> shards(String after) {
+  Single<RowPage> shards(String after) {
     return tables.scan(RolloutKey.SHARDS, "", after, MAX_SCAN_ROWS);
   }
 
@@ -102,17 +103,17 @@
   Completable refreshOutcomes(RolloutView view) {
     return tables
         .scan(RolloutKey.OUTCOMES, view.key().prefix(), view.lastOutcomeKey(), MAX_SCAN_ROWS)
-        .doOnSuccess(view::addOutcomes)
+        .doOnSuccess(page -> view.addOutcomes(page.rows()))
         .flatMapCompletable(
-            rows -> rows.size() < MAX_SCAN_ROWS ? Completable.complete() : refreshOutcomes(view));
+            page -> page.truncated() ? refreshOutcomes(view) : Completable.complete());
   }
 
   private Completable refreshDeliveries(RolloutView view) {
     return tables
         .scan(RolloutKey.DELIVERIES, view.key().prefix(), view.lastDeliveryKey(), MAX_SCAN_ROWS)
-        .doOnSuccess(view::addDeliveries)
+        .doOnSuccess(page -> view.addDeliveries(page.rows()))
         .flatMapCompletable(
-            rows -> rows.size() < MAX_SCAN_ROWS ? Completable.complete() : refreshDeliveries(view));
+            page -> page.truncated() ? refreshDeliveries(view) : Completable.complete());
   }
 
   private Single<Buffer> readObject(String key) {
--- a/node/src/main/java/io/briarward/node/rollout/ShardOwners.java
+++ b/node/src/main/java/io/briarward/node/rollout/ShardOwners.java
@@ -98,8 +98,8 @@
     return context
         .store()
         .shards(lastScannedKey)
-        .doOnSuccess(rows -> lastScannedKey = rows.isEmpty() ? "" : rows.get(rows.size() - 1).key())
-        .flatMapCompletable(this::takeOverSome)
+        .doOnSuccess(page -> lastScannedKey = page.nextAfter().orElse(""))
+        .flatMapCompletable(page -> takeOverSome(page.rows()))
         .doOnError(e -> Logger.warn("scan for shards failed: {}", e.getMessage()))
         .onErrorComplete();
   }
--- a/node/src/main/java/io/briarward/node/serving/OrderedUpstreams.java
+++ b/node/src/main/java/io/briarward/node/serving/OrderedUpstreams.java
@@ -9,6 +9,7 @@
 import io.briarward.core.configuration.Upstream;
 import io.briarward.core.platform.Row;
 import io.briarward.node.NodeContext;
+import io.briarward.node.duty.PlatformCalls;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Maybe;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -22,7 +23,6 @@
  */
 public final class OrderedUpstreams implements AutoCloseable {
   private static final long POLL_INTERVAL_MILLIS = 2_000;
-  private static final int MAX_DATA_CENTRES = 500;
   private static final int DEFAULT_MAX_CONCURRENT = 16;
 
   private final NodeContext context;
@@ -53,9 +53,7 @@
   }
 
   private Maybe<ImmutableList<Row>> read() {
-    return context
-        .tables()
-        .scan(OrderMachine.UPSTREAMS, "", "", MAX_DATA_CENTRES)
+    return PlatformCalls.scanAll(context.tables(), OrderMachine.UPSTREAMS, "")
         .toMaybe()
         .doOnError(
             error -> Logger.debug("failed to read the ordered upstreams: {}", error.getMessage()))
--- a/node/src/main/java/io/briarward/node/streams/StreamOrigins.java
+++ b/node/src/main/java/io/briarward/node/streams/StreamOrigins.java
@@ -4,12 +4,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.Hashing;
 import io.briarward.core.lease.DutyCandidates;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.RowPage;
 import io.briarward.core.streams.OriginHistory;
 import io.briarward.core.streams.StreamOrigin;
 import io.briarward.node.fleet.FleetState;
@@ -229,14 +229,12 @@
                 error -> log.info("stream-origins-not-removed", "cause", error.toString()));
   }
 
-  private void removeOld(ImmutableList<Row> rows) {
+  private void removeOld(RowPage page) {
     long sinceMillis = nodes.storeMillis() - OriginHistory.MAX_STREAM_AGE_MILLIS;
-    rows.stream()
+    page.rows().stream()
         .filter(row -> row.value().path("atMillis").asLong() < sinceMillis)
         .forEach(row -> writer.delete(RowKey.of(TABLE, row.key())));
-    if (rows.size() == ROWS_PER_SCAN) {
-      removeOldRecords(rows.get(rows.size() - 1).key());
-    }
+    page.nextAfter().ifPresent(this::removeOldRecords);
   }
 
   private long nowMillis() {
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.base.Splitter;
+import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.batch.ItemResult;
@@ -118,6 +119,25 @@
     assertThat(after.subList(0, before.size())).isEqualTo(before);
   }
 
+  /** The next owner knew a part of the listed items and listed the others at a second position. */
+  @Test
+  void takeoverOfBatchWithLongTextsListsEachItemOnce() {
+    BatchCluster.Process a = cluster.start("a");
+    BatchCluster.Process b = cluster.start("b");
+    cluster.samplers.setEventSuffix(Strings.repeat("x", 7_000));
+    a.submit(BatchCluster.spec("x", 128));
+    while (BatchCluster.allResults(b, "x").size() < 72) {
+      cluster.advance(10);
+    }
+    final ImmutableList<ItemResult> before = BatchCluster.allResults(b, "x");
+    a.kill();
+    cluster.advance(TAKEOVER_MILLIS);
+    ImmutableList<ItemResult> after = BatchCluster.allResults(b, "x");
+    assertThat(after.subList(0, before.size())).isEqualTo(before);
+    assertThat(after.stream().map(ItemResult::itemId).toList()).containsNoDuplicates();
+    assertThat(after).hasSize(128);
+  }
+
   @Test
   void ownerIsKeptWhileStoreRejectsHeartbeats() {
     final BatchCluster.Process a = cluster.start("a");
--- a/node/src/test/java/io/briarward/node/batch/FakeSamplers.java
+++ b/node/src/test/java/io/briarward/node/batch/FakeSamplers.java
@@ -28,6 +28,7 @@
   private Function<ItemCall, RunOutcome> outcomes = call -> RunOutcome.COMPLETE;
   private Optional<ToLongFunction<ItemCall>> gaps = Optional.empty();
   private Function<ItemCall, OptionalDouble> limits = call -> OptionalDouble.empty();
+  private String eventSuffix = "";
   private int eventsWithGaps;
   private int running;
 
@@ -51,6 +52,11 @@
     limits = limitPerSecond;
   }
 
+  /** Appends a text to each event of a run. */
+  void setEventSuffix(String suffix) {
+    eventSuffix = suffix;
+  }
+
   List<ItemCall> calls() {
     return calls;
   }
@@ -97,9 +103,7 @@
             TimeUnit.MILLISECONDS,
             scheduler)
         .subscribe(
-            id ->
-                listener.onEvent(
-                    new SampleEvent(id, OptionalLong.empty(), call.item().id() + "-" + id)),
+            id -> listener.onEvent(new SampleEvent(id, OptionalLong.empty(), eventText(call, id))),
             error -> {
               throw new AssertionError(error);
             },
@@ -109,6 +113,10 @@
             });
   }
 
+  private String eventText(ItemCall call, long eventId) {
+    return call.item().id() + "-" + eventId + eventSuffix;
+  }
+
   private void finish(ItemCall call, Listener listener) {
     running--;
     RunOutcome outcome = outcomes.apply(call);
@@ -121,7 +129,7 @@
     long first = call.resumeAfter().orElse(0) + 1;
     long last = outcome == RunOutcome.COMPLETE ? EVENTS_PER_RUN : Math.min(first, EVENTS_PER_RUN);
     for (long id = first; streams && id <= last; id++) {
-      listener.onEvent(new SampleEvent(id, OptionalLong.empty(), call.item().id() + "-" + id));
+      listener.onEvent(new SampleEvent(id, OptionalLong.empty(), eventText(call, id)));
     }
     listener.onEnd(outcome, "scripted");
   }
--- a/node/src/test/java/io/briarward/node/configuration/FakeTables.java
+++ b/node/src/test/java/io/briarward/node/configuration/FakeTables.java
@@ -1,9 +1,9 @@
 package io.briarward.node.configuration;
 
-import com.google.common.collect.ImmutableList;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.RowPage;
 import io.briarward.core.platform.TableState;
 import io.briarward.core.platform.Transaction;
 import io.briarward.node.platform.PlatformException;
@@ -45,8 +45,8 @@
   }
 
   @Override
-  public Single<ImmutableList<Row>> scan(String table, String prefix, String after, int limit) {
-    return execute(() -> state.scan(table, prefix, after, limit));
+  public Single<RowPage> scan(String table, String prefix, String after, int limit) {
+    return execute(() -> state.scanPage(table, prefix, after, limit));
   }
 
   private <T> Single<T> execute(Callable<T> operation) {
--- a/node/src/test/java/io/briarward/node/gateway/UsageStoreTest.java
+++ b/node/src/test/java/io/briarward/node/gateway/UsageStoreTest.java
@@ -8,6 +8,7 @@
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -48,4 +49,19 @@
     assertThat(memory.rows("usage-counts")).isEmpty();
     assertThat(memory.rows("usage-frozen")).isEmpty();
   }
+
+  /** The first page that the store cut ended the removal, so the window's other rows stayed. */
+  @Test
+  void removedWindowOfManyOrganisationsLeavesNoRows() {
+    ImmutableMap<String, Long> counts =
+        IntStream.range(0, 1_000)
+            .boxed()
+            .collect(ImmutableMap.toImmutableMap(i -> "organisation-" + i, i -> 1_000_000L));
+    for (int i = 0; i < 40; i++) {
+      var unused = await(store.putCounts(WINDOW + 1, "process-" + i, counts));
+    }
+    assertThat(await(store.freeze(WINDOW + 1))).containsEntry("organisation-7", 40_000_000L);
+    var unused = await(store.remove(WINDOW + 1));
+    assertThat(memory.rows("usage-counts")).hasSize(PROCESSES);
+  }
 }
--- a/node/src/test/java/io/briarward/node/rollout/MemoryTables.java
+++ b/node/src/test/java/io/briarward/node/rollout/MemoryTables.java
@@ -1,9 +1,9 @@
 package io.briarward.node.rollout;
 
-import com.google.common.collect.ImmutableList;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.RowPage;
 import io.briarward.core.platform.TableState;
 import io.briarward.core.platform.Transaction;
 import io.briarward.node.platform.PlatformException;
@@ -61,12 +61,12 @@
   }
 
   @Override
-  public Single<ImmutableList<Row>> scan(String table, String prefix, String after, int limit) {
+  public Single<RowPage> scan(String table, String prefix, String after, int limit) {
     return Single.fromCallable(
         () -> {
           failIfDown();
           reads++;
-          return state.scan(table, prefix, after, limit);
+          return state.scanPage(table, prefix, after, limit);
         });
   }
 
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -6,6 +6,7 @@
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.RowPage;
 import io.briarward.core.platform.TableState;
 import io.briarward.core.platform.Transaction;
 import io.briarward.node.platform.ChangeFeed;
@@ -174,8 +175,8 @@
   }
 
   @Override
-  public Single<ImmutableList<Row>> scan(String table, String prefix, String after, int limit) {
-    return respond(() -> Single.just(tables.scan(table, prefix, after, limit)));
+  public Single<RowPage> scan(String table, String prefix, String after, int limit) {
+    return respond(() -> Single.just(tables.scanPage(table, prefix, after, limit)));
   }
 
   @Override
--- a/node/src/test/java/io/briarward/node/weights/SwapLoopTest.java
+++ b/node/src/test/java/io/briarward/node/weights/SwapLoopTest.java
@@ -2,12 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.briarward.core.configuration.Upstream;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.RowPage;
 import io.briarward.core.platform.TableState;
 import io.briarward.core.platform.Transaction;
 import io.briarward.core.weights.AnnouncedVersion;
@@ -70,8 +70,8 @@
     }
 
     @Override
-    public Single<ImmutableList<Row>> scan(String table, String prefix, String after, int limit) {
-      return Single.just(state.scan(table, prefix, after, limit));
+    public Single<RowPage> scan(String table, String prefix, String after, int limit) {
+      return Single.just(state.scanPage(table, prefix, after, limit));
     }
   }
 
--- a/standins/src/main/java/io/briarward/standins/table/TableStandIn.java
+++ b/standins/src/main/java/io/briarward/standins/table/TableStandIn.java
@@ -7,6 +7,7 @@
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.RowPage;
 import io.briarward.core.platform.TableState;
 import io.briarward.core.platform.Transaction;
 import io.briarward.standins.http.Exchange;
@@ -28,7 +29,7 @@
   private static final double DEFAULT_WRITES_PER_SECOND = 500;
   private static final double DEFAULT_READS_PER_SECOND = 2_000;
   private static final long RETRY_AFTER_SECONDS = 1;
-  private static final int MAX_ROWS_PER_SCAN = 1_000;
+  private static final int DEFAULT_PAGE_ROWS = 500;
 
   private final Timer timer;
   private final Faults faults;
@@ -127,16 +128,15 @@
     if (!tryAcquireRead(exchange)) {
       return;
     }
-    int limit = exchange.query("limit").map(Integer::parseInt).orElse(MAX_ROWS_PER_SCAN);
+    int limit = exchange.query("limit").map(Integer::parseInt).orElse(DEFAULT_PAGE_ROWS);
     ArrayNode rows = Json.array();
-    tables
-        .scan(
-            table,
-            exchange.query("prefix").orElse(""),
-            exchange.query("after").orElse(""),
-            Math.min(limit, MAX_ROWS_PER_SCAN))
-        .forEach(row -> rows.add(toJson(row)));
-    exchange.respond(Response.json(200, Json.object().set("rows", rows)));
+    RowPage page =
+        tables.scanPage(
+            table, exchange.query("prefix").orElse(""), exchange.query("after").orElse(""), limit);
+    page.rows().forEach(row -> rows.add(toJson(row)));
+    ObjectNode body = Json.object().put("truncated", page.truncated());
+    body.set("rows", rows);
+    exchange.respond(Response.json(200, body));
   }
 
   private boolean tryAcquireRead(Exchange exchange) {
--- a/standins/src/test/java/io/briarward/standins/table/TableStandInTest.java
+++ b/standins/src/test/java/io/briarward/standins/table/TableStandInTest.java
@@ -42,6 +42,7 @@
 
     assertThat(table.get("/v1/tables/t/rows?prefix=a%2F").path("rows")).hasSize(1);
     assertThat(table.get("/v1/tables/t/rows?prefix=b").path("rows")).isEmpty();
+    assertThat(table.get("/v1/tables/t/rows?prefix=b").path("truncated").asBoolean(true)).isFalse();
   }
 
   @Test
