Bound the store's clock instead of estimating it from the last response

TableWatch took the store's clock as if the store had read it when the node handled the response. A response that had arrived during a freeze was handled after it, so until the next response the node took the store's clock for up to the length of the freeze too early, and accepted batches at that time. After a suspension of the VM, which the monotonic clock doesn't count, it was the same.

StoreClock keeps an earliest and a latest time: the store reads its clock between the sending of a call and the handling of its response, later readings only narrow the bounds, and one that contradicts them replaces them. Whatever waits for a time uses the earliest one (giving up, retention, old records of streams and crashes, the age of what a node knows, which was counted from the handling, too); records that expire store the latest one. A batch is accepted at a time that the store tells in answer to a call sent after the batch arrived, beside the write of the submission, so no clock of the node takes part. The format of the rows is unchanged.

--- a/core/src/main/java/io/briarward/core/batch/BatchHead.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchHead.java
@@ -24,7 +24,8 @@
  * @param listed the number of listed results, at positions 0 to {@code listed - 1}
  * @param ended whether the caller ended the batch
  * @param owner the incarnation of the process that runs it, empty if it was released
- * @param acceptedAtMillis when it was accepted, in milliseconds on the store's clock
+ * @param acceptedAtMillis when it was accepted, not before it arrived, in milliseconds on the
+ *     store's clock
  * @param token unique to each write, so that a writer can recognize its own write
  */
 public record BatchHead(
--- a/node/src/main/java/io/briarward/node/batch/BatchContext.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchContext.java
@@ -111,7 +111,7 @@
     return scheduler.now(TimeUnit.MILLISECONDS);
   }
 
-  /** Returns the time of the store's clock, in milliseconds. */
+  /** Returns the earliest time that the store's clock may show, in milliseconds. */
   long storeTimeMillis() {
     return storeClockMillis.getAsLong();
   }
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -153,11 +153,11 @@
     if (ownership.draining() || !nodes.clockKnown()) {
       return Single.just(SubmitOutcome.REFUSED);
     }
-    return store
-        .putSubmission(spec.id(), bytes)
-        .flatMap(
-            name ->
-                insert(newHead(spec, organisation, terms, name), spec, MAX_INSERT_ATTEMPTS, false))
+    return Single.zip(
+            store.putSubmission(spec.id(), bytes),
+            nodes.readStoreClock(),
+            (name, storeMillis) -> newHead(spec, organisation, terms, name, storeMillis))
+        .flatMap(head -> insert(head, spec, MAX_INSERT_ATTEMPTS, false))
         .onErrorReturn(
             error -> {
               log.warn("batch-refused", "batch", spec.id(), "cause", error.toString());
@@ -180,7 +180,11 @@
   }
 
   private BatchHead newHead(
-      BatchSpec spec, String organisation, BatchTerms terms, String submission) {
+      BatchSpec spec,
+      String organisation,
+      BatchTerms terms,
+      String submission,
+      long acceptedAtMillis) {
     return new BatchHead(
         spec.id(),
         organisation,
@@ -191,7 +195,7 @@
         0,
         false,
         Optional.of(incarnation),
-        nodes.storeMillis(),
+        acceptedAtMillis,
         ownership.nextToken());
   }
 
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -19,6 +19,7 @@
 import io.briarward.node.timing.Timers;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.HashMap;
 import java.util.Map;
@@ -227,11 +228,21 @@
     return watch.clockKnown();
   }
 
-  /** Returns the current time of the store's clock; valid only if {@link #clockKnown}. */
+  /** Returns the earliest time of the store's clock; see {@link TableWatch#storeMillis}. */
   public long storeMillis() {
     return watch.storeMillis();
   }
 
+  /** Returns the latest time of the store's clock; see {@link TableWatch#latestStoreMillis}. */
+  public long latestStoreMillis() {
+    return watch.latestStoreMillis();
+  }
+
+  /** Reads the store's clock; see {@link TableWatch#readClock}. */
+  public Single<Long> readStoreClock() {
+    return watch.readClock();
+  }
+
   /** Removes this process's row, so that other processes take over its work at once. */
   public Completable leave() {
     heartbeatTimer.dispose();
--- a/node/src/main/java/io/briarward/node/fleet/TableWatch.java
+++ b/node/src/main/java/io/briarward/node/fleet/TableWatch.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import io.briarward.core.lease.Backoff;
 import io.briarward.core.platform.Row;
+import io.briarward.core.platform.StoreClock;
 import io.briarward.node.platform.ChangeFeed;
 import io.briarward.node.platform.ChangeFeed.Change;
 import io.briarward.node.platform.ChangeFeed.HistoryLostException;
@@ -26,6 +27,9 @@
   /** The time beyond {@link #LONG_POLL_MILLIS} after which a connection is treated as lost. */
   private static final long LONG_POLL_GRACE_MILLIS = 1_000;
 
+  /** Twenty times the usual response time. */
+  private static final long CLOCK_TIMEOUT_MILLIS = 500;
+
   private static final Backoff BACKOFF = new Backoff(100, 500);
 
   private final ChangeFeed feed;
@@ -34,11 +38,11 @@
   private final String table;
   private final long pauseMillis;
   private final Listener listener;
+  private final StoreClock clock = StoreClock.create();
   private Disposable pending = Disposable.disposed();
   private long version = -1;
   private int failures;
-  private long lastContactMillis = Long.MIN_VALUE;
-  private long clockOffsetMillis;
+  private long polledAtMillis;
 
   /** Receives the rows of a table. Called on the event loop. */
   public interface Listener {
@@ -90,24 +94,53 @@
   }
 
   /**
-   * Returns the age of the last response of the store, or {@link Long#MAX_VALUE} if no snapshot is
-   * known.
+   * Returns the age of the last response of the store, counted from when the store sent it, or
+   * {@link Long#MAX_VALUE} if no snapshot is known.
    */
   public long ageMillis() {
-    return known() ? nowMillis() - lastContactMillis : Long.MAX_VALUE;
+    return known() ? clock.readingAgeMillis(nowMillis()) : Long.MAX_VALUE;
   }
 
   /** Returns whether the store has responded at least once, so that its clock is known. */
   public boolean clockKnown() {
-    return lastContactMillis != Long.MIN_VALUE;
+    return clock.known();
   }
 
   /**
-   * Returns the current time of the store's clock, estimated from its last response; valid only if
-   * {@link #clockKnown}.
+   * Returns the earliest time that the store's clock may show, so that whatever waits for a time
+   * happens late rather than early; valid only if {@link #clockKnown}.
    */
   public long storeMillis() {
-    return nowMillis() + clockOffsetMillis;
+    return clock.earliestMillis(nowMillis());
+  }
+
+  /**
+   * Returns the latest time that the store's clock may show, for times that are stored; valid only
+   * if {@link #clockKnown}.
+   *
+   * <p>It is too early for a while after a suspension of the VM; see {@link #readClock}.
+   */
+  public long latestStoreMillis() {
+    return clock.latestMillis(nowMillis());
+  }
+
+  /**
+   * Reads the store's clock; valid only if {@link #clockKnown}.
+   *
+   * <p>The time is not before this call, even if the VM has just been suspended. Returns {@link
+   * #latestStoreMillis} if the store does not respond.
+   */
+  public Single<Long> readClock() {
+    if (!known()) {
+      return Single.just(latestStoreMillis());
+    }
+    return withTimeout(feed.changes(table, version, 0), CLOCK_TIMEOUT_MILLIS)
+        .map(ChangeFeed.Changes::clockMillis)
+        .onErrorReturn(
+            error -> {
+              log.warn("store-clock-not-read", "table", table, "cause", error.toString());
+              return latestStoreMillis();
+            });
   }
 
   @Override
@@ -116,6 +149,7 @@
   }
 
   private void poll() {
+    polledAtMillis = nowMillis();
     long timeoutMillis = LONG_POLL_MILLIS + LONG_POLL_GRACE_MILLIS;
     if (known()) {
       pending =
@@ -175,8 +209,7 @@
   }
 
   private void recordContact(long clockMillis) {
-    lastContactMillis = nowMillis();
-    clockOffsetMillis = clockMillis - lastContactMillis;
+    clock.onReading(polledAtMillis, nowMillis(), clockMillis);
     if (failures > 0) {
       log.info("store-regained", "table", table, "version", version, "failures", failures);
       failures = 0;
--- a/node/src/main/java/io/briarward/node/quarantine/CrashRegistry.java
+++ b/node/src/main/java/io/briarward/node/quarantine/CrashRegistry.java
@@ -249,7 +249,7 @@
         .objectNode()
         .put("request", crash.crash().fingerprint().hex())
         .put("upstream", crash.crash().upstream())
-        .put("atMillis", watch.storeMillis() - ageMillis);
+        .put("atMillis", watch.latestStoreMillis() - ageMillis);
   }
 
   /** Forgets expired crashes; of the live nodes, the one that a row's hash selects deletes it. */
--- a/node/src/main/java/io/briarward/node/streams/StreamOrigins.java
+++ b/node/src/main/java/io/briarward/node/streams/StreamOrigins.java
@@ -203,7 +203,7 @@
         .objectNode()
         .put("service", begun.origin().service())
         .put("software", begun.origin().softwareVersion())
-        .put("atMillis", nodes.storeMillis() - ageMillis);
+        .put("atMillis", nodes.latestStoreMillis() - ageMillis);
   }
 
   private static StreamOrigin decode(Row row) {
--- a/node/src/test/java/io/briarward/node/fleet/TableWatchTest.java
+++ b/node/src/test/java/io/briarward/node/fleet/TableWatchTest.java
@@ -4,10 +4,12 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Range;
 import io.briarward.core.platform.Row;
 import io.briarward.node.platform.ChangeFeed.Change;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.testing.MemoryStore;
+import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.ArrayList;
 import java.util.List;
@@ -58,4 +60,74 @@
       assertThat(watch.known()).isTrue();
     }
   }
+
+  private TableWatch.Listener recordChanges() {
+    return new TableWatch.Listener() {
+      @Override
+      public void onSnapshot(ImmutableList<Row> rows) {}
+
+      @Override
+      public void onChanges(ImmutableList<Change> changes) {
+        changes.forEach(change -> keys.add(change.key()));
+      }
+    };
+  }
+
+  private TableWatch start() {
+    TableWatch watch =
+        TableWatch.start(store, scheduler, EventLog.create(scheduler), TABLE, 500, recordChanges());
+    scheduler.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+    return watch;
+  }
+
+  /** Items of batches that were accepted meanwhile were given up too early. */
+  @Test
+  void responseThatIsHandledLateDoesNotSetTheClockBack() {
+    try (TableWatch watch = start()) {
+      store.setFeedDelayMillis(1_800);
+      for (int i = 0; i < 1_000; i++) {
+        if (i % 50 == 0) {
+          store.put(TABLE, "a", JsonNodeFactory.instance.objectNode());
+        }
+        scheduler.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+        assertThat(watch.storeMillis())
+            .isIn(Range.closed(store.clockMillis() - 20, store.clockMillis()));
+        assertThat(watch.latestStoreMillis())
+            .isIn(Range.closed(store.clockMillis(), store.clockMillis() + 20));
+      }
+    }
+  }
+
+  /** A node that woke from a freeze took what it knew for fresh. */
+  @Test
+  void ageOfResponseThatIsHandledLateCountsFromWhenItWasSent() {
+    try (TableWatch watch = start()) {
+      store.setFeedDelayMillis(1_800);
+      put("a");
+      scheduler.advanceTimeBy(1_320, TimeUnit.MILLISECONDS);
+      assertThat(keys).containsExactly("a");
+      assertThat(watch.ageMillis()).isAtLeast(1_790);
+    }
+  }
+
+  @Test
+  void clockIsReadAnewAfterSuspension() {
+    try (TableWatch watch = start()) {
+      store.advanceClock(5_000);
+      long sentAtMillis = store.clockMillis();
+      TestObserver<Long> reading = watch.readClock().test();
+      scheduler.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+      assertThat(reading.values().get(0)).isIn(Range.closed(sentAtMillis, store.clockMillis()));
+    }
+  }
+
+  @Test
+  void clockIsEstimatedWhileStoreDoesNotRespond() {
+    try (TableWatch watch = start()) {
+      store.setDown(true);
+      TestObserver<Long> reading = watch.readClock().test();
+      scheduler.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+      assertThat(reading.values().get(0)).isAtLeast(store.clockMillis() - 10);
+    }
+  }
 }
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -62,6 +62,8 @@
   private Predicate<String> objectsWithoutPuts = name -> false;
   private boolean down;
   private long objectDelayMillis;
+  private long feedDelayMillis;
+  private long clockGainMillis;
   private long version;
 
   private record LoggedChange(long version, String table, ChangeFeed.Change change) {}
@@ -111,6 +113,16 @@
     objectDelayMillis = delayMillis;
   }
 
+  /** Sets how long after the store has sent a response of the feed the caller handles it. */
+  public void setFeedDelayMillis(long delayMillis) {
+    feedDelayMillis = delayMillis;
+  }
+
+  /** Advances the store's clock against those of the processes, as if their VMs were suspended. */
+  public void advanceClock(long millis) {
+    clockGainMillis += millis;
+  }
+
   /** Writes a row, as by another process. */
   public void put(String table, String key, JsonNode value) {
     apply(Transaction.builder().put(RowKey.of(table, key), value).build());
@@ -190,6 +202,13 @@
 
   @Override
   public Single<Changes> changes(String table, long afterVersion, long waitMillis) {
+    return respondToFeed(table, afterVersion, waitMillis)
+        .flatMap(
+            response ->
+                Single.just(response).delay(feedDelayMillis, TimeUnit.MILLISECONDS, scheduler));
+  }
+
+  private Single<Changes> respondToFeed(String table, long afterVersion, long waitMillis) {
     return respond(
         () -> {
           if (afterVersion < version
@@ -255,7 +274,7 @@
    * <p>It differs from the clocks of the simulated processes, because monotonic clocks of different
    * machines have different origins.
    */
-  private long clockMillis() {
-    return scheduler.now(TimeUnit.MILLISECONDS) - CLOCK_OFFSET_MILLIS;
+  public long clockMillis() {
+    return scheduler.now(TimeUnit.MILLISECONDS) - CLOCK_OFFSET_MILLIS + clockGainMillis;
   }
 }
