A batch with an item listed twice is completed

An owner with more results than positions left hung below the total for good: BatchHead rejects the count with an exception, and BatchOwner had already marked that a transaction was under way, so it never sent one again.

An owner now takes no more results than positions are left, and marks a transaction only once it is built. Adopting such a batch is logged.

BatchServiceTest.batchWithAnItemListedTwiceIsCompleted failed before ("listed is 21, expected 0 to 20") and passes now.

--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -419,9 +419,9 @@
     if (committing || !run.hasResults() || context.nowMillis() < nextCommitMillis) {
       return;
     }
-    committing = true;
-    ImmutableList<ItemResult> results = limitSize(run.results(MAX_RESULTS_PER_COMMIT));
+    ImmutableList<ItemResult> results = limitSize(run.results(maxResults()));
     BatchHead next = head.head().withListed(results.size(), context.nextToken());
+    committing = true;
     var unused =
         Single.concatEager(
                 results.stream().map(result -> context.store().toRow(spec.id(), result)).toList())
@@ -437,6 +437,16 @@
                 });
   }
 
+  /**
+   * Returns the largest number of results in the next transaction.
+   *
+   * <p>A batch in which an earlier owner listed an item twice has fewer positions left than items.
+   */
+  private int maxResults() {
+    int positionsLeft = head.head().total() - head.head().listed();
+    return Math.min(MAX_RESULTS_PER_COMMIT, positionsLeft);
+  }
+
   private static ImmutableList<ItemResult> limitSize(ImmutableList<ItemResult> results) {
     int chars = 0;
     int count = 0;
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -309,6 +309,18 @@
             .cachedHead(spec.id())
             .filter(head -> head.head().isOpen())
             .filter(head -> head.head().isOwnedBy(incarnation));
+    newest
+        .filter(head -> recordedIds.size() < head.head().listed())
+        .ifPresent(
+            head ->
+                log.warn(
+                    "items-listed-twice",
+                    "batch",
+                    spec.id(),
+                    "positions",
+                    head.head().listed(),
+                    "items",
+                    recordedIds.size()));
     newest.ifPresent(head -> run(spec, head, recordedIds));
     log.info(
         newest.isPresent() ? "batch-adopted" : "batch-not-adopted",
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -6,7 +6,9 @@
 import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Range;
 import io.briarward.core.batch.ItemResult;
+import io.briarward.core.platform.Row;
 import io.briarward.core.platform.Transaction;
 import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.node.batch.BatchService.SubmitOutcome;
@@ -138,6 +140,21 @@
     assertThat(after).hasSize(128);
   }
 
+  /** An owner with more results than positions left listed nothing at all from then on. */
+  @Test
+  void batchWithAnItemListedTwiceIsCompleted() {
+    BatchCluster.Process a = cluster.start("a");
+    final BatchCluster.Process b = cluster.start("b");
+    a.submit(BatchCluster.spec("x", ITEMS));
+    cluster.advance(250);
+    a.kill();
+    ImmutableList<Row> rows = cluster.store.rows(BatchStore.RESULTS_TABLE);
+    assertThat(rows.size()).isIn(Range.open(1, ITEMS));
+    cluster.store.put(BatchStore.RESULTS_TABLE, rows.get(1).key(), rows.get(0).value());
+    cluster.advance(TAKEOVER_MILLIS);
+    assertThat(BatchCluster.allResults(b, "x")).hasSize(ITEMS);
+  }
+
   @Test
   void ownerIsKeptWhileStoreRejectsHeartbeats() {
     final BatchCluster.Process a = cluster.start("a");
