Limit a listing in bytes

Texts with several bytes a character that finished while the store was away were never listed: BatchOwner limited a transaction to 400,000 characters, the store rejects one of more than 1 MB, and the same transaction was sent again for ever. Found by the review, by reading.

The size is now that of the encoded results, 600,000 bytes, which are 800,000 in Base64. The stand-ins of the store reject what is too large.

--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -18,6 +18,7 @@
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.batch.SamplerClient.RunOutcome;
 import io.reactivex.rxjava3.core.Single;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -33,8 +34,10 @@
   /** The largest number of results in one transaction; the platform's limit is 100 entries. */
   private static final int MAX_RESULTS_PER_COMMIT = 60;
 
-  /** The largest size of the outputs in one transaction; the platform's limit is 1 MB. */
-  private static final int MAX_COMMIT_CHARS = 400_000;
+  /**
+   * The largest size of the results in one transaction, which grow by a third; the limit is 1 MB.
+   */
+  private static final int MAX_COMMIT_BYTES = 600_000;
 
   /** The minimum time between two transactions of a batch. */
   private static final long MIN_COMMIT_INTERVAL_MILLIS = 80;
@@ -448,11 +451,11 @@
   }
 
   private static ImmutableList<ItemResult> limitSize(ImmutableList<ItemResult> results) {
-    int chars = 0;
+    int bytes = 0;
     int count = 0;
     for (ItemResult result : results) {
-      chars += result.output().length();
-      if (count > 0 && chars > MAX_COMMIT_CHARS) {
+      bytes += result.toJson().toString().getBytes(StandardCharsets.UTF_8).length;
+      if (count > 0 && bytes > MAX_COMMIT_BYTES) {
         break;
       }
       count++;
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -155,6 +155,23 @@
     assertThat(BatchCluster.allResults(b, "x")).hasSize(ITEMS);
   }
 
+  /** A transaction was limited in characters and exceeded the store's limit of bytes for ever. */
+  @Test
+  void textsOfCharactersWithSeveralBytesAreListed() {
+    BatchCluster.Process a = cluster.start("a");
+    cluster.samplers.setEventSuffix(Strings.repeat("あ", 5_000));
+    a.submit(BatchCluster.spec("x", 60));
+    cluster.store.setWriteOutcomes(
+        transaction ->
+            writesTo(transaction, BatchStore.RESULTS_TABLE)
+                ? WriteOutcome.REJECTED
+                : WriteOutcome.APPLIED);
+    cluster.advance(DONE_MILLIS);
+    cluster.store.setWriteOutcomes(transaction -> WriteOutcome.APPLIED);
+    cluster.advance(DONE_MILLIS);
+    assertThat(BatchCluster.allResults(a, "x")).hasSize(60);
+  }
+
   @Test
   void ownerIsKeptWhileStoreRejectsHeartbeats() {
     final BatchCluster.Process a = cluster.start("a");
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -18,7 +18,9 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.subjects.PublishSubject;
 import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,6 +51,11 @@
   private static final long RESPONSE_DELAY_MILLIS = 4;
   private static final long CLOCK_OFFSET_MILLIS = 1_000_000;
   private static final long WRITE_DELAY_MILLIS = 1_000;
+  private static final int MAX_TRANSACTION_ENTRIES = 100;
+
+  /** The largest size of a transaction's values, Base64-encoded, which leaves room for the keys. */
+  private static final long MAX_TRANSACTION_BYTES = 980_000;
+
   private static final PlatformException.Effect NONE = PlatformException.Effect.NONE;
 
   private final Scheduler scheduler;
@@ -145,7 +152,25 @@
 
   @Override
   public Single<CommitResult> commit(Transaction transaction) {
-    return respond(() -> applyWithOutcome(transaction, outcomes.apply(transaction)));
+    return respond(
+        () ->
+            exceedsLimits(transaction)
+                ? Single.error(new PlatformException(NONE, "transaction is too large"))
+                : applyWithOutcome(transaction, outcomes.apply(transaction)));
+  }
+
+  private static boolean exceedsLimits(Transaction transaction) {
+    long bytes =
+        transaction.writes().stream()
+            .flatMap(write -> write.value().stream())
+            .mapToLong(value -> encode(value).length())
+            .sum();
+    return transaction.conditions().size() + transaction.writes().size() > MAX_TRANSACTION_ENTRIES
+        || bytes > MAX_TRANSACTION_BYTES;
+  }
+
+  private static String encode(JsonNode value) {
+    return Base64.getEncoder().encodeToString(value.toString().getBytes(StandardCharsets.UTF_8));
   }
 
   private Single<CommitResult> applyWithOutcome(Transaction transaction, WriteOutcome outcome) {
