Time out each page of listed results, not all together

A node that took over a batch read the ids of all listed results within 1.5 s. Since cut pages are read on, a batch with many long results takes several pages, and from a slow store more than that: no node would ever adopt the batch.

Each page has the time-out now, and only the ids are kept.

BatchServiceTest.takeoverReadsAnyNumberOfPagesFromSlowStore (five pages of 0.4 s each) failed before ("adoption-failed", time-out) and passes now.

--- a/node/src/main/java/io/briarward/node/batch/BatchStore.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchStore.java
@@ -12,7 +12,6 @@
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
 import io.briarward.core.platform.Transaction;
-import io.briarward.node.duty.PlatformCalls;
 import io.briarward.node.platform.JsonHttpClient;
 import io.briarward.node.platform.ObjectStore;
 import io.briarward.node.platform.TableService;
@@ -28,7 +27,7 @@
 /**
  * Stores batches: submissions as objects, heads and results as rows.
  *
- * <p>Every call completes or fails within a bounded time, on the event loop.
+ * <p>Every call to the store completes or fails within a bounded time, on the event loop.
  */
 final class BatchStore {
   /** The table with the head of each batch. */
@@ -157,15 +156,23 @@
             .flatMap(page -> toResult(page.rows())));
   }
 
-  /** Returns the ids of all items whose results are recorded. */
+  /** Returns the ids of all items whose results are recorded, however many pages they fill. */
   Single<ImmutableList<String>> recordedItemIds(String batchId) {
-    return withTimeout(
-        PlatformCalls.scanAll(tables, RESULTS_TABLE, batchId + "/", MAX_SCAN_ROWS)
-            .map(
-                rows ->
-                    rows.stream()
-                        .map(row -> row.value().path("itemId").asText())
-                        .collect(ImmutableList.toImmutableList())));
+    return recordedItemIds(batchId, batchId + "/", ImmutableList.of());
+  }
+
+  private Single<ImmutableList<String>> recordedItemIds(
+      String batchId, String afterKey, ImmutableList<String> previousIds) {
+    return withTimeout(tables.scan(RESULTS_TABLE, batchId + "/", afterKey, MAX_SCAN_ROWS))
+        .flatMap(
+            page -> {
+              ImmutableList.Builder<String> ids = ImmutableList.builder();
+              ids.addAll(previousIds);
+              page.rows().forEach(row -> ids.add(row.value().path("itemId").asText()));
+              return page.nextAfter()
+                  .map(last -> recordedItemIds(batchId, last, ids.build()))
+                  .orElseGet(() -> Single.just(ids.build()));
+            });
   }
 
   /**
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -172,6 +172,23 @@
     assertThat(BatchCluster.allResults(a, "x")).hasSize(60);
   }
 
+  /** The time-out held for all pages together, so a batch with many of them found no owner. */
+  @Test
+  void takeoverReadsAnyNumberOfPagesFromSlowStore() {
+    BatchCluster.Process a = cluster.start("a");
+    BatchCluster.Process b = cluster.start("b");
+    cluster.samplers.setEventSuffix(Strings.repeat("x", 7_000));
+    a.submit(BatchCluster.spec("x", 190));
+    while (BatchCluster.allResults(b, "x").size() < 160) {
+      cluster.advance(10);
+    }
+    a.kill();
+    cluster.store.setScanDelayMillis(400);
+    cluster.advance(TAKEOVER_MILLIS);
+    cluster.store.setScanDelayMillis(0);
+    assertThat(BatchCluster.allResults(b, "x")).hasSize(190);
+  }
+
   @Test
   void ownerIsKeptWhileStoreRejectsHeartbeats() {
     final BatchCluster.Process a = cluster.start("a");
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -70,6 +70,7 @@
   private boolean down;
   private long objectDelayMillis;
   private long feedDelayMillis;
+  private long scanDelayMillis;
   private long clockGainMillis;
   private long version;
 
@@ -125,6 +126,11 @@
     feedDelayMillis = delayMillis;
   }
 
+  /** Sets how long the store takes to return a page of rows. */
+  public void setScanDelayMillis(long delayMillis) {
+    scanDelayMillis = delayMillis;
+  }
+
   /** Advances the store's clock against those of the processes, as if their VMs were suspended. */
   public void advanceClock(long millis) {
     clockGainMillis += millis;
@@ -213,7 +219,8 @@
 
   @Override
   public Single<RowPage> scan(String table, String prefix, String after, int limit) {
-    return respond(() -> Single.just(tables.scanPage(table, prefix, after, limit)));
+    return respond(() -> Single.just(tables.scanPage(table, prefix, after, limit)))
+        .delay(scanDelayMillis, TimeUnit.MILLISECONDS, scheduler);
   }
 
   @Override
