Bind the bytes of a relayed response to one attempt

Cause: the time-out of an attempt ran on after its first bytes had been passed on, and started another attempt without asking whether a part of the response had been sent. ResponseWriter had no notion of an attempt: it ignored the second head and sent the second body.

Change: ResponseWriter.begin hands out the response of one attempt. It sends nothing once a later one has begun, and an attempt that begins after the head of an earlier one was sent breaks the response off, so no caller of it can join two answers. Live forwarding, relays between nodes and the own interface write through it. The time-out of an attempt ends when the first bytes are passed on; then the upstream, the deadline or the caller ends the answer. An exchange of the own interface also ignores the answer of an attempt that it has given up.

--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -332,35 +332,39 @@
    * Relays an answer.
    *
    * <p>The answer to an idempotent request is held back until it is whole or too long to hold, so
-   * that another upstream can answer if this one breaks off.
+   * that another upstream can answer if this one breaks off or stalls. After its first bytes were
+   * sent, the upstream, the deadline or the caller ends it.
    */
   private void relayAnswer(Attempt attempt, HttpClientResponse answer) {
     countRun(attempt);
     if (StatusCodes.isSuccess(answer.statusCode())) {
       origin.onSuccess(attempt.upstream());
     }
-    response.setHead(answer);
+    CallerResponse.Relayed relayed = response.relay(answer);
     int maxHeldBytes = call.route().repeatable() ? MAX_HELD_BYTES : 0;
     Buffer held = Buffer.buffer();
     answer.exceptionHandler(cause -> onConnectionLost(attempt, cause));
-    answer.endHandler(unused -> onAnswerEnd(attempt, answer, held));
+    answer.endHandler(unused -> onAnswerEnd(attempt, answer, relayed, held));
     answer.handler(
         chunk -> {
           if (!isCurrent(attempt)) {
             return;
           }
           if (!response.isOpen()) {
-            response.write(chunk, answer);
+            relayed.write(chunk);
             return;
           }
           held.appendBuffer(chunk);
           if (held.length() > maxHeldBytes) {
-            response.write(held, answer);
+            // No other upstream may answer from here on.
+            attemptTimeout.dispose();
+            relayed.write(held);
           }
         });
   }
 
-  private void onAnswerEnd(Attempt attempt, HttpClientResponse answer, Buffer held) {
+  private void onAnswerEnd(
+      Attempt attempt, HttpClientResponse answer, CallerResponse.Relayed relayed, Buffer held) {
     if (!isCurrent(attempt)) {
       return;
     }
@@ -374,16 +378,16 @@
     if (answer.statusCode() < 500) {
       context.crashes().onCompleted(fingerprint);
     }
-    endWith(attempt, response.isOpen() ? held : Buffer.buffer());
+    endWith(attempt, relayed, response.isOpen() ? held : Buffer.buffer());
   }
 
   /** Ends the response with the last bytes of an upstream's answer. */
-  private void endWith(Attempt attempt, Buffer lastChunk) {
+  private void endWith(Attempt attempt, CallerResponse.Relayed relayed, Buffer lastChunk) {
     endAttempt(attempt);
     context
         .balancer()
         .onAnswered(attempt.upstream().id(), context.nowMillis() - attempt.sentAtMillis());
-    Future<Void> written = response.end(lastChunk);
+    Future<Void> written = relayed.end(lastChunk);
     finish(written.failed() ? "broken" : "ok", attempt.upstream().id(), "");
   }
 
--- a/node/src/main/java/io/briarward/node/gateway/RelayedAttempt.java
+++ b/node/src/main/java/io/briarward/node/gateway/RelayedAttempt.java
@@ -120,16 +120,16 @@
   }
 
   private void relay(HttpClientResponse answer) {
-    response.setHead(answer);
+    CallerResponse.Relayed relayed = response.relay(answer);
     answer.exceptionHandler(cause -> abort(cause.toString()));
     answer.handler(
         chunk -> {
           if (!ended) {
-            response.write(chunk, answer);
+            relayed.write(chunk);
           }
         });
     answer.endHandler(
-        unused -> end(() -> listener.onRelayed(node, !response.end(Buffer.buffer()).failed())));
+        unused -> end(() -> listener.onRelayed(node, !relayed.end(Buffer.buffer()).failed())));
   }
 
   private void abort(String cause) {
--- a/node/src/main/java/io/briarward/node/http/CallerResponse.java
+++ b/node/src/main/java/io/briarward/node/http/CallerResponse.java
@@ -55,14 +55,20 @@
     action.run();
   }
 
-  /** Sets the head to an upstream's; it is sent with the first bytes of the body. */
-  public void setHead(HttpClientResponse upstream) {
-    writer.setHead(
+  /**
+   * Begins to relay an upstream's response, in place of an earlier one; its head is sent with the
+   * first bytes of the body.
+   *
+   * <p>Breaks the response off if a part of an earlier one was sent.
+   */
+  public Relayed relay(HttpClientResponse upstream) {
+    ResponseHead head =
         ResponseHead.relayed(
             upstream.statusCode(),
             upstream.headers(),
             contentLength(upstream),
-            request.method() == HttpMethod.HEAD));
+            request.method() == HttpMethod.HEAD);
+    return new Relayed(upstream, writer.begin(head));
   }
 
   /** Returns the announced length of an upstream's body, in bytes. */
@@ -74,26 +80,6 @@
         .orElse(OptionalLong.empty());
   }
 
-  /** Sends a chunk of the body, and pauses the upstream while the caller does not keep up. */
-  public void write(Buffer chunk, HttpClientResponse upstream) {
-    if (writer.write(chunk, chunk.length()) && response.writeQueueFull()) {
-      upstream.pause();
-      response.drainHandler(unused -> upstream.resume());
-    }
-  }
-
-  /**
-   * Sends the last chunk of the body and ends the response.
-   *
-   * @return completes once the response is written; fails if it was broken off
-   */
-  @CanIgnoreReturnValue
-  public Future<Void> end(Buffer lastChunk) {
-    return writer.end(lastChunk, lastChunk.length())
-        ? written
-        : Future.failedFuture("the response was broken off");
-  }
-
   /**
    * Sends a failure in place of the response, or breaks the response off if its head was sent.
    *
@@ -106,6 +92,37 @@
     return written;
   }
 
+  /** One upstream's response, which is sent while no other one has begun to be relayed. */
+  public final class Relayed {
+    private final HttpClientResponse upstream;
+    private final ResponseWriter<Buffer>.Attempt attempt;
+
+    private Relayed(HttpClientResponse upstream, ResponseWriter<Buffer>.Attempt attempt) {
+      this.upstream = upstream;
+      this.attempt = attempt;
+    }
+
+    /** Sends a chunk of the body, and pauses the upstream while the caller does not keep up. */
+    public void write(Buffer chunk) {
+      if (attempt.write(chunk, chunk.length()) && response.writeQueueFull()) {
+        upstream.pause();
+        response.drainHandler(unused -> upstream.resume());
+      }
+    }
+
+    /**
+     * Sends the last chunk of the body and ends the response.
+     *
+     * @return completes once the response is written; fails if it was broken off
+     */
+    @CanIgnoreReturnValue
+    public Future<Void> end(Buffer lastChunk) {
+      return attempt.end(lastChunk, lastChunk.length())
+          ? written
+          : Future.failedFuture("the response was broken off");
+    }
+  }
+
   private final class Connection implements ResponseWriter.Sink<Buffer> {
     @Override
     public void sendHead(ResponseHead head) {
--- a/node/src/main/java/io/briarward/node/live/LiveExchange.java
+++ b/node/src/main/java/io/briarward/node/live/LiveExchange.java
@@ -214,7 +214,7 @@
   }
 
   private void onUpstreamFailed(HttpClientRequest upstream, Throwable cause) {
-    if (finished || upstreamRequest.filter(current -> current == upstream).isEmpty()) {
+    if (finished || !isCurrent(upstream)) {
       return;
     }
     boolean bodyTooLarge = HttpAnswers.failureOf(cause).kind() == ErrorKind.BODY_TOO_LARGE;
@@ -228,6 +228,10 @@
     retryOrFail(failure);
   }
 
+  private boolean isCurrent(HttpClientRequest upstream) {
+    return upstreamRequest.filter(current -> current == upstream).isPresent();
+  }
+
   /** Schedules a retry if the retry policy allows one, and fails the request otherwise. */
   private void retryOrFail(Failure failure) {
     if (failure.kind() == ErrorKind.BODY_TOO_LARGE) {
@@ -260,7 +264,7 @@
   }
 
   private void onResponse(HttpClientRequest upstream, HttpClientResponse answer) {
-    if (finished) {
+    if (finished || !isCurrent(upstream)) {
       upstream.reset();
       return;
     }
@@ -279,7 +283,9 @@
             new ResponseRelay.Listener() {
               @Override
               public void onComplete(ResponseRelay done) {
-                onResponseComplete(done);
+                if (isCurrent(upstream)) {
+                  onResponseComplete(done);
+                }
               }
 
               @Override
--- a/node/src/main/java/io/briarward/node/live/ResponseRelay.java
+++ b/node/src/main/java/io/briarward/node/live/ResponseRelay.java
@@ -15,7 +15,7 @@
  * loop.
  */
 final class ResponseRelay {
-  private final CallerResponse downstream;
+  private final CallerResponse.Relayed relayed;
   private final HttpClientResponse upstream;
   private final ResponseObserver observer;
   private final Listener listener;
@@ -39,7 +39,7 @@
       boolean isCompletion,
       ResponseObserver observer,
       Listener listener) {
-    this.downstream = downstream;
+    this.relayed = downstream.relay(upstream);
     this.upstream = upstream;
     this.observer = observer;
     this.listener = listener;
@@ -53,7 +53,6 @@
   }
 
   void start() {
-    downstream.setHead(upstream);
     upstream.exceptionHandler(listener::onFailure);
     upstream.endHandler(unused -> onEnd());
     upstream.handler(this::onChunk);
@@ -73,7 +72,7 @@
 
   /** Sends the last chunk and ends the response; completes once it is written. */
   Future<Void> end() {
-    return downstream.end(lastChunk);
+    return relayed.end(lastChunk);
   }
 
   private void onChunk(Buffer chunk) {
@@ -84,7 +83,7 @@
       lastChunk = chunk;
       return;
     }
-    downstream.write(chunk, upstream);
+    relayed.write(chunk);
   }
 
   private void onEnd() {
