Bound the memory of request bodies, keep and send them in blocks

Cause: a body was gathered in one buffer that is copied to twice its size as it grows, copied again for its fingerprint and again for the write to the upstream, and nothing bounded the bodies of all requests together. The heap of 96 MB was used up.

LongBodyTest failed before: a second long body got no answer within 9 s, "Read timed out".

Change: BodyBudget admits a body in order of arrival, by the length that it announces, before it is read, or else by what was received. A submission counts four times, since it is also kept as buffer, as parsed and as stored. The memory is given back when the response ends, the caller goes away or the body came too slowly. ByteBlocks keeps a body in blocks that are not copied again; its fingerprint is computed from them, and BodySender sends them as fast as the upstream or the other node takes them. An attempt that ended before its body was sent is reset.

--- a/core/src/main/java/io/briarward/core/quarantine/RequestFingerprint.java
+++ b/core/src/main/java/io/briarward/core/quarantine/RequestFingerprint.java
@@ -5,6 +5,7 @@
 
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
+import io.briarward.core.memory.ByteBlocks;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
@@ -29,12 +30,21 @@
    */
   public static RequestFingerprint of(
       Optional<String> organisation, String method, String host, String uri, byte[] body) {
+    return of(organisation, method, host, uri, ByteBlocks.copyOf(body));
+  }
+
+  /** Returns the fingerprint of a request whose body is in blocks, which are not copied. */
+  public static RequestFingerprint of(
+      Optional<String> organisation, String method, String host, String uri, ByteBlocks body) {
     Hasher hasher = Hashing.sha256().newHasher();
     putText(hasher, organisation.orElse(""));
     putText(hasher, method);
     putText(hasher, host);
     putText(hasher, uri);
-    return new RequestFingerprint(hasher.putBytes(body).hash().toString().substring(0, HEX_DIGITS));
+    for (int i = 0; i < body.blockCount(); i++) {
+      hasher.putBytes(body.block(i), 0, body.bytesIn(i));
+    }
+    return new RequestFingerprint(hasher.hash().toString().substring(0, HEX_DIGITS));
   }
 
   /** Adds a text with its length, so that no two sequences of texts give the same bytes. */
--- a/node/src/main/java/io/briarward/node/NodeContext.java
+++ b/node/src/main/java/io/briarward/node/NodeContext.java
@@ -1,5 +1,6 @@
 package io.briarward.node;
 
+import io.briarward.core.memory.BodyBudget;
 import io.briarward.node.configuration.ConfigurationHolder;
 import io.briarward.node.configuration.ConfigurationStore;
 import io.briarward.node.configuration.ControlService;
@@ -44,9 +45,17 @@
     Metrics metrics,
     Tracing tracing) {
 
-  /** Returns a reader of request bodies with the configured time-out. */
+  private static final int MAX_SHORT_BODY_BYTES = 64 << 10;
+  private static final long SHORT_BODIES_BYTES = 4 << 20;
+
+  /**
+   * Returns a reader of request bodies with the configured time-out, whose bodies share a budget
+   * that lets one of the largest size be read.
+   */
   public BodyReader bodies() {
-    return new BodyReader(scheduler, settings.bodyTimeoutMillis());
+    BodyBudget budget =
+        BodyBudget.of(MAX_SHORT_BODY_BYTES, SHORT_BODIES_BYTES, 2 * settings.maxBodyBytes());
+    return new BodyReader(scheduler, settings.bodyTimeoutMillis(), budget);
   }
 
   /** Returns the time of the monotonic clock in milliseconds. */
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -9,6 +9,7 @@
 import io.briarward.core.quarantine.RequestFingerprint;
 import io.briarward.core.streams.StreamOrigin;
 import io.briarward.node.gateway.UpstreamProtocol.AnswerKind;
+import io.briarward.node.http.BodySender;
 import io.briarward.node.http.CallerResponse;
 import io.briarward.node.http.ResponseBodies;
 import io.briarward.node.http.StatusCodes;
@@ -77,6 +78,7 @@
   private String service;
   private Optional<Attempt> currentAttempt = Optional.empty();
   private Optional<Attempt> countedAttempt = Optional.empty();
+  private Optional<BodySender> sender = Optional.empty();
   private Optional<UpstreamEntry> lastUpstream = Optional.empty();
   private Disposable deadline = Disposable.disposed();
   private Disposable attemptTimeout = Disposable.disposed();
@@ -200,7 +202,7 @@
         .response()
         .onSuccess(answer -> onAnswer(attempt, answer))
         .onFailure(cause -> onConnectionLost(attempt, cause));
-    request.end(call.body());
+    sender = Optional.of(BodySender.send(request, call.body()));
     long timeoutMillis = Math.max(MIN_ATTEMPT_TIMEOUT_MILLIS, 2 * call.route().goalMillis());
     Runnable onTimeout =
         canRetry() ? () -> onAttemptTimeout(attempt) : () -> probeSilentUpstream(attempt);
@@ -313,8 +315,7 @@
   }
 
   private void onNotRun(Attempt attempt, int status) {
-    attemptTimeout.dispose();
-    currentAttempt = Optional.empty();
+    endAttempt(attempt);
     attempts--;
     rejections++;
     context
@@ -436,6 +437,7 @@
     if (isCurrent(attempt)) {
       attemptTimeout.dispose();
       currentAttempt = Optional.empty();
+      sender.ifPresent(BodySender::cancelUnlessSent);
     }
   }
 
@@ -513,6 +515,7 @@
     finished = true;
     deadline.dispose();
     attemptTimeout.dispose();
+    sender.ifPresent(BodySender::cancelUnlessSent);
     currentAttempt.ifPresent(
         attempt -> {
           attempt.request().reset();
--- a/node/src/main/java/io/briarward/node/gateway/LiveCall.java
+++ b/node/src/main/java/io/briarward/node/gateway/LiveCall.java
@@ -5,8 +5,8 @@
 
 import com.google.common.collect.ImmutableList;
 import io.briarward.core.fleet.FleetRoute;
+import io.briarward.core.memory.ByteBlocks;
 import io.briarward.core.quarantine.RequestFingerprint;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.util.Map;
 import java.util.Optional;
@@ -36,7 +36,7 @@
     String host,
     String uri,
     ImmutableList<Map.Entry<String, String>> headers,
-    Buffer body,
+    ByteBlocks body,
     Optional<Resumption> resumption,
     boolean relayed,
     int maxAttempts,
@@ -60,7 +60,7 @@
 
   /** Returns what identifies requests of the same content; computed at each call. */
   RequestFingerprint fingerprint() {
-    return RequestFingerprint.of(organisation, method.name(), host, uri, body.getBytes());
+    return RequestFingerprint.of(organisation, method.name(), host, uri, body);
   }
 
   /** Validates the components. */
--- a/node/src/main/java/io/briarward/node/gateway/RelayedAttempt.java
+++ b/node/src/main/java/io/briarward/node/gateway/RelayedAttempt.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.net.HostAndPort;
+import io.briarward.node.http.BodySender;
 import io.briarward.node.http.CallerResponse;
 import io.briarward.node.http.ResponseBodies;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -28,6 +29,7 @@
   private final int maxAttempts;
   private final Listener listener;
   private Optional<HttpClientRequest> request = Optional.empty();
+  private Optional<BodySender> sender = Optional.empty();
   private Disposable silenceTimeout = Disposable.disposed();
   private boolean ended;
 
@@ -78,6 +80,7 @@
   void cancel() {
     ended = true;
     silenceTimeout.dispose();
+    sender.ifPresent(BodySender::cancelUnlessSent);
     request.ifPresent(HttpClientRequest::reset);
   }
 
@@ -94,7 +97,7 @@
         .response()
         .onSuccess(answer -> onAnswer(opened, answer))
         .onFailure(cause -> abort(cause.toString()));
-    opened.end(call.body());
+    sender = Optional.of(BodySender.send(opened, call.body()));
     if (call.route().repeatable()) {
       // Half of what is left, so that a third node can still answer.
       silenceTimeout =
@@ -141,6 +144,7 @@
     if (!ended) {
       ended = true;
       silenceTimeout.dispose();
+      sender.ifPresent(BodySender::cancelUnlessSent);
       notification.run();
     }
   }
--- a/node/src/test/java/io/briarward/node/rollout/RolloutApiTest.java
+++ b/node/src/test/java/io/briarward/node/rollout/RolloutApiTest.java
@@ -13,6 +13,7 @@
 import io.briarward.core.configuration.RolloutPolicy;
 import io.briarward.core.configuration.Service;
 import io.briarward.core.configuration.Upstream;
+import io.briarward.core.memory.BodyBudget;
 import io.briarward.core.rollout.RolloutCodec;
 import io.briarward.core.rollout.RolloutSpec;
 import io.briarward.node.configuration.ConfigurationHolder;
@@ -65,7 +66,8 @@
         new RolloutApi(
             service,
             new TrainerAuthentication(holder, () -> true),
-            new BodyReader(Schedulers.computation(), 30_000),
+            new BodyReader(
+                Schedulers.computation(), 30_000, BodyBudget.of(1 << 16, 1 << 20, 1 << 25)),
             MAX_BODY_BYTES);
     server =
         vertx
