streams: record what began before a second version is seen

The users report that after a kill of all nodes in a release, streams that were taken up held events of two software versions. But streams that began before the release were rejected after the kill ("the software version that began the stream is not known").

Cause: a node that has seen one version only for two minutes records no origins. Once a second version is seen, no other node can infer the origins of the streams in flight, and the nodes that remembered them were killed. Besides, the node that removes old records passed them all to its writer, which then accepted no new origins until they were deleted.

Evidence: StreamOriginsTest. originsFromBeforeTheSecondVersionAreKnownOnceAllNodesWereKilled failed (expected version 1, found none), newOriginsAreRecordedWhileManyOldRecords- AreRemoved failed (expected version 2, found none). Both pass now.

Change: a node keeps the origins that it did not record and passes them to the writer as soon as their version is no longer the only one. Old records are deleted page by page. Rows are unchanged.

--- a/node/src/main/java/io/briarward/node/streams/StreamOrigins.java
+++ b/node/src/main/java/io/briarward/node/streams/StreamOrigins.java
@@ -34,8 +34,9 @@
  *
  * <p>A caller takes a broken stream up at any node, also once the node that began it is gone, so
  * the origins are rows of the store. Nothing is recorded while this node has seen one software
- * version only for longer than a stream lasts. A stream without a record has an unknown origin,
- * unless this node has seen one version only as well. Confined to the event loop.
+ * version only for longer than a stream lasts; once it sees another one, it records what it has not
+ * recorded yet. A stream without a record has an unknown origin, unless this node has seen one
+ * version only as well. Confined to the event loop.
  */
 public final class StreamOrigins implements AutoCloseable {
   /** The table of origins, with one row per stream. */
@@ -60,6 +61,9 @@
   /** The age of the view of the registrations from which it does not tell origins. */
   private static final long STALE_MILLIS = 2_000;
 
+  /** The interval at which origins that became worth recording are passed to the writer. */
+  private static final long SHARE_INTERVAL_MILLIS = 200;
+
   private static final long REMOVAL_INTERVAL_MILLIS = 30_000;
   private static final int ROWS_PER_SCAN = 500;
 
@@ -71,17 +75,22 @@
   private final EventLog log;
   private final String incarnation;
   private final PacedRowWriter<Begun> writer;
-  private final Map<RowKey, StreamOrigin> remembered =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<RowKey, StreamOrigin> eldest) {
-          return size() > MAX_REMEMBERED;
-        }
-      };
+  private final Map<RowKey, StreamOrigin> remembered = new BoundedMap<>();
+  private final Map<RowKey, Begun> unshared = new BoundedMap<>();
+  private Optional<String> removedUpToKey = Optional.empty();
+  private Disposable shareTimer = Disposable.disposed();
   private Disposable removalTimer = Disposable.disposed();
 
+  /** A map in the order of insertion that forgets the oldest entries. */
+  private static final class BoundedMap<V> extends LinkedHashMap<RowKey, V> {
+    private static final long serialVersionUID = 1L;
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<RowKey, V> eldest) {
+      return size() > MAX_REMEMBERED;
+    }
+  }
+
   /** A stream's origin and when it began, on the node's monotonic clock. */
   private record Begun(StreamOrigin origin, long atMillis) {}
 
@@ -127,6 +136,7 @@
       String incarnation) {
     StreamOrigins origins =
         new StreamOrigins(tables, nodes, fleet, viewAgeMillis, scheduler, log, incarnation);
+    origins.shareTimer = Timers.every(scheduler, SHARE_INTERVAL_MILLIS, origins::onShareInterval);
     origins.removalTimer =
         Timers.every(scheduler, REMOVAL_INTERVAL_MILLIS, origins::removeOldRecords);
     return origins;
@@ -141,14 +151,44 @@
   public void onBegun(Optional<String> organisation, String requestId, StreamOrigin origin) {
     RowKey key = rowKey(organisation, requestId);
     remembered.put(key, origin);
-    if (sole(ImmutableSet.of(origin.service())).equals(Optional.of(origin))) {
-      return;
-    }
-    if (writer.pendingRows() >= MAX_PENDING_ROWS) {
+    Begun begun = new Begun(origin, nowMillis());
+    if (isSole(origin)) {
+      unshared.put(key, begun);
+    } else if (writer.pendingRows() < MAX_PENDING_ROWS) {
+      writer.put(key, begun);
+    } else {
       log.warn("stream-origin-not-shared", "id", requestId, "pendingRows", writer.pendingRows());
-      return;
     }
-    writer.put(key, new Begun(origin, nowMillis()));
+  }
+
+  private boolean isSole(StreamOrigin origin) {
+    return sole(ImmutableSet.of(origin.service())).equals(Optional.of(origin));
+  }
+
+  private void onShareInterval() {
+    shareOrigins();
+    removedUpToKey
+        .filter(unused -> writer.pendingRows() < ROWS_PER_SCAN)
+        .ifPresent(this::removeOldRecords);
+  }
+
+  /** Records streams from before a second version was seen, since other nodes cannot infer them. */
+  private void shareOrigins() {
+    long sinceMillis = nowMillis() - OriginHistory.MAX_STREAM_AGE_MILLIS;
+    unshared.values().removeIf(begun -> begun.atMillis() < sinceMillis);
+    ImmutableSet<StreamOrigin> notSole =
+        unshared.values().stream()
+            .map(Begun::origin)
+            .distinct()
+            .filter(origin -> !isSole(origin))
+            .collect(ImmutableSet.toImmutableSet());
+    ImmutableList<RowKey> keys =
+        unshared.entrySet().stream()
+            .filter(entry -> notSole.contains(entry.getValue().origin()))
+            .map(Map.Entry::getKey)
+            .limit(Math.max(0, MAX_PENDING_ROWS - writer.pendingRows()))
+            .collect(ImmutableList.toImmutableList());
+    keys.forEach(key -> writer.put(key, unshared.remove(key)));
   }
 
   /**
@@ -184,6 +224,7 @@
 
   @Override
   public void close() {
+    shareTimer.dispose();
     removalTimer.dispose();
     writer.close();
   }
@@ -214,12 +255,13 @@
   /** Removes old records, at the one of the live nodes that a hash selects. */
   private void removeOldRecords() {
     boolean selected = DutyCandidates.choose(TABLE, nodes.alive(), 1).contains(incarnation);
-    if (selected && nodes.clockKnown()) {
+    if (selected && nodes.clockKnown() && removedUpToKey.isEmpty()) {
       removeOldRecords("");
     }
   }
 
   private void removeOldRecords(String after) {
+    removedUpToKey = Optional.empty();
     var unused =
         tables
             .scan(TABLE, "", after, ROWS_PER_SCAN)
@@ -235,7 +277,8 @@
         .filter(row -> row.value().path("atMillis").asLong() < sinceMillis)
         .forEach(row -> writer.delete(RowKey.of(TABLE, row.key())));
     if (rows.size() == ROWS_PER_SCAN) {
-      removeOldRecords(rows.get(rows.size() - 1).key());
+      // The next rows follow once these are deleted, so that new origins do not wait long.
+      removedUpToKey = Optional.of(rows.get(rows.size() - 1).key());
     }
   }
 
--- a/node/src/test/java/io/briarward/node/streams/StreamOriginsTest.java
+++ b/node/src/test/java/io/briarward/node/streams/StreamOriginsTest.java
@@ -17,6 +17,8 @@
 import io.briarward.node.testing.MemoryStore.WriteOutcome;
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -61,6 +63,10 @@
       return observer.values().get(0);
     }
 
+    Optional<StreamOrigin> soleOrigin() {
+      return origins.sole(ImmutableSet.of(FakeFleetDecoder.SAMPLERS));
+    }
+
     @Override
     public void close() {
       origins.close();
@@ -125,6 +131,49 @@
     }
   }
 
+  /** All nodes were killed at once during a release, so that none remembered its streams. */
+  @Test
+  void originsFromBeforeTheSecondVersionAreKnownOnceAllNodesWereKilled() {
+    register("s1", "1");
+    Node a = new Node("a");
+    Node b = new Node("b");
+    advance(REMOVED_MILLIS);
+    a.origins.onBegun(ORGANISATION, "r1", OLD);
+    b.origins.onBegun(ORGANISATION, "r2", OLD);
+    advance(5_000);
+    assertThat(store.rows(StreamOrigins.TABLE)).isEmpty();
+    register("s2", "2");
+    advance(1_000);
+    a.close();
+    b.close();
+    store.remove(decoder.upstreamTable(), "s1");
+    try (Node restarted = new Node("a")) {
+      assertThat(restarted.find("r1")).isEqualTo(Optional.of(OLD));
+      assertThat(restarted.find("r2")).isEqualTo(Optional.of(OLD));
+    }
+  }
+
+  /** All nodes were killed at once before they recorded a stream of the version that then left. */
+  @Test
+  void remainingVersionIsNotTakenForTheOriginOnceAllNodesWereKilled() {
+    register("s1", "1");
+    register("s2", "2");
+    Node a = new Node("a");
+    advance(REMOVED_MILLIS);
+    store.setWriteOutcomes(transaction -> WriteOutcome.REJECTED);
+    a.origins.onBegun(ORGANISATION, "r1", OLD);
+    a.close();
+    store.remove(decoder.upstreamTable(), "s1");
+    store.setWriteOutcomes(transaction -> WriteOutcome.APPLIED);
+    try (Node restarted = new Node("a")) {
+      assertThat(restarted.find("r1")).isEmpty();
+      assertThat(restarted.soleOrigin()).isEmpty();
+      advance(OriginHistory.MAX_STREAM_AGE_MILLIS - 10_000);
+      assertThat(restarted.find("r1")).isEmpty();
+      assertThat(restarted.soleOrigin()).isEmpty();
+    }
+  }
+
   @Test
   void originIsUnknownWhileTheStoreDoesNotAnswer() {
     register("s1", "1");
@@ -171,4 +220,37 @@
       assertThat(b.find("r1")).isEmpty();
     }
   }
+
+  /** Deletions by the thousand filled the writer, so that new origins were not recorded. */
+  @Test
+  void newOriginsAreRecordedWhileManyOldRecordsAreRemoved() {
+    register("s1", "1");
+    register("s2", "2");
+    try (Node a = new Node("a");
+        Node b = new Node("b")) {
+      for (int i = 0; i < 4; i++) {
+        for (int stream = 0; stream < 1_500; stream++) {
+          a.origins.onBegun(ORGANISATION, "old-" + i + "-" + stream, OLD);
+          b.origins.onBegun(ORGANISATION, "older-" + i + "-" + stream, OLD);
+        }
+        advance(1_000);
+      }
+      assertThat(store.rows(StreamOrigins.TABLE)).hasSize(10_000); // The first of 12,000.
+      advance(OriginHistory.MAX_STREAM_AGE_MILLIS - 10_000);
+      List<String> recent = new ArrayList<>();
+      for (int step = 0; step < 4_000; step++) {
+        String id = "new-" + step;
+        recent.add(id);
+        (step % 2 == 0 ? a : b).origins.onBegun(ORGANISATION, id, NEW);
+        advance(10);
+      }
+      advance(SHARED_MILLIS);
+      try (Node c = new Node("c")) {
+        for (int step = 0; step < recent.size(); step += 100) {
+          assertThat(c.find(recent.get(step))).isEqualTo(Optional.of(NEW));
+          assertThat(c.find(recent.get(step + 1))).isEqualTo(Optional.of(NEW));
+        }
+      }
+    }
+  }
 }
