streams: infer an origin only from registrations read after the request

What callers saw: nothing here. The users report that a node which was out of step while samplers of a new software version joined continued streams of that version at another one.

Cause: the origin of a stream without a record, or of one whose first request the caller does not name, was inferred from the node's own view of the registrations if the last response had been handled less than 2 s before. The view lags by up to that, and a node that stood still takes a response from before for a new one.

Change: a node reads the changes of registrations that its view lacks from the store, as of a time after the request came, and infers only if they name no other version. Whoever began the stream had seen the version registered before, so the read holds it, whatever was recorded and whatever build that node runs. The age of the view is no longer used. Without an answer in 0.5 s the request is rejected as not run. Requests within 20 ms share a read.

--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -18,7 +18,9 @@
 import io.briarward.node.telemetry.EventLog;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -87,7 +89,30 @@
    * there are several or an unknown one.
    */
   public Optional<StreamOrigin> soleOrigin(ImmutableSet<String> services) {
-    return origins.sole(services, balancer.entries(), nowMillis());
+    return soleOrigin(services, ImmutableList.of());
+  }
+
+  /**
+   * Returns the origin of all streams of the given services that may still be taken up; empty if
+   * there are several or an unknown one.
+   *
+   * @param unseen changes of registrations that this view may lack
+   */
+  public Optional<StreamOrigin> soleOrigin(
+      ImmutableSet<String> services, ImmutableList<Change> unseen) {
+    List<UpstreamEntry> registered = new ArrayList<>(balancer.entries());
+    for (Change change : unseen) {
+      Optional<UpstreamEntry> entry =
+          change
+              .row()
+              .flatMap(row -> decoder.upstream(row.key(), row.value()))
+              .or(() -> balancer.entry(change.key()));
+      if (entry.isEmpty()) {
+        return Optional.empty(); // It may have been usable under a row that was replaced since.
+      }
+      registered.add(entry.get());
+    }
+    return origins.sole(services, registered, nowMillis());
   }
 
   /** Returns what this node tells the others about limited upstreams. */
--- a/node/src/main/java/io/briarward/node/fleet/TableWatch.java
+++ b/node/src/main/java/io/briarward/node/fleet/TableWatch.java
@@ -97,6 +97,19 @@
     return known() ? nowMillis() - lastContactMillis : Long.MAX_VALUE;
   }
 
+  /**
+   * Reads the changes that were not passed to the listener yet, as of a time after the call.
+   *
+   * <p>They are passed to the listener apart from this. Fails with an {@link IllegalStateException}
+   * if no snapshot is known, or with the feed's error.
+   */
+  public Single<ImmutableList<Change>> unseenChanges() {
+    if (!known()) {
+      return Single.error(new IllegalStateException("no snapshot of table " + table));
+    }
+    return feed.changes(table, version, 0).map(ChangeFeed.Changes::changes);
+  }
+
   /** Returns whether the store has responded at least once, so that its clock is known. */
   public boolean clockKnown() {
     return lastContactMillis != Long.MIN_VALUE;
--- a/node/src/main/java/io/briarward/node/gateway/ExchangeOrigin.java
+++ b/node/src/main/java/io/briarward/node/gateway/ExchangeOrigin.java
@@ -8,7 +8,6 @@
 import io.briarward.core.fleet.FleetRoute;
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.streams.StreamOrigin;
-import io.reactivex.rxjava3.core.Single;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -44,7 +43,7 @@
         call.resumption()
             .flatMap(LiveCall.Resumption::firstRequestId)
             .map(id -> context.origins().find(call.organisation(), id, services))
-            .orElseGet(() -> Single.just(context.origins().sole(services)))
+            .orElseGet(() -> context.origins().findSole(services))
             .subscribe(
                 origin -> {
                   if (origin.isEmpty()) {
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -165,7 +165,13 @@
     parts.push(crashes);
     StreamOrigins origins =
         StreamOrigins.start(
-            dependencies.tables(), nodes, fleet, upstreams::ageMillis, scheduler, log, incarnation);
+            dependencies.tables(),
+            nodes,
+            fleet,
+            upstreams::unseenChanges,
+            scheduler,
+            log,
+            incarnation);
     parts.push(origins);
     this.forwarder =
         new LiveForwarder(
--- a/node/src/main/java/io/briarward/node/streams/StreamOrigins.java
+++ b/node/src/main/java/io/briarward/node/streams/StreamOrigins.java
@@ -14,6 +14,7 @@
 import io.briarward.core.streams.StreamOrigin;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.NodeRegistry;
+import io.briarward.node.platform.ChangeFeed.Change;
 import io.briarward.node.platform.PacedRowWriter;
 import io.briarward.node.platform.TableService;
 import io.briarward.node.telemetry.EventLog;
@@ -26,7 +27,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Records at which software version each resumable stream began, so that any node can continue it
@@ -36,7 +37,8 @@
  * the origins are rows of the store. Nothing is recorded while this node has seen one software
  * version only for longer than a stream lasts; once it sees another one, it records what it has not
  * recorded yet. A stream without a record has an unknown origin, unless this node has seen one
- * version only as well. Confined to the event loop.
+ * version only as well and the store confirms that the node missed no other. Confined to the event
+ * loop.
  */
 public final class StreamOrigins implements AutoCloseable {
   /** The table of origins, with one row per stream. */
@@ -58,8 +60,8 @@
   /** How long a request waits for the origin of its stream; many times the store's usual answer. */
   private static final long READ_TIMEOUT_MILLIS = 500;
 
-  /** The age of the view of the registrations from which it does not tell origins. */
-  private static final long STALE_MILLIS = 2_000;
+  /** The delay of a confirmation, in which further requests join it; bounds the rate of reads. */
+  private static final long CONFIRMATION_DELAY_MILLIS = 20;
 
   /** The interval at which origins that became worth recording are passed to the writer. */
   private static final long SHARE_INTERVAL_MILLIS = 200;
@@ -70,13 +72,14 @@
   private final TableService tables;
   private final NodeRegistry nodes;
   private final FleetState fleet;
-  private final LongSupplier viewAgeMillis;
+  private final Supplier<Single<ImmutableList<Change>>> unseenChanges;
   private final Scheduler scheduler;
   private final EventLog log;
   private final String incarnation;
   private final PacedRowWriter<Begun> writer;
   private final Map<RowKey, StreamOrigin> remembered = new BoundedMap<>();
   private final Map<RowKey, Begun> unshared = new BoundedMap<>();
+  private Optional<Single<ImmutableList<Change>>> nextConfirmation = Optional.empty();
   private Optional<String> removedUpToKey = Optional.empty();
   private Disposable shareTimer = Disposable.disposed();
   private Disposable removalTimer = Disposable.disposed();
@@ -98,14 +101,14 @@
       TableService tables,
       NodeRegistry nodes,
       FleetState fleet,
-      LongSupplier viewAgeMillis,
+      Supplier<Single<ImmutableList<Change>>> unseenChanges,
       Scheduler scheduler,
       EventLog log,
       String incarnation) {
     this.tables = checkNotNull(tables, "tables");
     this.nodes = checkNotNull(nodes, "nodes");
     this.fleet = checkNotNull(fleet, "fleet");
-    this.viewAgeMillis = checkNotNull(viewAgeMillis, "viewAgeMillis");
+    this.unseenChanges = checkNotNull(unseenChanges, "unseenChanges");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.incarnation = checkNotNull(incarnation, "incarnation");
@@ -123,19 +126,19 @@
   /**
    * Starts to record origins and to remove old records.
    *
-   * @param viewAgeMillis returns the age of the fleet's view of the registrations
+   * @param unseenChanges reads the changes of registrations that the fleet's view lacks
    * @param incarnation the incarnation of this process, unique among all processes
    */
   public static StreamOrigins start(
       TableService tables,
       NodeRegistry nodes,
       FleetState fleet,
-      LongSupplier viewAgeMillis,
+      Supplier<Single<ImmutableList<Change>>> unseenChanges,
       Scheduler scheduler,
       EventLog log,
       String incarnation) {
     StreamOrigins origins =
-        new StreamOrigins(tables, nodes, fleet, viewAgeMillis, scheduler, log, incarnation);
+        new StreamOrigins(tables, nodes, fleet, unseenChanges, scheduler, log, incarnation);
     origins.shareTimer = Timers.every(scheduler, SHARE_INTERVAL_MILLIS, origins::onShareInterval);
     origins.removalTimer =
         Timers.every(scheduler, REMOVAL_INTERVAL_MILLIS, origins::removeOldRecords);
@@ -162,7 +165,7 @@
   }
 
   private boolean isSole(StreamOrigin origin) {
-    return sole(ImmutableSet.of(origin.service())).equals(Optional.of(origin));
+    return fleet.soleOrigin(ImmutableSet.of(origin.service())).equals(Optional.of(origin));
   }
 
   private void onShareInterval() {
@@ -209,7 +212,9 @@
         .read(key)
         .timeout(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler)
         .observeOn(scheduler)
-        .map(row -> row.map(StreamOrigins::decode).or(() -> sole(services)))
+        .flatMap(
+            row ->
+                row.isPresent() ? Single.just(row.map(StreamOrigins::decode)) : findSole(services))
         .onErrorReturn(
             error -> {
               log.warn("stream-origin-not-read", "id", firstRequestId, "cause", error.toString());
@@ -217,9 +222,42 @@
             });
   }
 
-  /** Returns the origin of all streams of the services, if this node can tell that it is one. */
-  public Optional<StreamOrigin> sole(ImmutableSet<String> services) {
-    return viewAgeMillis.getAsLong() < STALE_MILLIS ? fleet.soleOrigin(services) : Optional.empty();
+  /**
+   * Returns the origin of all streams of the services, if this node can tell that it is one.
+   *
+   * <p>This node's view of the registrations may be older than it seems, so the store must confirm
+   * that it lacks no other version. Another node learned of a version before it used it there.
+   */
+  public Single<Optional<StreamOrigin>> findSole(ImmutableSet<String> services) {
+    if (fleet.soleOrigin(services).isEmpty()) {
+      return Single.just(Optional.empty());
+    }
+    return nextConfirmation()
+        .map(unseen -> fleet.soleOrigin(services, unseen))
+        .onErrorReturn(
+            error -> {
+              log.warn("stream-origin-not-confirmed", "cause", error.toString());
+              return Optional.empty();
+            });
+  }
+
+  /** Returns a read that has not started yet, which all requests until then share. */
+  private Single<ImmutableList<Change>> nextConfirmation() {
+    if (nextConfirmation.isEmpty()) {
+      nextConfirmation =
+          Optional.of(
+              Single.timer(CONFIRMATION_DELAY_MILLIS, TimeUnit.MILLISECONDS, scheduler)
+                  .flatMap(
+                      unused -> {
+                        nextConfirmation = Optional.empty();
+                        return unseenChanges
+                            .get()
+                            .timeout(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler);
+                      })
+                  .observeOn(scheduler)
+                  .cache());
+    }
+    return nextConfirmation.get();
   }
 
   @Override
--- a/node/src/test/java/io/briarward/node/streams/StreamOriginsProperties.java
+++ b/node/src/test/java/io/briarward/node/streams/StreamOriginsProperties.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.NodeDemand;
+import io.briarward.core.streams.OriginHistory;
 import io.briarward.core.streams.StreamOrigin;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.Incarnations;
@@ -16,6 +17,7 @@
 import io.briarward.node.testing.FakeFleetDecoder;
 import io.briarward.node.testing.MemoryStore;
 import io.briarward.node.testing.MemoryStore.WriteOutcome;
+import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.ArrayList;
@@ -38,6 +40,8 @@
   private static final int NODES = 4;
   private static final int SAMPLERS = 4;
   private static final int STEPS = 150;
+  private static final int ROUNDS = 5;
+  private static final int STEPS_PER_ROUND = 12;
 
   /** Streams are taken up within the age for which origins are kept. */
   private static final long MAX_TAKE_UP_MILLIS = 110_000;
@@ -59,6 +63,14 @@
         .isAtMost(simulation.takenUp);
   }
 
+  /** Nodes that have long seen one version are out of step while another one comes. */
+  @Property(tries = 40, seed = "4103", shrinking = ShrinkingMode.OFF)
+  void nodesOutOfStepDoNotContinueStreamsAtAnotherSoftwareVersion(@ForAll long seed) {
+    Simulation simulation = new Simulation(seed, true);
+    simulation.runOutOfStep();
+    assertWithMessage("seed %s", seed).that(simulation.joined).isEmpty();
+  }
+
   private static final class Simulation {
     final List<String> joined = new ArrayList<>();
     int takenUp;
@@ -82,6 +94,7 @@
 
     private final class Node {
       final String name;
+      final HeldFeed feed = new HeldFeed(store);
       final FleetState fleet;
       final TableWatch upstreams;
       final NodeRegistry registry;
@@ -94,13 +107,13 @@
         fleet = FleetState.create(decoder, scheduler, log, "nadi", LimitShares.create(name));
         upstreams =
             TableWatch.start(
-                store, scheduler, log, decoder.upstreamTable(), 20, fleet.upstreamRows());
+                feed, scheduler, log, decoder.upstreamTable(), 20, fleet.upstreamRows());
         registry =
             NodeRegistry.start(
                 store, store, scheduler, log, name, incarnation, () -> NodeDemand.NONE);
         origins =
             StreamOrigins.start(
-                store, registry, fleet, upstreams::ageMillis, scheduler, log, incarnation);
+                store, registry, fleet, upstreams::unseenChanges, scheduler, log, incarnation);
       }
 
       void kill() {
@@ -111,6 +124,39 @@
     }
 
     void run() {
+      start();
+      for (int step = 0; step < STEPS; step++) {
+        act(step);
+        advance(random.nextInt(20) == 0 ? 60_000 : random.nextInt(1_500));
+      }
+    }
+
+    /** Lets a version come while some nodes hear of nothing, after a long time of one version. */
+    void runOutOfStep() {
+      start();
+      for (int round = 0; round < ROUNDS; round++) {
+        nextVersion++;
+        for (int i = 0; i < SAMPLERS; i++) {
+          register(i, Integer.toString(nextVersion));
+        }
+        advance(OriginHistory.MAX_STREAM_AGE_MILLIS + 1_000);
+        nodes.stream().filter(unused -> random.nextBoolean()).forEach(node -> node.feed.hold());
+        nextVersion++;
+        register(random.nextInt(SAMPLERS), Integer.toString(nextVersion));
+        for (int step = 0; step < STEPS_PER_ROUND; step++) {
+          advance(random.nextInt(100));
+          act(round * STEPS_PER_ROUND + step);
+          if (random.nextInt(4) == 0) {
+            randomNode().feed.release();
+          }
+        }
+        nodes.forEach(node -> node.feed.release());
+        store.setDown(false);
+        store.setWriteOutcomes(transaction -> WriteOutcome.APPLIED);
+      }
+    }
+
+    private void start() {
       for (int i = 0; i < SAMPLERS; i++) {
         register(i, "1");
       }
@@ -118,10 +164,6 @@
         nodes.add(new Node("n" + i));
       }
       advance(1_000);
-      for (int step = 0; step < STEPS; step++) {
-        act(step);
-        advance(random.nextInt(20) == 0 ? 60_000 : random.nextInt(1_500));
-      }
     }
 
     private void act(int step) {
@@ -188,6 +230,14 @@
       node.origins.onBegun(ORGANISATION, requestId, origin);
     }
 
+    /** Some callers do not name the request that brought the first event. */
+    private Single<Optional<StreamOrigin>> find(StreamOrigins origins, String requestId) {
+      ImmutableSet<String> services = ImmutableSet.of(FakeFleetDecoder.SAMPLERS);
+      return storeFails && random.nextBoolean()
+          ? origins.findSole(services)
+          : origins.find(ORGANISATION, requestId, services);
+    }
+
     private void takeUp() {
       long sinceMillis = scheduler.now(TimeUnit.MILLISECONDS) - MAX_TAKE_UP_MILLIS;
       open.removeIf(requestId -> begunAtMillis.get(requestId) < sinceMillis);
@@ -195,11 +245,7 @@
         return;
       }
       String requestId = open.remove(random.nextInt(open.size()));
-      TestObserver<Optional<StreamOrigin>> found =
-          randomNode()
-              .origins
-              .find(ORGANISATION, requestId, ImmutableSet.of(FakeFleetDecoder.SAMPLERS))
-              .test();
+      TestObserver<Optional<StreamOrigin>> found = find(randomNode().origins, requestId).test();
       advance(1_000);
       takenUp++;
       Optional<StreamOrigin> origin = found.values().get(0);
--- a/node/src/test/java/io/briarward/node/streams/StreamOriginsTest.java
+++ b/node/src/test/java/io/briarward/node/streams/StreamOriginsTest.java
@@ -35,6 +35,7 @@
   private final FakeFleetDecoder decoder = new FakeFleetDecoder();
 
   private final class Node implements AutoCloseable {
+    final HeldFeed feed = new HeldFeed(store);
     final FleetState fleet;
     final TableWatch upstreams;
     final NodeRegistry nodes;
@@ -45,14 +46,13 @@
       String incarnation = Incarnations.create(name, "10.0.0.1");
       fleet = FleetState.create(decoder, scheduler, log, "nadi", LimitShares.create(name));
       upstreams =
-          TableWatch.start(
-              store, scheduler, log, decoder.upstreamTable(), 20, fleet.upstreamRows());
+          TableWatch.start(feed, scheduler, log, decoder.upstreamTable(), 20, fleet.upstreamRows());
       nodes =
           NodeRegistry.start(
               store, store, scheduler, log, name, incarnation, () -> NodeDemand.NONE);
       origins =
           StreamOrigins.start(
-              store, nodes, fleet, upstreams::ageMillis, scheduler, log, incarnation);
+              store, nodes, fleet, upstreams::unseenChanges, scheduler, log, incarnation);
       advance(SHARED_MILLIS);
     }
 
@@ -64,7 +64,10 @@
     }
 
     Optional<StreamOrigin> soleOrigin() {
-      return origins.sole(ImmutableSet.of(FakeFleetDecoder.SAMPLERS));
+      TestObserver<Optional<StreamOrigin>> observer =
+          origins.findSole(ImmutableSet.of(FakeFleetDecoder.SAMPLERS)).test();
+      advance(1_000);
+      return observer.values().get(0);
     }
 
     @Override
@@ -253,4 +256,74 @@
       }
     }
   }
+
+  /** Lets a stream begin at a new version, unrecorded, while node {@code b} learns of nothing. */
+  private void beginAtVersionUnseenBy(Node b, Node a) {
+    advance(REMOVED_MILLIS);
+    register("s1", "1"); // A heartbeat, after which the view of b is new.
+    advance(100);
+    b.feed.hold();
+    register("s2", "2");
+    advance(100);
+    store.setWriteOutcomes(transaction -> WriteOutcome.REJECTED);
+    a.origins.onBegun(ORGANISATION, "r1", NEW);
+    a.close();
+    advance(100);
+  }
+
+  /** A node whose link was cut for a moment took the version that it knew for the only one. */
+  @Test
+  void nodeThatDidNotHearOfNewVersionDoesNotInferTheOrigin() {
+    register("s1", "1");
+    Node a = new Node("a");
+    try (Node b = new Node("b")) {
+      beginAtVersionUnseenBy(b, a);
+      assertThat(b.soleOrigin()).isEmpty();
+      assertThat(b.find("r1")).isEmpty();
+    }
+  }
+
+  /** A node that had stood still took a response from before that for a new one. */
+  @Test
+  void nodeThatHandlesLateResponseDoesNotInferTheOrigin() {
+    register("s1", "1");
+    Node a = new Node("a");
+    try (Node b = new Node("b")) {
+      beginAtVersionUnseenBy(b, a);
+      advance(1_900);
+      b.feed.release();
+      b.feed.hold();
+      advance(100);
+      assertThat(b.soleOrigin()).isEmpty();
+      assertThat(b.find("r1")).isEmpty();
+    }
+  }
+
+  /** The new version came and went while the node heard of nothing. */
+  @Test
+  void nodeThatHearsOnlyOfTheEndOfUnknownUpstreamDoesNotInferTheOrigin() {
+    register("s1", "1");
+    Node a = new Node("a");
+    try (Node b = new Node("b")) {
+      beginAtVersionUnseenBy(b, a);
+      store.remove(decoder.upstreamTable(), "s2");
+      advance(100);
+      assertThat(b.soleOrigin()).isEmpty();
+      assertThat(b.find("r1")).isEmpty();
+    }
+  }
+
+  @Test
+  void nodeBehindInfersTheOriginWhileItMissedNothingOfOtherVersions() {
+    register("s1", "1");
+    try (Node b = new Node("b")) {
+      advance(REMOVED_MILLIS);
+      b.feed.hold();
+      register("s1", "1");
+      register("s2", "1");
+      advance(100);
+      assertThat(b.soleOrigin()).isEqualTo(Optional.of(OLD));
+      assertThat(b.find("r1")).isEqualTo(Optional.of(OLD));
+    }
+  }
 }
