streams: infer no origin after the services of streams have changed

What callers saw: nothing here; found while looking into streams at a node out of step. A stream without a record that was taken up after its route had moved to another service went on at that service.

Cause: a node inferred the origin from the versions of the services that the route names now. The stream may have begun at a service that it named before.

--- a/core/src/main/java/io/briarward/core/streams/OriginHistory.java
+++ b/core/src/main/java/io/briarward/core/streams/OriginHistory.java
@@ -34,7 +34,10 @@
     return new OriginHistory();
   }
 
-  /** Handles a reading of all registrations, before which some may have been missed. */
+  /**
+   * Handles an event before which streams may have begun at an origin that this history lacks, such
+   * as a reading of all registrations, before which some may have been missed.
+   */
   public void onGap(long nowMillis) {
     completeSinceMillis = nowMillis;
   }
--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -5,7 +5,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSetMultimap;
 import io.briarward.core.fleet.FleetConfiguration;
+import io.briarward.core.fleet.FleetRoute;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.NodeDemand;
 import io.briarward.core.fleet.UpstreamBalancer;
@@ -243,6 +245,13 @@
     if (configuration.filter(current -> current.version() >= candidate.version()).isPresent()) {
       return;
     }
+    boolean streamsMoved =
+        configuration
+            .filter(current -> !streamServices(current).equals(streamServices(candidate)))
+            .isPresent();
+    if (streamsMoved) {
+      origins.onGap(nowMillis()); // Streams of a route may have begun at any of its services.
+    }
     configuration = Optional.of(candidate);
     log.info(
         "configuration",
@@ -254,6 +263,16 @@
         candidate.organisationByKey().size());
   }
 
+  /** Returns the services on which the resumable streams of each host and path prefix run. */
+  private static ImmutableSetMultimap<String, String> streamServices(
+      FleetConfiguration configuration) {
+    return configuration.routes().stream()
+        .filter(route -> route.kind() == FleetRoute.Kind.RESUMABLE_STREAM)
+        .collect(
+            ImmutableSetMultimap.flatteningToImmutableSetMultimap(
+                route -> route.host() + route.pathPrefix(), route -> route.services().stream()));
+  }
+
   private void onAnnouncement(FleetDecoder.Announcement announcement) {
     long previous = announced.getOrDefault(announcement.model(), 0L);
     if (announcement.version() > previous) {
--- a/node/src/test/java/io/briarward/node/streams/StreamOriginsTest.java
+++ b/node/src/test/java/io/briarward/node/streams/StreamOriginsTest.java
@@ -2,15 +2,18 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.NodeDemand;
+import io.briarward.core.platform.Row;
 import io.briarward.core.streams.OriginHistory;
 import io.briarward.core.streams.StreamOrigin;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.Incarnations;
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.fleet.TableWatch;
+import io.briarward.node.platform.ChangeFeed;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.testing.FakeFleetDecoder;
 import io.briarward.node.testing.MemoryStore;
@@ -57,8 +60,12 @@
     }
 
     Optional<StreamOrigin> find(String requestId) {
+      return find(requestId, FakeFleetDecoder.SAMPLERS);
+    }
+
+    Optional<StreamOrigin> find(String requestId, String service) {
       TestObserver<Optional<StreamOrigin>> observer =
-          origins.find(ORGANISATION, requestId, ImmutableSet.of(FakeFleetDecoder.SAMPLERS)).test();
+          origins.find(ORGANISATION, requestId, ImmutableSet.of(service)).test();
       advance(1_000);
       return observer.values().get(0);
     }
@@ -326,4 +333,31 @@
       assertThat(b.find("r1")).isEqualTo(Optional.of(OLD));
     }
   }
+
+  private void configure(Node node, long version, String streamService) {
+    String key = decoder.configurationKey();
+    Row row = new Row(key, version, FakeFleetDecoder.configurationRow(version, streamService));
+    node.fleet
+        .operatorRows()
+        .onChanges(ImmutableList.of(new ChangeFeed.Change(key, Optional.of(row))));
+  }
+
+  /** The only version of the service that streams had just moved to was taken for the origin. */
+  @Test
+  void onlyVersionOfServiceThatStreamsMovedToIsNotTakenForTheOrigin() {
+    register("s1", "1");
+    store.put(decoder.upstreamTable(), "d1", FakeFleetDecoder.scorerRow(FakeFleetDecoder.SCORERS));
+    Node a = new Node("a");
+    try (Node b = new Node("b")) {
+      configure(b, 1, FakeFleetDecoder.SAMPLERS);
+      advance(REMOVED_MILLIS);
+      a.origins.onBegun(ORGANISATION, "r1", OLD);
+      a.close();
+      configure(b, 2, FakeFleetDecoder.SCORERS);
+      assertThat(b.find("r1", FakeFleetDecoder.SCORERS)).isEmpty();
+      configure(b, 3, FakeFleetDecoder.SCORERS);
+      advance(REMOVED_MILLIS);
+      assertThat(b.find("r2", FakeFleetDecoder.SCORERS)).isPresent();
+    }
+  }
 }
--- a/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
+++ b/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
@@ -11,8 +11,8 @@
 import java.util.Optional;
 
 /**
- * A decoder of a simplified row format, with a batch route, a route of reward calls and the service
- * of each.
+ * A decoder of a simplified row format, with routes of batches, streams and reward calls and the
+ * service of each.
  */
 public final class FakeFleetDecoder implements FleetDecoder {
   /** The id of the service on which batches run. */
@@ -32,6 +32,14 @@
     return JsonNodeFactory.instance.objectNode().put("version", version);
   }
 
+  /** Returns a configuration row in which resumable streams run on the given service. */
+  public static JsonNode configurationRow(long version, String streamService) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("version", version)
+        .put("streamService", streamService);
+  }
+
   /** Returns the row of a sampler that has a weight version of the model {@code m} loaded. */
   public static JsonNode samplerRow(long version, boolean leaving) {
     return JsonNodeFactory.instance.objectNode().put("version", version).put("leaving", leaving);
@@ -102,6 +110,21 @@
                 7_500,
                 40_000,
                 false),
+            new FleetRoute(
+                "streams",
+                HOST,
+                "/t/",
+                FleetRoute.Kind.RESUMABLE_STREAM,
+                ImmutableList.of(
+                    new FleetRoute.Target(value.path("streamService").asText(SAMPLERS), 1)),
+                10_000,
+                500,
+                3,
+                0,
+                false,
+                0,
+                0,
+                false),
             rewardRoute("rewards", "/r/", SCORERS),
             rewardRoute("other-rewards", "/s/", OTHER_SCORERS)),
         ImmutableMap.of(),
