TableWatch: go on after a listener overflowed the stack

A table was no longer followed, without a log line, once its listener had failed with an error of the virtual machine.

The watch handled the listener's exceptions but not its errors. RxJava rethrows a VirtualMachineError and a LinkageError instead of passing them to the subscriber, so the next poll was never scheduled.

Evidence: both new tests of TableWatchTest failed before with "missing: b", the row that was written after the failure. No row is known with which a listener overflows the stack today.

The next poll is scheduled whatever the listener throws. A StackOverflowError and a LinkageError are logged as table-rows-failed; an OutOfMemoryError still passes.

--- a/node/src/main/java/io/briarward/node/fleet/TableWatch.java
+++ b/node/src/main/java/io/briarward/node/fleet/TableWatch.java
@@ -136,8 +136,7 @@
     recordContact(snapshot.clockMillis());
     version = snapshot.version();
     log.info("table-read", "table", table, "version", version, "rows", snapshot.rows().size());
-    deliver(() -> listener.onSnapshot(snapshot.rows()));
-    schedulePoll(0);
+    deliver(() -> listener.onSnapshot(snapshot.rows()), 0);
   }
 
   private void onChanges(ChangeFeed.Changes changes) {
@@ -147,16 +146,22 @@
       schedulePoll(0);
       return;
     }
-    deliver(() -> listener.onChanges(changes.changes()));
-    schedulePoll(pauseMillis);
+    deliver(() -> listener.onChanges(changes.changes()), pauseMillis);
   }
 
-  /** Passes rows to the listener, whose failure must not end the watch. */
-  private void deliver(Runnable rows) {
+  /**
+   * Passes rows to the listener, whose failure must not end the watch, and polls again.
+   *
+   * <p>The subscription passes no error of the virtual machine to {@link #onFailure}. Those that
+   * say nothing about the process as a whole are handled here; the watch outlasts the others.
+   */
+  private void deliver(Runnable rows, long delayMillis) {
     try {
       rows.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError | LinkageError e) {
       log.warn("table-rows-failed", "table", table, "version", version, "cause", e.toString());
+    } finally {
+      schedulePoll(delayMillis);
     }
   }
 
--- a/node/src/test/java/io/briarward/node/fleet/TableWatchTest.java
+++ b/node/src/test/java/io/briarward/node/fleet/TableWatchTest.java
@@ -30,27 +30,32 @@
     if (row.key().equals("bad")) {
       throw new IllegalStateException("a defect in the handling of one row");
     }
+    if (row.key().equals("deep")) {
+      throw new StackOverflowError("a value that is nested too deeply");
+    }
     keys.add(row.key());
   }
 
+  private TableWatch.Listener listener() {
+    return new TableWatch.Listener() {
+      @Override
+      public void onSnapshot(ImmutableList<Row> rows) {
+        rows.forEach(row -> add(row));
+      }
+
+      @Override
+      public void onChanges(ImmutableList<Change> changes) {
+        changes.forEach(change -> change.row().ifPresent(row -> add(row)));
+      }
+    };
+  }
+
   /** A watch that ended with the first defect would never see another configuration. */
   @Test
   void watchGoesOnAfterItsListenerFailed() {
-    TableWatch.Listener listener =
-        new TableWatch.Listener() {
-          @Override
-          public void onSnapshot(ImmutableList<Row> rows) {
-            rows.forEach(row -> add(row));
-          }
-
-          @Override
-          public void onChanges(ImmutableList<Change> changes) {
-            changes.forEach(change -> change.row().ifPresent(row -> add(row)));
-          }
-        };
     put("a");
     try (TableWatch watch =
-        TableWatch.start(store, scheduler, EventLog.create(scheduler), TABLE, 20, listener)) {
+        TableWatch.start(store, scheduler, EventLog.create(scheduler), TABLE, 20, listener())) {
       scheduler.advanceTimeBy(500, TimeUnit.MILLISECONDS);
       put("bad");
       put("b");
@@ -58,4 +63,38 @@
       assertThat(watch.known()).isTrue();
     }
   }
+
+  /** Errors of the virtual machine pass through the subscription and ended the watch silently. */
+  @Test
+  void watchGoesOnAfterItsListenerOverflowedTheStack() {
+    put("a");
+    try (TableWatch watch =
+        TableWatch.start(store, scheduler, EventLog.create(scheduler), TABLE, 20, listener())) {
+      scheduler.advanceTimeBy(500, TimeUnit.MILLISECONDS);
+      try {
+        put("deep");
+      } catch (StackOverflowError e) {
+        assertThat(e).hasMessageThat().contains("nested");
+      }
+      put("b");
+      assertThat(keys).containsExactly("a", "b").inOrder();
+      assertThat(watch.known()).isTrue();
+    }
+  }
+
+  @Test
+  void watchGoesOnAfterItsListenerOverflowedTheStackOnTheSnapshot() {
+    put("deep");
+    try (TableWatch watch =
+        TableWatch.start(store, scheduler, EventLog.create(scheduler), TABLE, 20, listener())) {
+      try {
+        scheduler.advanceTimeBy(500, TimeUnit.MILLISECONDS);
+      } catch (StackOverflowError e) {
+        assertThat(e).hasMessageThat().contains("nested");
+      }
+      put("b");
+      assertThat(keys).containsExactly("b");
+      assertThat(watch.known()).isTrue();
+    }
+  }
 }
