FleetState: an odd row hides no other, and its cause is logged once

One row whose decoding failed in an unforeseen way kept the rows after it in the same page from being read, and left the upstream that it had named before in use. A row that was rejected as foreseen was logged without the reason, each time that it was written.

FleetDecoder.upstream returned empty for a malformed row, which hid the reason, and any other exception passed through the loop over the page.

With the decoder of the platform no input is known that throws anything but the documented exception.

The decoder throws with the reason; each row is handled on its own, and one that fails removes its upstream.

--- a/node/src/main/java/io/briarward/node/fleet/FleetDecoder.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetDecoder.java
@@ -34,6 +34,10 @@
   /** Decodes an announcement; empty if the row does not hold one. */
   Optional<Announcement> announcement(String key, JsonNode value);
 
-  /** Decodes the registration of an upstream; empty if the upstream cannot be used. */
-  Optional<UpstreamEntry> upstream(String id, JsonNode value);
+  /**
+   * Decodes the registration of an upstream.
+   *
+   * @throws IllegalArgumentException if it is malformed, so that it names no upstream
+   */
+  UpstreamEntry upstream(String id, JsonNode value);
 }
--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -42,6 +42,7 @@
   private final OriginHistory origins = OriginHistory.create();
   private final Map<String, Long> announced = new HashMap<>();
   private final Map<String, Disposable> pendingRemovals = new HashMap<>();
+  private final RejectedRows rejectedUpstreams = new RejectedRows();
   private Optional<FleetConfiguration> configuration = Optional.empty();
   private long recoveredAtMillis = Long.MIN_VALUE / 2;
   private boolean upstreamsKnown;
@@ -177,6 +178,7 @@
         origins.onGap(nowMillis());
         ImmutableSet<String> present =
             rows.stream().map(Row::key).collect(ImmutableSet.toImmutableSet());
+        rejectedUpstreams.retain(present);
         rows.forEach(row -> onUpstreamRow(row));
         balancer.entries().stream()
             .map(UpstreamEntry::id)
@@ -239,15 +241,33 @@
   }
 
   private void onUpstreamRow(Row row) {
-    Optional<UpstreamEntry> decoded = decoder.upstream(row.key(), row.value());
-    if (decoded.isEmpty()) {
-      log.warn("upstream-row-rejected", "upstream", row.key(), "rowVersion", row.version());
-      remove(row.key());
-      return;
+    try {
+      onUpstream(decoder.upstream(row.key(), row.value()), row.version());
+      rejectedUpstreams.remove(row.key());
+    } catch (RuntimeException e) {
+      reject(row, RejectedRows.cause(e));
+    }
+  }
+
+  /** Handles a row that names no upstream, so that what it named before is gone. */
+  private void reject(Row row, String cause) {
+    if (rejectedUpstreams.add(row.key(), cause)) {
+      log.warn(
+          "upstream-row-rejected",
+          "upstream",
+          row.key(),
+          "rowVersion",
+          row.version(),
+          "cause",
+          cause);
     }
-    pendingRemovals.getOrDefault(row.key(), Disposable.disposed()).dispose();
-    Optional<UpstreamEntry> previous = balancer.entry(decoded.get().id());
-    UpstreamEntry entry = balancer.put(decoded.get());
+    remove(row.key());
+  }
+
+  private void onUpstream(UpstreamEntry decoded, long rowVersion) {
+    pendingRemovals.getOrDefault(decoded.id(), Disposable.disposed()).dispose();
+    Optional<UpstreamEntry> previous = balancer.entry(decoded.id());
+    UpstreamEntry entry = balancer.put(decoded);
     previous
         .filter(replaced -> !StreamOrigin.of(replaced).equals(StreamOrigin.of(entry)))
         .ifPresent(replaced -> origins.onReplaced(replaced, nowMillis()));
@@ -267,11 +287,12 @@
           "versions",
           entry.modelVersions(),
           "rowVersion",
-          row.version());
+          rowVersion);
     }
   }
 
   private void onUpstreamRemoved(String id) {
+    rejectedUpstreams.remove(id);
     long sinceRecoveryMillis = nowMillis() - recoveredAtMillis;
     if (sinceRecoveryMillis >= EXPIRED_ENTRY_GRACE_MILLIS) {
       log.info("upstream-gone", "upstream", id);
--- a/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
+++ b/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
@@ -1,5 +1,7 @@
 package io.briarward.node.testing;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
@@ -27,6 +29,9 @@
   /** The host of the routes. */
   public static final String HOST = "mill.example";
 
+  /** The version of a row of a sampler that cannot be decoded for a reason not foreseen. */
+  public static final long UNFORESEEN_VERSION = -7;
+
   /** Returns a configuration row, in which only the version varies. */
   public static JsonNode configurationRow(long version) {
     return JsonNodeFactory.instance.objectNode().put("version", version);
@@ -116,22 +121,22 @@
   }
 
   @Override
-  public Optional<UpstreamEntry> upstream(String id, JsonNode value) {
-    if (!value.has("version")) {
-      return Optional.empty();
+  public UpstreamEntry upstream(String id, JsonNode value) {
+    checkArgument(value.has("version"), "version is missing");
+    if (value.path("version").asLong() == UNFORESEEN_VERSION) {
+      throw new ArithmeticException("integer overflow");
     }
-    return Optional.of(
-        new UpstreamEntry(
-            id,
-            value.path("service").asText(SAMPLERS),
-            "nadi",
-            "10.0.0.1",
-            80,
-            1,
-            4,
-            value.path("leaving").asBoolean(),
-            false,
-            value.path("software").asText("1"),
-            ImmutableMap.of("m", value.path("version").asLong())));
+    return new UpstreamEntry(
+        id,
+        value.path("service").asText(SAMPLERS),
+        "nadi",
+        "10.0.0.1",
+        80,
+        1,
+        4,
+        value.path("leaving").asBoolean(),
+        false,
+        value.path("software").asText("1"),
+        ImmutableMap.of("m", value.path("version").asLong()));
   }
 }
