EventLog: a value cannot begin another line

Control characters and line separators are replaced by a question mark, and a value is shortened to 2,000 characters.

--- a/node/src/main/java/io/briarward/node/telemetry/EventLog.java
+++ b/node/src/main/java/io/briarward/node/telemetry/EventLog.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.base.Ascii;
+import com.google.common.base.CharMatcher;
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
@@ -11,8 +13,9 @@
  * A log of structured events, one line each, limited by a token bucket.
  *
  * <p>A line has the form {@code event=NAME key=value ...}. Events above the rate are dropped; the
- * number of dropped lines is logged before the next line that the rate permits. Confined to one
- * event loop.
+ * number of dropped lines is logged before the next line that the rate permits. A value is
+ * shortened to {@value #MAX_VALUE_CHARS} characters, and its control characters are replaced.
+ * Confined to one event loop.
  */
 public final class EventLog {
   /** The capacity of the bucket: the lines that a busy node usually writes in a second. */
@@ -21,6 +24,13 @@
   /** The sustained rate, about 20 KB per second. */
   private static final int LINES_PER_SECOND = 200;
 
+  /** Other writers choose some of the values. */
+  private static final int MAX_VALUE_CHARS = 2_000;
+
+  /** Control characters, and the separators that some readers take for the end of a line. */
+  private static final CharMatcher LINE_BREAKING =
+      CharMatcher.javaIsoControl().or(CharMatcher.anyOf("\u2028\u2029"));
+
   private final Scheduler scheduler;
   private double tokens = MAX_BURST_LINES;
   private long refilledAtMillis;
@@ -72,12 +82,14 @@
     return true;
   }
 
-  private static String format(String event, Object... fields) {
+  static String format(String event, Object... fields) {
     checkArgument(fields.length % 2 == 0, "fields has %s entries, expected pairs", fields.length);
     StringBuilder line = new StringBuilder("event=").append(event);
     for (int i = 0; i < fields.length; i += 2) {
       line.append(' ').append(fields[i]).append('=');
-      String value = String.valueOf(fields[i + 1]);
+      String value =
+          LINE_BREAKING.replaceFrom(
+              Ascii.truncate(String.valueOf(fields[i + 1]), MAX_VALUE_CHARS, "..."), '?');
       line.append(value.indexOf(' ') < 0 ? value : '"' + value.replace('"', '\'') + '"');
     }
     return line.toString();
