Rows of nodes: skip numbers and addresses that cannot be used

A row of the table of nodes that holds a need of 1e400 requests a second took the shares of all other nodes in an upstream's limit, one with a limit that is no number stopped all requests to that upstream, and a relay address without a port made the choice of a relay throw. Only a fault of a node or another writer leaves such rows; none was seen.

The effects on shares and relays are read from the code, not shown.

The codecs pass over numbers that are not finite, values that are no numbers, and addresses without a host or port. Rows of the build before are read as before.

--- a/node/src/main/java/io/briarward/node/fleet/NodeDemandCodec.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeDemandCodec.java
@@ -26,13 +26,17 @@
     }
   }
 
-  /** Returns the demand in a row; a row without one is that of a node without demand. */
+  /**
+   * Returns the demand in a row, without numbers that are not finite; a row without one is that of
+   * a node without demand.
+   */
   static NodeDemand read(JsonNode row) {
     return new NodeDemand(readMap(row.path(NEEDED)), readMap(row.path(LIMITS)));
   }
 
   private static ImmutableMap<String, Double> readMap(JsonNode object) {
     return object.properties().stream()
+        .filter(e -> e.getValue().isNumber() && Double.isFinite(e.getValue().asDouble()))
         .collect(
             ImmutableMap.toImmutableMap(
                 e -> e.getKey(), e -> Math.max(0, e.getValue().asDouble())));
--- a/node/src/main/java/io/briarward/node/fleet/RelayOfferCodec.java
+++ b/node/src/main/java/io/briarward/node/fleet/RelayOfferCodec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.net.HostAndPort;
 import io.briarward.core.fleet.RelayOffer;
 import java.util.Optional;
 
@@ -22,12 +23,24 @@
     }
   }
 
-  /** Returns the offer in a row; a row without one is that of a node that offers nothing. */
+  /**
+   * Returns the offer in a row; a row without an address that names a host and a port is that of a
+   * node that accepts no requests of others.
+   */
   static RelayOffer read(JsonNode row) {
     ImmutableSet.Builder<String> services = ImmutableSet.builder();
     row.path(CUT_OFF).forEach(service -> services.add(service.asText()));
     return new RelayOffer(
-        Optional.of(row.path(ADDRESS).asText()).filter(address -> !address.isEmpty()),
+        Optional.of(row.path(ADDRESS).asText()).filter(RelayOfferCodec::hasHostAndPort),
         services.build());
   }
+
+  private static boolean hasHostAndPort(String address) {
+    try {
+      HostAndPort parsed = HostAndPort.fromString(address);
+      return !parsed.getHost().isEmpty() && parsed.getPortOrDefault(0) > 0;
+    } catch (IllegalArgumentException e) {
+      return false;
+    }
+  }
 }
--- a/node/src/test/java/io/briarward/node/fleet/NodeDemandCodecTest.java
+++ b/node/src/test/java/io/briarward/node/fleet/NodeDemandCodecTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableMap;
@@ -31,4 +32,17 @@
     row.put("neededPerSecond", 3).put("limitsPerSecond", "many");
     assertThat(NodeDemandCodec.read(row)).isEqualTo(NodeDemand.NONE);
   }
+
+  /** A need without bound took the shares of all other nodes. */
+  @Test
+  void needsWithoutBoundAreNotRead() throws Exception {
+    String odd =
+        """
+        {"neededPerSecond": {"u/7": 1e400, "v/8": 2, "w/9": "many", "x/1": 1e999999999},
+         "limitsPerSecond": {"u/7": 1e400, "v/8": 99999999999999999999}}
+        """;
+    NodeDemand demand = NodeDemandCodec.read(new ObjectMapper().readTree(odd));
+    assertThat(demand.neededPerSecondByInstance()).containsExactly("v/8", 2.0);
+    assertThat(demand.limitsByInstance()).containsExactly("v/8", 1e20);
+  }
 }
