http: take a connection with stray bytes out of the pool before its response ends

What callers saw: a request that waits for a connection of a full pool (48 an upstream, 16 for the store and orders) fails with "Connection was closed" if the connection that it gets had bytes after the end of a response. Nothing was sent, but a failure after the connection was handed out counts as a request that may have run: 502 if it must not run twice.

Cause: ResponseBoundaryGuard closed the connection from the first handler of the pipeline, so the close passed by the handler of the HTTP client. The client learned of it by the later inactive event; the end of the response, delivered in between, put the connection back into the pool.

Evidence: HttpClientsTest.requestThatWaitsForConnectionWithStrayBytesIsSentOnAnother failed before: of five requests on a pool of one connection, the second got "HttpClosedException: Connection was closed".

Change: the channel is closed through all handlers. The client then evicts the connection at once, and the waiting request opens another one.

Measured: HttpClientsTest 2 of 2, ResponseBoundaryGuardTest 7 of 7. The second test of HttpClientsTest passed before as well: with the HTTP client's own decoder, no length of the beginning of a success is completed by a failure.

--- a/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
+++ b/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
@@ -138,7 +138,8 @@
     private void close(ChannelHandlerContext context, Position position, ByteBuf strayBytes) {
       strayBytes.release();
       reject(position);
-      context.close();
+      // Through all handlers, so that the client takes the connection out of its pool at once.
+      context.channel().close();
     }
   }
 
