--- a/node/src/main/java/io/briarward/node/http/HttpClients.java
+++ b/node/src/main/java/io/briarward/node/http/HttpClients.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.PoolOptions;
 
 /**
@@ -25,4 +26,14 @@
         .withConnectHandler(connection -> ResponseBoundaryGuard.install(connection, LOG))
         .build();
   }
+
+  /**
+   * Returns whether a request is the first one on its connection, so that the response cannot
+   * belong to an earlier request.
+   *
+   * @param request a request of a client that this class created; called on its event loop
+   */
+  public static boolean isFirstExchange(HttpClientRequest request) {
+    return ResponseBoundaryGuard.isFirstExchange(request.connection());
+  }
 }
--- a/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
+++ b/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
@@ -5,6 +5,7 @@
 import com.google.common.annotations.VisibleForTesting;
 import io.briarward.core.forwarding.JoinedHeads;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -15,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
@@ -32,9 +34,13 @@
  * connection.
  */
 final class ResponseBoundaryGuard {
+  private static final AttributeKey<ResponseBoundaryGuard> GUARD =
+      AttributeKey.valueOf(ResponseBoundaryGuard.class, "guard");
+
   private final Listener listener;
   private final SocketAddress server;
   private final MessageHandler messageHandler = new MessageHandler();
+  private int sentRequests;
   private int awaitedResponses;
   private boolean decoding;
   private boolean rejecting;
@@ -93,10 +99,22 @@
   @VisibleForTesting
   static void install(ChannelHandlerContext client, SocketAddress server, Listener listener) {
     ResponseBoundaryGuard guard = new ResponseBoundaryGuard(listener, server);
+    client.channel().attr(GUARD).set(guard);
     client.pipeline().addFirst(guard.new ByteHandler());
     client.pipeline().addBefore(client.name(), null, guard.messageHandler);
   }
 
+  /** Returns whether at most one request was sent on a guarded connection. */
+  static boolean isFirstExchange(HttpConnection connection) {
+    return isFirstExchange(
+        ((HttpClientConnectionInternal) connection).channelHandlerContext().channel());
+  }
+
+  @VisibleForTesting
+  static boolean isFirstExchange(Channel channel) {
+    return channel.attr(GUARD).get().sentRequests <= 1;
+  }
+
   /** Ignores what the server sends from now on; the connection is about to be closed. */
   private void reject(Position position) {
     rejecting = true;
@@ -156,6 +174,7 @@
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
       if (message instanceof HttpRequest) {
+        sentRequests++;
         awaitedResponses++;
       }
       context.write(message, promise);
--- a/node/src/test/java/io/briarward/node/http/ResponseBoundaryGuardTest.java
+++ b/node/src/test/java/io/briarward/node/http/ResponseBoundaryGuardTest.java
@@ -148,6 +148,16 @@
     assertThat(strayBytes).containsNoneOf(Position.IDLE, Position.BEFORE_RESPONSE);
   }
 
+  @Test
+  void onlyTheFirstRequestOfConnectionIsTheFirstExchange() {
+    assertThat(ResponseBoundaryGuard.isFirstExchange(channel)).isTrue();
+    send();
+    receive(SUCCESS);
+    assertThat(ResponseBoundaryGuard.isFirstExchange(channel)).isTrue();
+    send();
+    assertThat(ResponseBoundaryGuard.isFirstExchange(channel)).isFalse();
+  }
+
   /** The status of the response that follows must never be replaced. */
   @Test
   void beginningOfAnotherResponseDoesNotChangeTheStatusOfTheAwaitedOne() {
