http: pass the content of one read on in one piece

What callers saw: 200 with a body that breaks off, where an upstream ended a completion without its end marker and the caller should get 502; and twice the chunks for bodies with a length.

Cause: ResponseBoundaryGuard decodes the last byte of a read apart from the others, so content with a length arrived as two chunks. A relay holds only the last chunk back until the response is known to be whole, so all but one byte were sent at once.

Change: the guard joins the content that is decoded from one read, as it already holds the end.

--- a/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
+++ b/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
@@ -5,12 +5,15 @@
 import com.google.common.annotations.VisibleForTesting;
 import io.briarward.core.forwarding.JoinedHeads;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -44,6 +47,7 @@
   private int awaitedResponses;
   private boolean decoding;
   private boolean rejecting;
+  private Optional<HttpContent> heldContent = Optional.empty();
   private Optional<LastHttpContent> heldEnd = Optional.empty();
 
   /** Where stray bytes were received. */
@@ -137,7 +141,7 @@
     /**
      * Decodes the last byte apart from the others: if the response ends before it, the byte belongs
      * to no response. The client is told of the end afterwards, so that it does not send a request
-     * on a connection that is closed.
+     * on a connection that is closed. The content is passed on in one piece.
      */
     private void decode(ChannelHandlerContext context, ByteBuf bytes) {
       decoding = true;
@@ -150,7 +154,7 @@
         context.fireChannelRead(lastByte);
       }
       decoding = false;
-      messageHandler.releaseEnd();
+      messageHandler.release();
     }
 
     private void close(ChannelHandlerContext context, Position position, ByteBuf strayBytes) {
@@ -194,11 +198,15 @@
         awaitedResponses--;
         heldEnd = Optional.of(end);
         if (!decoding) {
-          releaseEnd(); // A body without a length ends with the connection.
+          release(); // A body without a length ends with the connection.
         }
-        return;
+      } else if (!failed && decoding && isContent(message)) {
+        HttpContent content = (HttpContent) message;
+        heldContent = Optional.of(heldContent.map(held -> join(held, content)).orElse(content));
+      } else {
+        release();
+        context.fireChannelRead(message);
       }
-      context.fireChannelRead(message);
     }
 
     private void onHead(HttpResponse response) {
@@ -211,10 +219,31 @@
       }
     }
 
-    void releaseEnd() {
+    /** Passes on what was held. */
+    void release() {
+      Optional<HttpContent> content = heldContent;
       Optional<LastHttpContent> end = heldEnd;
+      heldContent = Optional.empty();
       heldEnd = Optional.empty();
-      end.ifPresent(message -> ownContext.orElseThrow().fireChannelRead(message));
+      if (content.isPresent() && end.isPresent()) {
+        pass(join(content.get(), end.get()));
+        pass(end.get().replace(Unpooled.EMPTY_BUFFER));
+      } else {
+        content.ifPresent(this::pass);
+        end.ifPresent(this::pass);
+      }
     }
+
+    private void pass(HttpContent content) {
+      ownContext.orElseThrow().fireChannelRead(content);
+    }
+  }
+
+  private static boolean isContent(Object message) {
+    return message instanceof HttpContent && !(message instanceof LastHttpContent);
+  }
+
+  private static HttpContent join(HttpContent first, HttpContent second) {
+    return new DefaultHttpContent(Unpooled.wrappedBuffer(first.content(), second.content()));
   }
 }
--- a/node/src/test/java/io/briarward/node/http/ResponseBoundaryGuardTest.java
+++ b/node/src/test/java/io/briarward/node/http/ResponseBoundaryGuardTest.java
@@ -37,6 +37,7 @@
   /** Records the responses that reach the client, in a form such as {@code 200 hello.}. */
   private static final class Client extends ChannelInboundHandlerAdapter {
     final StringBuilder received = new StringBuilder();
+    final List<String> chunks = new ArrayList<>();
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
@@ -46,7 +47,11 @@
         received.append(response.status().code()).append(' ');
       }
       if (message instanceof HttpContent content) {
-        received.append(content.content().toString(US_ASCII));
+        String chunk = content.content().toString(US_ASCII);
+        received.append(chunk);
+        if (!chunk.isEmpty()) {
+          chunks.add(chunk);
+        }
       }
       if (message instanceof LastHttpContent) {
         received.append('.');
@@ -105,6 +110,20 @@
     assertThat(strayBytes).isEmpty();
   }
 
+  /** A relay sends each chunk on, and holds the last one back until the response is whole. */
+  @Test
+  void contentOfOneReadIsReceivedAsOneChunk() {
+    send();
+    receive(SUCCESS);
+    send();
+    receive(CHUNKED);
+    send();
+    receive("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+    receive("hello");
+    receive("hello");
+    assertThat(client.chunks).containsExactly("hello", "hello", "hello", "hello");
+  }
+
   @Test
   void bodyWithoutLengthEndsWithTheConnection() {
     send();
