--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -5,7 +5,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSetMultimap;
 import io.briarward.core.fleet.FleetConfiguration;
+import io.briarward.core.fleet.FleetRoute;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.NodeDemand;
 import io.briarward.core.fleet.UpstreamBalancer;
@@ -18,7 +20,9 @@
 import io.briarward.node.telemetry.EventLog;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +46,7 @@
   private final OriginHistory origins = OriginHistory.create();
   private final Map<String, Long> announced = new HashMap<>();
   private final Map<String, Disposable> pendingRemovals = new HashMap<>();
+  private final RejectedRows rejectedUpstreams = new RejectedRows();
   private Optional<FleetConfiguration> configuration = Optional.empty();
   private long recoveredAtMillis = Long.MIN_VALUE / 2;
   private boolean upstreamsKnown;
@@ -87,7 +92,36 @@
    * there are several or an unknown one.
    */
   public Optional<StreamOrigin> soleOrigin(ImmutableSet<String> services) {
-    return origins.sole(services, balancer.entries(), nowMillis());
+    return soleOrigin(services, ImmutableList.of());
+  }
+
+  /**
+   * Returns the origin of all streams of the given services that may still be taken up; empty if
+   * there are several or an unknown one.
+   *
+   * @param unseen changes of registrations that this view may lack
+   */
+  public Optional<StreamOrigin> soleOrigin(
+      ImmutableSet<String> services, ImmutableList<Change> unseen) {
+    List<UpstreamEntry> registered = new ArrayList<>(balancer.entries());
+    for (Change change : unseen) {
+      Optional<UpstreamEntry> entry =
+          change.row().flatMap(this::decode).or(() -> balancer.entry(change.key()));
+      if (entry.isEmpty()) {
+        return Optional.empty(); // It may have been usable under a row that was replaced since.
+      }
+      registered.add(entry.get());
+    }
+    return origins.sole(services, registered, nowMillis());
+  }
+
+  /** Decodes a registration; empty if it names no upstream, which is logged when it is handled. */
+  private Optional<UpstreamEntry> decode(Row row) {
+    try {
+      return Optional.of(decoder.upstream(row.key(), row.value()));
+    } catch (RuntimeException e) {
+      return Optional.empty();
+    }
   }
 
   /** Returns what this node tells the others about limited upstreams. */
@@ -177,6 +211,7 @@
         origins.onGap(nowMillis());
         ImmutableSet<String> present =
             rows.stream().map(Row::key).collect(ImmutableSet.toImmutableSet());
+        rejectedUpstreams.retain(present);
         rows.forEach(row -> onUpstreamRow(row));
         balancer.entries().stream()
             .map(UpstreamEntry::id)
@@ -218,6 +253,13 @@
     if (configuration.filter(current -> current.version() >= candidate.version()).isPresent()) {
       return;
     }
+    boolean streamsMoved =
+        configuration
+            .filter(current -> !streamServices(current).equals(streamServices(candidate)))
+            .isPresent();
+    if (streamsMoved) {
+      origins.onGap(nowMillis()); // Streams of a route may have begun at any of its services.
+    }
     configuration = Optional.of(candidate);
     log.info(
         "configuration",
@@ -229,6 +271,16 @@
         candidate.organisationByKey().size());
   }
 
+  /** Returns the services on which the resumable streams of each host and path prefix run. */
+  private static ImmutableSetMultimap<String, String> streamServices(
+      FleetConfiguration configuration) {
+    return configuration.routes().stream()
+        .filter(route -> route.kind() == FleetRoute.Kind.RESUMABLE_STREAM)
+        .collect(
+            ImmutableSetMultimap.flatteningToImmutableSetMultimap(
+                route -> route.host() + route.pathPrefix(), route -> route.services().stream()));
+  }
+
   private void onAnnouncement(FleetDecoder.Announcement announcement) {
     long previous = announced.getOrDefault(announcement.model(), 0L);
     if (announcement.version() > previous) {
@@ -239,15 +291,33 @@
   }
 
   private void onUpstreamRow(Row row) {
-    Optional<UpstreamEntry> decoded = decoder.upstream(row.key(), row.value());
-    if (decoded.isEmpty()) {
-      log.warn("upstream-row-rejected", "upstream", row.key(), "rowVersion", row.version());
-      remove(row.key());
-      return;
+    try {
+      onUpstream(decoder.upstream(row.key(), row.value()), row.version());
+      rejectedUpstreams.remove(row.key());
+    } catch (RuntimeException e) {
+      reject(row, RejectedRows.cause(e));
     }
-    pendingRemovals.getOrDefault(row.key(), Disposable.disposed()).dispose();
-    Optional<UpstreamEntry> previous = balancer.entry(decoded.get().id());
-    UpstreamEntry entry = balancer.put(decoded.get());
+  }
+
+  /** Handles a row that names no upstream, so that what it named before is gone. */
+  private void reject(Row row, String cause) {
+    if (rejectedUpstreams.add(row.key(), cause)) {
+      log.warn(
+          "upstream-row-rejected",
+          "upstream",
+          row.key(),
+          "rowVersion",
+          row.version(),
+          "cause",
+          cause);
+    }
+    remove(row.key());
+  }
+
+  private void onUpstream(UpstreamEntry decoded, long rowVersion) {
+    pendingRemovals.getOrDefault(decoded.id(), Disposable.disposed()).dispose();
+    Optional<UpstreamEntry> previous = balancer.entry(decoded.id());
+    UpstreamEntry entry = balancer.put(decoded);
     previous
         .filter(replaced -> !StreamOrigin.of(replaced).equals(StreamOrigin.of(entry)))
         .ifPresent(replaced -> origins.onReplaced(replaced, nowMillis()));
@@ -267,11 +337,12 @@
           "versions",
           entry.modelVersions(),
           "rowVersion",
-          row.version());
+          rowVersion);
     }
   }
 
   private void onUpstreamRemoved(String id) {
+    rejectedUpstreams.remove(id);
     long sinceRecoveryMillis = nowMillis() - recoveredAtMillis;
     if (sinceRecoveryMillis >= EXPIRED_ENTRY_GRACE_MILLIS) {
       log.info("upstream-gone", "upstream", id);
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -9,6 +9,7 @@
 import io.briarward.core.quarantine.RequestFingerprint;
 import io.briarward.core.streams.StreamOrigin;
 import io.briarward.node.gateway.UpstreamProtocol.AnswerKind;
+import io.briarward.node.http.BodySender;
 import io.briarward.node.http.CallerResponse;
 import io.briarward.node.http.ResponseBodies;
 import io.briarward.node.http.StatusCodes;
@@ -77,6 +78,7 @@
   private String service;
   private Optional<Attempt> currentAttempt = Optional.empty();
   private Optional<Attempt> countedAttempt = Optional.empty();
+  private Optional<BodySender> sender = Optional.empty();
   private Optional<UpstreamEntry> lastUpstream = Optional.empty();
   private Disposable deadline = Disposable.disposed();
   private Disposable attemptTimeout = Disposable.disposed();
@@ -200,7 +202,7 @@
         .response()
         .onSuccess(answer -> onAnswer(attempt, answer))
         .onFailure(cause -> onConnectionLost(attempt, cause));
-    request.end(call.body());
+    sender = Optional.of(BodySender.send(request, call.body()));
     long timeoutMillis = Math.max(MIN_ATTEMPT_TIMEOUT_MILLIS, 2 * call.route().goalMillis());
     Runnable onTimeout =
         canRetry() ? () -> onAttemptTimeout(attempt) : () -> probeSilentUpstream(attempt);
@@ -313,8 +315,7 @@
   }
 
   private void onNotRun(Attempt attempt, int status) {
-    attemptTimeout.dispose();
-    currentAttempt = Optional.empty();
+    endAttempt(attempt);
     attempts--;
     rejections++;
     context
@@ -332,7 +333,8 @@
    * Relays an answer.
    *
    * <p>The answer to an idempotent request is held back until it is whole or too long to hold, so
-   * that another upstream can answer if this one breaks off.
+   * that another upstream can answer if this one breaks off or stalls. After its first bytes were
+   * sent, the upstream, the deadline or the caller ends it.
    */
   private void relayAnswer(Attempt attempt, HttpClientResponse answer) {
     countRun(attempt);
@@ -340,28 +342,31 @@
       origin.onSuccess(attempt.upstream());
     }
     log.relaying(answer.statusCode());
-    response.setHead(answer);
+    CallerResponse.Relayed relayed = response.relay(answer);
     int maxHeldBytes = call.route().repeatable() ? MAX_HELD_BYTES : 0;
     Buffer held = Buffer.buffer();
     answer.exceptionHandler(cause -> onConnectionLost(attempt, cause));
-    answer.endHandler(unused -> onAnswerEnd(attempt, answer, held));
+    answer.endHandler(unused -> onAnswerEnd(attempt, answer, relayed, held));
     answer.handler(
         chunk -> {
           if (!isCurrent(attempt)) {
             return;
           }
           if (!response.isOpen()) {
-            response.write(chunk, answer);
+            relayed.write(chunk);
             return;
           }
           held.appendBuffer(chunk);
           if (held.length() > maxHeldBytes) {
-            response.write(held, answer);
+            // No other upstream may answer from here on.
+            attemptTimeout.dispose();
+            relayed.write(held);
           }
         });
   }
 
-  private void onAnswerEnd(Attempt attempt, HttpClientResponse answer, Buffer held) {
+  private void onAnswerEnd(
+      Attempt attempt, HttpClientResponse answer, CallerResponse.Relayed relayed, Buffer held) {
     if (!isCurrent(attempt)) {
       return;
     }
@@ -375,16 +380,16 @@
     if (answer.statusCode() < 500) {
       context.crashes().onCompleted(fingerprint);
     }
-    endWith(attempt, response.isOpen() ? held : Buffer.buffer());
+    endWith(attempt, relayed, response.isOpen() ? held : Buffer.buffer());
   }
 
   /** Ends the response with the last bytes of an upstream's answer. */
-  private void endWith(Attempt attempt, Buffer lastChunk) {
+  private void endWith(Attempt attempt, CallerResponse.Relayed relayed, Buffer lastChunk) {
     endAttempt(attempt);
     context
         .balancer()
         .onAnswered(attempt.upstream().id(), context.nowMillis() - attempt.sentAtMillis());
-    Future<Void> written = response.end(lastChunk);
+    Future<Void> written = relayed.end(lastChunk);
     finish(written.failed() ? "broken" : "ok", attempt.upstream().id(), "");
   }
 
@@ -433,6 +438,7 @@
     if (isCurrent(attempt)) {
       attemptTimeout.dispose();
       currentAttempt = Optional.empty();
+      sender.ifPresent(BodySender::cancelUnlessSent);
     }
   }
 
@@ -510,6 +516,7 @@
     finished = true;
     deadline.dispose();
     attemptTimeout.dispose();
+    sender.ifPresent(BodySender::cancelUnlessSent);
     currentAttempt.ifPresent(
         attempt -> {
           attempt.request().reset();
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -3,9 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.base.Splitter;
+import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Range;
 import io.briarward.core.batch.ItemResult;
+import io.briarward.core.platform.Row;
 import io.briarward.core.platform.Transaction;
 import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.node.batch.BatchService.SubmitOutcome;
@@ -118,6 +121,74 @@
     assertThat(after.subList(0, before.size())).isEqualTo(before);
   }
 
+  /** The next owner knew a part of the listed items and listed the others at a second position. */
+  @Test
+  void takeoverOfBatchWithLongTextsListsEachItemOnce() {
+    BatchCluster.Process a = cluster.start("a");
+    BatchCluster.Process b = cluster.start("b");
+    cluster.samplers.setEventSuffix(Strings.repeat("x", 7_000));
+    a.submit(BatchCluster.spec("x", 128));
+    while (BatchCluster.allResults(b, "x").size() < 72) {
+      cluster.advance(10);
+    }
+    final ImmutableList<ItemResult> before = BatchCluster.allResults(b, "x");
+    a.kill();
+    cluster.advance(TAKEOVER_MILLIS);
+    ImmutableList<ItemResult> after = BatchCluster.allResults(b, "x");
+    assertThat(after.subList(0, before.size())).isEqualTo(before);
+    assertThat(after.stream().map(ItemResult::itemId).toList()).containsNoDuplicates();
+    assertThat(after).hasSize(128);
+  }
+
+  /** An owner with more results than positions left listed nothing at all from then on. */
+  @Test
+  void batchWithAnItemListedTwiceIsCompleted() {
+    BatchCluster.Process a = cluster.start("a");
+    final BatchCluster.Process b = cluster.start("b");
+    a.submit(BatchCluster.spec("x", ITEMS));
+    cluster.advance(250);
+    a.kill();
+    ImmutableList<Row> rows = cluster.store.rows(BatchStore.RESULTS_TABLE);
+    assertThat(rows.size()).isIn(Range.open(1, ITEMS));
+    cluster.store.put(BatchStore.RESULTS_TABLE, rows.get(1).key(), rows.get(0).value());
+    cluster.advance(TAKEOVER_MILLIS);
+    assertThat(BatchCluster.allResults(b, "x")).hasSize(ITEMS);
+  }
+
+  /** A transaction was limited in characters and exceeded the store's limit of bytes for ever. */
+  @Test
+  void textsOfCharactersWithSeveralBytesAreListed() {
+    BatchCluster.Process a = cluster.start("a");
+    cluster.samplers.setEventSuffix(Strings.repeat("あ", 5_000));
+    a.submit(BatchCluster.spec("x", 60));
+    cluster.store.setWriteOutcomes(
+        transaction ->
+            writesTo(transaction, BatchStore.RESULTS_TABLE)
+                ? WriteOutcome.REJECTED
+                : WriteOutcome.APPLIED);
+    cluster.advance(DONE_MILLIS);
+    cluster.store.setWriteOutcomes(transaction -> WriteOutcome.APPLIED);
+    cluster.advance(DONE_MILLIS);
+    assertThat(BatchCluster.allResults(a, "x")).hasSize(60);
+  }
+
+  /** The time-out held for all pages together, so a batch with many of them found no owner. */
+  @Test
+  void takeoverReadsAnyNumberOfPagesFromSlowStore() {
+    BatchCluster.Process a = cluster.start("a");
+    BatchCluster.Process b = cluster.start("b");
+    cluster.samplers.setEventSuffix(Strings.repeat("x", 7_000));
+    a.submit(BatchCluster.spec("x", 190));
+    while (BatchCluster.allResults(b, "x").size() < 160) {
+      cluster.advance(10);
+    }
+    a.kill();
+    cluster.store.setScanDelayMillis(400);
+    cluster.advance(TAKEOVER_MILLIS);
+    cluster.store.setScanDelayMillis(0);
+    assertThat(BatchCluster.allResults(b, "x")).hasSize(190);
+  }
+
   @Test
   void ownerIsKeptWhileStoreRejectsHeartbeats() {
     final BatchCluster.Process a = cluster.start("a");
--- a/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
+++ b/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
@@ -1,5 +1,7 @@
 package io.briarward.node.testing;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
@@ -11,8 +13,8 @@
 import java.util.Optional;
 
 /**
- * A decoder of a simplified row format, with a batch route, a route of reward calls and the service
- * of each.
+ * A decoder of a simplified row format, with routes of batches, streams and reward calls and the
+ * service of each.
  */
 public final class FakeFleetDecoder implements FleetDecoder {
   /** The id of the service on which batches run. */
@@ -27,11 +29,22 @@
   /** The host of the routes. */
   public static final String HOST = "mill.example";
 
+  /** The version of a row of a sampler that cannot be decoded for a reason not foreseen. */
+  public static final long UNFORESEEN_VERSION = -7;
+
   /** Returns a configuration row, in which only the version varies. */
   public static JsonNode configurationRow(long version) {
     return JsonNodeFactory.instance.objectNode().put("version", version);
   }
 
+  /** Returns a configuration row in which resumable streams run on the given service. */
+  public static JsonNode configurationRow(long version, String streamService) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("version", version)
+        .put("streamService", streamService);
+  }
+
   /** Returns the row of a sampler that has a weight version of the model {@code m} loaded. */
   public static JsonNode samplerRow(long version, boolean leaving) {
     return JsonNodeFactory.instance.objectNode().put("version", version).put("leaving", leaving);
@@ -102,6 +115,21 @@
                 7_500,
                 40_000,
                 false),
+            new FleetRoute(
+                "streams",
+                HOST,
+                "/t/",
+                FleetRoute.Kind.RESUMABLE_STREAM,
+                ImmutableList.of(
+                    new FleetRoute.Target(value.path("streamService").asText(SAMPLERS), 1)),
+                10_000,
+                500,
+                3,
+                0,
+                false,
+                0,
+                0,
+                false),
             rewardRoute("rewards", "/r/", SCORERS),
             rewardRoute("other-rewards", "/s/", OTHER_SCORERS)),
         ImmutableMap.of(),
@@ -116,22 +144,22 @@
   }
 
   @Override
-  public Optional<UpstreamEntry> upstream(String id, JsonNode value) {
-    if (!value.has("version")) {
-      return Optional.empty();
+  public UpstreamEntry upstream(String id, JsonNode value) {
+    checkArgument(value.has("version"), "version is missing");
+    if (value.path("version").asLong() == UNFORESEEN_VERSION) {
+      throw new ArithmeticException("integer overflow");
     }
-    return Optional.of(
-        new UpstreamEntry(
-            id,
-            value.path("service").asText(SAMPLERS),
-            "nadi",
-            "10.0.0.1",
-            80,
-            1,
-            4,
-            value.path("leaving").asBoolean(),
-            false,
-            value.path("software").asText("1"),
-            ImmutableMap.of("m", value.path("version").asLong())));
+    return new UpstreamEntry(
+        id,
+        value.path("service").asText(SAMPLERS),
+        "nadi",
+        "10.0.0.1",
+        80,
+        1,
+        4,
+        value.path("leaving").asBoolean(),
+        false,
+        value.path("software").asText("1"),
+        ImmutableMap.of("m", value.path("version").asLong()));
   }
 }
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -6,6 +6,7 @@
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
+import io.briarward.core.platform.RowPage;
 import io.briarward.core.platform.TableState;
 import io.briarward.core.platform.Transaction;
 import io.briarward.node.platform.ChangeFeed;
@@ -17,7 +18,9 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.subjects.PublishSubject;
 import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +51,11 @@
   private static final long RESPONSE_DELAY_MILLIS = 4;
   private static final long CLOCK_OFFSET_MILLIS = 1_000_000;
   private static final long WRITE_DELAY_MILLIS = 1_000;
+  private static final int MAX_TRANSACTION_ENTRIES = 100;
+
+  /** The largest size of a transaction's values, Base64-encoded, which leaves room for the keys. */
+  private static final long MAX_TRANSACTION_BYTES = 980_000;
+
   private static final PlatformException.Effect NONE = PlatformException.Effect.NONE;
 
   private final Scheduler scheduler;
@@ -61,6 +69,9 @@
   private Predicate<String> objectsWithoutPuts = name -> false;
   private boolean down;
   private long objectDelayMillis;
+  private long feedDelayMillis;
+  private long scanDelayMillis;
+  private long clockGainMillis;
   private long version;
 
   private record LoggedChange(long version, String table, ChangeFeed.Change change) {}
@@ -110,6 +121,21 @@
     objectDelayMillis = delayMillis;
   }
 
+  /** Sets how long after the store has sent a response of the feed the caller handles it. */
+  public void setFeedDelayMillis(long delayMillis) {
+    feedDelayMillis = delayMillis;
+  }
+
+  /** Sets how long the store takes to return a page of rows. */
+  public void setScanDelayMillis(long delayMillis) {
+    scanDelayMillis = delayMillis;
+  }
+
+  /** Advances the store's clock against those of the processes, as if their VMs were suspended. */
+  public void advanceClock(long millis) {
+    clockGainMillis += millis;
+  }
+
   /** Writes a row, as by another process. */
   public void put(String table, String key, JsonNode value) {
     apply(Transaction.builder().put(RowKey.of(table, key), value).build());
@@ -132,7 +158,25 @@
 
   @Override
   public Single<CommitResult> commit(Transaction transaction) {
-    return respond(() -> applyWithOutcome(transaction, outcomes.apply(transaction)));
+    return respond(
+        () ->
+            exceedsLimits(transaction)
+                ? Single.error(new PlatformException(NONE, "transaction is too large"))
+                : applyWithOutcome(transaction, outcomes.apply(transaction)));
+  }
+
+  private static boolean exceedsLimits(Transaction transaction) {
+    long bytes =
+        transaction.writes().stream()
+            .flatMap(write -> write.value().stream())
+            .mapToLong(value -> encode(value).length())
+            .sum();
+    return transaction.conditions().size() + transaction.writes().size() > MAX_TRANSACTION_ENTRIES
+        || bytes > MAX_TRANSACTION_BYTES;
+  }
+
+  private static String encode(JsonNode value) {
+    return Base64.getEncoder().encodeToString(value.toString().getBytes(StandardCharsets.UTF_8));
   }
 
   private Single<CommitResult> applyWithOutcome(Transaction transaction, WriteOutcome outcome) {
@@ -174,8 +218,9 @@
   }
 
   @Override
-  public Single<ImmutableList<Row>> scan(String table, String prefix, String after, int limit) {
-    return respond(() -> Single.just(tables.scan(table, prefix, after, limit)));
+  public Single<RowPage> scan(String table, String prefix, String after, int limit) {
+    return respond(() -> Single.just(tables.scanPage(table, prefix, after, limit)))
+        .delay(scanDelayMillis, TimeUnit.MILLISECONDS, scheduler);
   }
 
   @Override
@@ -189,6 +234,13 @@
 
   @Override
   public Single<Changes> changes(String table, long afterVersion, long waitMillis) {
+    return respondToFeed(table, afterVersion, waitMillis)
+        .flatMap(
+            response ->
+                Single.just(response).delay(feedDelayMillis, TimeUnit.MILLISECONDS, scheduler));
+  }
+
+  private Single<Changes> respondToFeed(String table, long afterVersion, long waitMillis) {
     return respond(
         () -> {
           if (afterVersion < version
@@ -254,7 +306,7 @@
    * <p>It differs from the clocks of the simulated processes, because monotonic clocks of different
    * machines have different origins.
    */
-  private long clockMillis() {
-    return scheduler.now(TimeUnit.MILLISECONDS) - CLOCK_OFFSET_MILLIS;
+  public long clockMillis() {
+    return scheduler.now(TimeUnit.MILLISECONDS) - CLOCK_OFFSET_MILLIS + clockGainMillis;
   }
 }
