streams: a route that is added beside others moves no streams

The history of origins began anew with each route with resumable streams that was added or removed, so that streams without a record were refused for two minutes. Only paths that both configurations cover can have streams of another service.

--- a/core/src/main/java/io/briarward/core/fleet/FleetConfiguration.java
+++ b/core/src/main/java/io/briarward/core/fleet/FleetConfiguration.java
@@ -62,6 +62,24 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Returns whether this configuration and another one send resumable streams of the same path to
+   * different services.
+   */
+  public boolean movesStreams(FleetConfiguration other) {
+    return movesStreams(this, other) || movesStreams(other, this);
+  }
+
+  private static boolean movesStreams(FleetConfiguration from, FleetConfiguration to) {
+    return from.routes().stream()
+        .filter(route -> route.kind() == FleetRoute.Kind.RESUMABLE_STREAM)
+        .anyMatch(
+            route ->
+                to.route(route.host(), route.pathPrefix())
+                    .filter(match -> !match.services().equals(route.services()))
+                    .isPresent());
+  }
+
   /** Returns the organisation that the key belongs to, or empty if the key is unknown. */
   public Optional<String> organisation(String key) {
     return Optional.ofNullable(organisationByKey.get(key));
--- a/core/src/test/java/io/briarward/core/fleet/FleetConfigurationTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/FleetConfigurationTest.java
@@ -9,11 +9,16 @@
 
 class FleetConfigurationTest {
   private static FleetRoute route(String name, String prefix, FleetRoute.Target... targets) {
+    return route(name, prefix, FleetRoute.Kind.IDEMPOTENT, targets);
+  }
+
+  private static FleetRoute route(
+      String name, String prefix, FleetRoute.Kind kind, FleetRoute.Target... targets) {
     return new FleetRoute(
         name,
         "mill.example",
         prefix,
-        FleetRoute.Kind.IDEMPOTENT,
+        kind,
         ImmutableList.copyOf(targets),
         1_500,
         180,
@@ -25,6 +30,11 @@
         false);
   }
 
+  private static FleetRoute streams(String prefix, String service) {
+    return route(
+        prefix, prefix, FleetRoute.Kind.RESUMABLE_STREAM, new FleetRoute.Target(service, 1));
+  }
+
   private static FleetConfiguration configuration(FleetRoute... routes) {
     return new FleetConfiguration(
         1,
@@ -55,6 +65,28 @@
     assertThat(split.service(0.999999)).isEqualTo("b");
   }
 
+  @Test
+  void streamsMoveIfTheServiceOfSomeOfTheirPathsChanges() {
+    FleetConfiguration all = configuration(streams("/", "a"));
+    assertThat(all.movesStreams(configuration(streams("/", "b")))).isTrue();
+    FleetConfiguration split = configuration(streams("/", "a"), streams("/t/", "b"));
+    assertThat(all.movesStreams(split)).isTrue();
+    assertThat(split.movesStreams(all)).isTrue();
+  }
+
+  @Test
+  void streamsDoNotMoveIfRoutesOfOtherPathsOrOfOtherRequestsChange() {
+    FleetConfiguration before =
+        configuration(streams("/s/", "a"), route("o", "/o/", new FleetRoute.Target("b", 1)));
+    FleetConfiguration after =
+        configuration(
+            streams("/s/", "a"),
+            streams("/t/", "b"),
+            route("o", "/o/", new FleetRoute.Target("c", 1)));
+    assertThat(before.movesStreams(after)).isFalse();
+    assertThat(before.movesStreams(configuration(streams("/s/", "a")))).isFalse();
+  }
+
   @Test
   void keyMapsToItsOrganisation() {
     FleetConfiguration configuration = configuration();
--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -5,9 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.ImmutableSetMultimap;
 import io.briarward.core.fleet.FleetConfiguration;
-import io.briarward.core.fleet.FleetRoute;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.NodeDemand;
 import io.briarward.core.fleet.UpstreamBalancer;
@@ -254,9 +252,7 @@
       return;
     }
     boolean streamsMoved =
-        configuration
-            .filter(current -> !streamServices(current).equals(streamServices(candidate)))
-            .isPresent();
+        configuration.filter(current -> current.movesStreams(candidate)).isPresent();
     if (streamsMoved) {
       origins.onGap(nowMillis()); // Streams of a route may have begun at any of its services.
     }
@@ -271,16 +267,6 @@
         candidate.organisationByKey().size());
   }
 
-  /** Returns the services on which the resumable streams of each host and path prefix run. */
-  private static ImmutableSetMultimap<String, String> streamServices(
-      FleetConfiguration configuration) {
-    return configuration.routes().stream()
-        .filter(route -> route.kind() == FleetRoute.Kind.RESUMABLE_STREAM)
-        .collect(
-            ImmutableSetMultimap.flatteningToImmutableSetMultimap(
-                route -> route.host() + route.pathPrefix(), route -> route.services().stream()));
-  }
-
   private void onAnnouncement(FleetDecoder.Announcement announcement) {
     long previous = announced.getOrDefault(announcement.model(), 0L);
     if (announcement.version() > previous) {
