batches: an owner stops at a head that lists items it does not know

Callers saw items at two positions and others never (TWICE), in a test: a node that hands a batch over while a listing of its own is applied late, and whose release fails, loaded the batch again before that listing was applied. It then ran and listed the same items once more.

Cause: nothing tied the listed ids that an owner knows to the head on which it commits. A late write of the same process changes the head and names the same owner, so the owner went on with the newer head.

Change: an owner stops when the head lists another number of items than it knows, and the batch is loaded anew. A loaded batch runs only if as many ids were read as the head lists, which is read after them.

Evidence: BatchListingTest.ownerWhoseReleaseFailedKnowsListingThatIsAppliedLate failed before (duplicate item ids) and passes; the other tests of the package pass.

--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -28,6 +28,10 @@
 /**
  * Runs the items of one batch and records their results while this process owns the batch.
  *
+ * <p>It knows which items the head lists. If the head turns out to list others, it stops, so that
+ * the batch is loaded anew and no item is listed twice: a write that this process sent before it
+ * loaded the batch may be applied afterwards.
+ *
  * <p>Confined to the event loop.
  */
 final class BatchOwner {
@@ -528,6 +532,7 @@
   }
 
   private void applyHead(StoredHead newer) {
+    boolean listingKnown = newer.head().listed() == head.head().listed();
     head = newer;
     if (newer.head().ended()) {
       stop("ended");
@@ -535,6 +540,8 @@
       stop("taken over by " + newer.head().owner().orElse("nobody"));
     } else if (!newer.head().isOpen()) {
       stop("complete");
+    } else if (!listingKnown) {
+      stop("unknown items are listed");
     }
   }
 }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -302,15 +302,22 @@
                     log.warn("takeover-failed", "batch", next.id(), "cause", error.toString()));
   }
 
-  /** Runs a loaded batch unless it was ended, removed or taken over while it was read. */
-  private void runIfStillOwned(BatchSpec spec, ImmutableSet<String> recordedIds) {
+  /**
+   * Runs a loaded batch unless it was ended, removed or taken over while it was read, or more items
+   * were listed; it is then loaded again if this process still owns it.
+   *
+   * @param listedIds the id of the item at each listed position
+   */
+  private void runIfStillOwned(BatchSpec spec, ImmutableList<String> listedIds) {
+    ImmutableSet<String> recordedIds = ImmutableSet.copyOf(listedIds);
     Optional<StoredHead> newest =
         directory
             .cachedHead(spec.id())
             .filter(head -> head.head().isOpen())
-            .filter(head -> head.head().isOwnedBy(incarnation));
+            .filter(head -> head.head().isOwnedBy(incarnation))
+            .filter(head -> head.head().listed() == listedIds.size());
     newest
-        .filter(head -> recordedIds.size() < head.head().listed())
+        .filter(head -> recordedIds.size() < listedIds.size())
         .ifPresent(
             head ->
                 log.warn(
@@ -329,7 +336,9 @@
         "rowVersion",
         directory.cachedHead(spec.id()).map(StoredHead::rowVersion).orElse(0L),
         "listed",
-        recordedIds.size());
+        directory.cachedHead(spec.id()).map(stored -> stored.head().listed()).orElse(0),
+        "read",
+        listedIds.size());
   }
 
   /** Loads and runs a batch whose head names this process as the owner. */
@@ -340,12 +349,12 @@
     var unused =
         Single.zip(
                 store.submission(stored.head()),
-                store.recordedItemIds(id),
-                (spec, recordedIds) -> {
+                listedItemIds(id),
+                (spec, listedIds) -> {
                   if (spec.isEmpty()) {
                     log.warn("submission-missing", "batch", id);
                   } else if (!owners.containsKey(id)) {
-                    runIfStillOwned(spec.get(), ImmutableSet.copyOf(recordedIds));
+                    runIfStillOwned(spec.get(), listedIds);
                   }
                   return id;
                 })
@@ -354,4 +363,11 @@
                 done -> {},
                 error -> log.warn("adoption-failed", "batch", id, "cause", error.toString()));
   }
+
+  /** Reads the id of the item at each listed position, and then the head that lists them. */
+  private Single<ImmutableList<String>> listedItemIds(String id) {
+    return store
+        .recordedItemIds(id)
+        .flatMap(listedIds -> directory.read(id).map(unused -> listedIds));
+  }
 }
--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -91,7 +91,12 @@
 
     /** Makes all samplers unreachable for this process. */
     void cutOff() {
-      cutOff = true;
+      setCutOff(true);
+    }
+
+    /** Sets whether all samplers are unreachable for this process. */
+    void setCutOff(boolean cutOff) {
+      this.cutOff = cutOff;
     }
 
     /** Makes all upstreams that score texts unreachable for this process. */
