batches: one owner in a process, also if the store answers an insert late

Callers saw items at two positions (TWICE), in a test: the feed tells a node of a batch that it has just accepted before the store's response to the insert arrives. The scan loads and runs the batch, and the response starts a second owner that knows of no listed item and replaces the first one without stopping it.

Change: a batch that runs in the process is not run again.

--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -127,13 +127,16 @@
   }
 
   /**
-   * Runs a batch whose head names this process as the owner.
+   * Runs a batch whose head names this process as the owner, unless it runs already.
+   *
+   * <p>The feed may tell of a batch that this process has just written before the store responds to
+   * that write.
    *
    * @param recordedIds the ids of the items whose results are recorded already
    */
   void run(BatchSpec spec, StoredHead head, ImmutableSet<String> recordedIds) {
     directory.update(head);
-    owners.put(spec.id(), new BatchOwner(context, spec, head, recordedIds));
+    owners.computeIfAbsent(spec.id(), id -> new BatchOwner(context, spec, head, recordedIds));
     requestStep();
   }
 
--- a/node/src/test/java/io/briarward/node/batch/BatchListingTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchListingTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.platform.Transaction;
+import io.briarward.node.batch.BatchService.SubmitOutcome;
 import io.briarward.node.testing.FakeFleetDecoder;
 import io.briarward.node.testing.MemoryStore.WriteOutcome;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -20,6 +21,23 @@
     return transaction.writes().stream().anyMatch(write -> write.row().table().equals(table));
   }
 
+  private static boolean writesOnlyHead(Transaction transaction) {
+    return writesTo(transaction, BatchStore.HEADS_TABLE)
+        && !writesTo(transaction, BatchStore.RESULTS_TABLE);
+  }
+
+  private static boolean insertsHead(Transaction transaction) {
+    return writesOnlyHead(transaction)
+        && transaction.conditions().stream()
+            .anyMatch(condition -> condition.version() == Transaction.ABSENT);
+  }
+
+  /** Lets the items end one after another, so that the batch is listed in several parts. */
+  private void spreadItems() {
+    AtomicInteger calls = new AtomicInteger();
+    cluster.samplers.setEventGaps(3, call -> 40 + 20 * (calls.getAndIncrement() % 16));
+  }
+
   private void assertEachItemIsListedOnce(BatchCluster.Process process) {
     ImmutableList<ItemResult> results = BatchCluster.allResults(process, "x");
     assertThat(results.stream().map(ItemResult::itemId).toList()).containsNoDuplicates();
@@ -60,4 +78,23 @@
     cluster.advance(20_000);
     assertEachItemIsListedOnce(b);
   }
+
+  /**
+   * Guards against two owners of one batch in one process: the feed tells of an accepted batch
+   * before the store's response to the insert arrives.
+   */
+  @Test
+  void batchWhoseInsertIsAnsweredLateHasOneOwner() {
+    spreadItems();
+    BatchCluster.Process a = cluster.start("a");
+    cluster.store.setWriteOutcomes(
+        transaction ->
+            insertsHead(transaction) ? WriteOutcome.RESPONSE_DELAYED : WriteOutcome.APPLIED);
+    assertThat(a.submit(BatchCluster.spec("x", ITEMS))).isEqualTo(SubmitOutcome.ACCEPTED);
+    cluster.advance(20_000);
+    assertEachItemIsListedOnce(a);
+    assertThat(
+            cluster.samplers.calls().stream().filter(call -> call.resumeAfter().isEmpty()).toList())
+        .hasSize(ITEMS);
+  }
 }
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -44,6 +44,8 @@
     REJECTED,
     /** The write is applied, but its response is lost. */
     RESPONSE_LOST,
+    /** The write is applied, and its response is delivered a second later. */
+    RESPONSE_DELAYED,
     /** The response is lost; the write is applied a second later if its conditions still hold. */
     DELAYED
   }
@@ -188,6 +190,9 @@
       case RESPONSE_LOST:
         apply(transaction);
         return Single.never();
+      case RESPONSE_DELAYED:
+        return Single.just(apply(transaction))
+            .delay(WRITE_DELAY_MILLIS, TimeUnit.MILLISECONDS, scheduler);
       case DELAYED:
         var unused =
             scheduler.scheduleDirect(
