timing: the clock of a node is no longer the time of day

Cause: RxJava's schedulers read the time of day. The clock of the scheduler that PlatformNode creates equals System.currentTimeMillis(), while StoreClock is documented for a monotonic one. A step ahead moves the earliest time of the store's clock by the size of the step until the response to a later call; a step back prolongs leases and the ages of views, and pauses periodic actions.

Change: UptimeScheduler wraps the schedulers of both kinds of node; its clock never goes back and counts suspensions. A step ahead looks like a suspension and is counted, which is safe for leases and ages; the earliest time of the store's clock is therefore timed by the steady clock.

--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -42,6 +42,7 @@
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.telemetry.Tracing;
 import io.briarward.node.timing.Timers;
+import io.briarward.node.timing.UptimeScheduler;
 import io.briarward.node.usage.UsageMeter;
 import io.briarward.node.weights.WeightService;
 import io.reactivex.rxjava3.core.Completable;
@@ -226,7 +227,8 @@
   /** Starts a node and returns it once it listens on its ports for callers and operators. */
   public static Single<Node> start(Vertx vertx, NodeSettings settings) {
     Context eventLoop = vertx.getOrCreateContext();
-    Scheduler scheduler = Schedulers.from(task -> eventLoop.runOnContext(unused -> task.run()));
+    Scheduler scheduler =
+        UptimeScheduler.over(Schedulers.from(task -> eventLoop.runOnContext(unused -> task.run())));
     return Single.<Node>create(
             emitter ->
                 eventLoop.runOnContext(
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -24,6 +24,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
@@ -106,9 +107,39 @@
       String name,
       String incarnation,
       Supplier<NodeDemand> demand) {
+    return start(
+        tables,
+        feed,
+        scheduler,
+        log,
+        name,
+        incarnation,
+        demand,
+        () -> scheduler.now(TimeUnit.MILLISECONDS));
+  }
+
+  /**
+   * Starts to renew this process's row and to follow the rows of others.
+   *
+   * @param name the name of the VM; a new process on the same VM replaces its row
+   * @param incarnation the incarnation of this process, unique among all processes
+   * @param demand returns the demand of this process, which is published in its row
+   * @param steadyMillis a clock that is never ahead of the time that has passed, see {@link
+   *     #storeMillis}
+   */
+  public static NodeRegistry start(
+      TableService tables,
+      ChangeFeed feed,
+      Scheduler scheduler,
+      EventLog log,
+      String name,
+      String incarnation,
+      Supplier<NodeDemand> demand,
+      LongSupplier steadyMillis) {
     NodeRegistry registry = new NodeRegistry(tables, scheduler, log, name, incarnation, demand);
     registry.watch =
-        TableWatch.start(feed, scheduler, log, TABLE, WATCH_PAUSE_MILLIS, registry.listener());
+        TableWatch.start(
+            feed, scheduler, log, TABLE, WATCH_PAUSE_MILLIS, steadyMillis, registry.listener());
     registry.heartbeatTimer =
         Timers.nowAndEvery(scheduler, HEARTBEAT_INTERVAL_MILLIS, registry::sendHeartbeat);
     return registry;
--- a/node/src/main/java/io/briarward/node/fleet/TableWatch.java
+++ b/node/src/main/java/io/briarward/node/fleet/TableWatch.java
@@ -14,6 +14,7 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Follows one table of the store: passes a snapshot of it to a listener, then every change.
@@ -38,11 +39,14 @@
   private final String table;
   private final long pauseMillis;
   private final Listener listener;
+  private final LongSupplier steadyMillis;
   private final StoreClock clock = StoreClock.create();
+  private final StoreClock steadyClock = StoreClock.create();
   private Disposable pending = Disposable.disposed();
   private long version = -1;
   private int failures;
   private long polledAtMillis;
+  private long polledAtSteadyMillis;
 
   /** Receives the rows of a table. Called on the event loop. */
   public interface Listener {
@@ -62,12 +66,14 @@
       EventLog log,
       String table,
       long pauseMillis,
+      LongSupplier steadyMillis,
       Listener listener) {
     this.feed = checkNotNull(feed, "feed");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.table = checkNotNull(table, "table");
     this.pauseMillis = pauseMillis;
+    this.steadyMillis = checkNotNull(steadyMillis, "steadyMillis");
     this.listener = checkNotNull(listener, "listener");
   }
 
@@ -83,7 +89,33 @@
       String table,
       long pauseMillis,
       Listener listener) {
-    TableWatch watch = new TableWatch(feed, scheduler, log, table, pauseMillis, listener);
+    return start(
+        feed,
+        scheduler,
+        log,
+        table,
+        pauseMillis,
+        () -> scheduler.now(TimeUnit.MILLISECONDS),
+        listener);
+  }
+
+  /**
+   * Starts to follow a table whose responses also bound the store's clock.
+   *
+   * @param pauseMillis the pause after each response with changes, which bounds the rate of calls
+   * @param steadyMillis a clock that is never ahead of the time that has passed, see {@link
+   *     #storeMillis}
+   */
+  public static TableWatch start(
+      ChangeFeed feed,
+      Scheduler scheduler,
+      EventLog log,
+      String table,
+      long pauseMillis,
+      LongSupplier steadyMillis,
+      Listener listener) {
+    TableWatch watch =
+        new TableWatch(feed, scheduler, log, table, pauseMillis, steadyMillis, listener);
     watch.poll();
     return watch;
   }
@@ -122,9 +154,12 @@
   /**
    * Returns the earliest time that the store's clock may show, so that whatever waits for a time
    * happens late rather than early; valid only if {@link #clockKnown}.
+   *
+   * <p>It is timed by the steady clock, since the scheduler's one counts a time of day that was set
+   * ahead as time that has passed.
    */
   public long storeMillis() {
-    return clock.earliestMillis(nowMillis());
+    return steadyClock.earliestMillis(steadyMillis.getAsLong());
   }
 
   /**
@@ -163,6 +198,7 @@
 
   private void poll() {
     polledAtMillis = nowMillis();
+    polledAtSteadyMillis = steadyMillis.getAsLong();
     long timeoutMillis = LONG_POLL_MILLIS + LONG_POLL_GRACE_MILLIS;
     if (known()) {
       pending =
@@ -228,6 +264,7 @@
 
   private void recordContact(long clockMillis) {
     clock.onReading(polledAtMillis, nowMillis(), clockMillis);
+    steadyClock.onReading(polledAtSteadyMillis, steadyMillis.getAsLong(), clockMillis);
     if (failures > 0) {
       log.info("store-regained", "table", table, "version", version, "failures", failures);
       failures = 0;
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.timing.Timers;
+import io.briarward.node.timing.UptimeScheduler;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.ArrayDeque;
@@ -86,7 +87,7 @@
       GatewayDependencies dependencies,
       UpstreamConnections connections,
       PeerRelays relays,
-      Scheduler scheduler) {
+      UptimeScheduler scheduler) {
     this.settings = checkNotNull(settings, "settings");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = EventLog.create(scheduler);
@@ -119,7 +120,8 @@
             log,
             settings.nodeName(),
             incarnation,
-            fleet::demand);
+            fleet::demand,
+            scheduler::steadyMillis);
     parts.push(nodes);
     nodes.offerRelay(
         () ->
@@ -197,7 +199,7 @@
       GatewayDependencies dependencies,
       UpstreamConnections connections,
       PeerRelays relays,
-      Scheduler scheduler) {
+      UptimeScheduler scheduler) {
     return new Gateway(settings, dependencies, connections, relays, scheduler);
   }
 
--- a/node/src/test/java/io/briarward/node/batch/BatchClockTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchClockTest.java
@@ -88,4 +88,27 @@
     submit("x");
     assertItemsAreGivenUpInTime();
   }
+
+  /**
+   * Guards against items given up too early by a node whose time of day was set ahead: its clock
+   * was the time of day.
+   */
+  @Test
+  void itemsAreNotGivenUpEarlyWhenTimeOfDayIsSetAhead() {
+    for (int i = 0; i < 30; i++) {
+      submit("x" + i);
+      cluster.advance(STEP_MILLIS);
+    }
+    cluster.advance(MAX_WAIT_MILLIS - 30 * STEP_MILLIS - 1_000);
+    cluster.stepTimeOfDay(2_000);
+    assertItemsAreGivenUpInTime();
+  }
+
+  @Test
+  void itemsAreGivenUpInTimeWhenTimeOfDayIsSetBack() {
+    submit("x");
+    cluster.advance(MAX_WAIT_MILLIS / 2);
+    cluster.stepTimeOfDay(-10_000);
+    assertItemsAreGivenUpInTime();
+  }
 }
--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -23,6 +23,7 @@
 import io.briarward.node.telemetry.Metrics;
 import io.briarward.node.testing.FakeFleetDecoder;
 import io.briarward.node.testing.MemoryStore;
+import io.briarward.node.timing.UptimeScheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.observers.TestObserver;
@@ -50,6 +51,12 @@
   final MemoryStore store = MemoryStore.create(scheduler);
   final FakeSamplers samplers = new FakeSamplers(scheduler);
   final FakeRewards rewards = new FakeRewards(scheduler);
+  private long timeOfDayOffsetMillis = 1_700_000_000_000L;
+  private final UptimeScheduler processScheduler =
+      UptimeScheduler.over(
+          scheduler,
+          () -> scheduler.now(TimeUnit.NANOSECONDS),
+          () -> scheduler.now(TimeUnit.MILLISECONDS) + timeOfDayOffsetMillis);
 
   /** A process with a node registry and a batch service. */
   final class Process {
@@ -63,29 +70,38 @@
 
     Process(String name) {
       incarnation = Incarnations.create(name, "10.0.0.1");
-      EventLog log = EventLog.create(scheduler);
+      EventLog log = EventLog.create(processScheduler);
       FakeFleetDecoder decoder = new FakeFleetDecoder();
       LimitShares shares = LimitShares.create(name);
-      FleetState fleet = FleetState.create(decoder, scheduler, log, "nadi", shares);
+      FleetState fleet = FleetState.create(decoder, processScheduler, log, "nadi", shares);
       components.add(
           TableWatch.start(
-              store, scheduler, log, decoder.operatorTable(), 20, fleet.operatorRows()));
+              store, processScheduler, log, decoder.operatorTable(), 20, fleet.operatorRows()));
       components.add(
           TableWatch.start(
-              store, scheduler, log, decoder.upstreamTable(), 20, fleet.upstreamRows()));
-      nodes = NodeRegistry.start(store, store, scheduler, log, name, incarnation, fleet::demand);
+              store, processScheduler, log, decoder.upstreamTable(), 20, fleet.upstreamRows()));
+      nodes =
+          NodeRegistry.start(
+              store,
+              store,
+              processScheduler,
+              log,
+              name,
+              incarnation,
+              fleet::demand,
+              processScheduler::steadyMillis);
       batches =
           BatchService.start(
               new BatchService.Settings(incarnation, RETENTION_MILLIS),
               new BatchService.Dependencies(
                   store, store, store, BatchCluster::decode, this::runItem, this::score, metrics),
-              scheduler,
+              processScheduler,
               fleet,
               nodes,
               log);
       nodes.offerRelay(() -> new RelayOffer(Optional.empty(), fleet.balancer().cutOffServices()));
       components.add(nodes);
-      components.add(LimitExchange.start(nodes, shares, scheduler));
+      components.add(LimitExchange.start(nodes, shares, processScheduler));
       components.add(batches);
     }
 
@@ -188,6 +204,11 @@
     return process;
   }
 
+  /** Sets the time of day of all VMs ahead, or back if negative. */
+  void stepTimeOfDay(long millis) {
+    timeOfDayOffsetMillis += millis;
+  }
+
   void advance(long millis) {
     for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
       scheduler.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
