http: a response that is broken off closes its connection at once

Callers saw nothing, but each one that did not read kept its broken-off response, up to 320 KiB, in the node's memory until its connection had been idle for 75 s.

Cause: the HTTP library closes a connection once everything written before has been sent, which a caller that does not read never allows.

Change: the channel is closed without waiting.

Evidence: SlowCallerTest.brokenOffResponseIsDroppedIfTheCallerDoesNotRead found the connection open a minute after a deadline of 0.5 s, and passes now.

--- a/node/src/main/java/io/briarward/node/http/CallerResponse.java
+++ b/node/src/main/java/io/briarward/node/http/CallerResponse.java
@@ -7,11 +7,13 @@
 import io.briarward.core.forwarding.ResponseHead;
 import io.briarward.core.forwarding.ResponseWriter;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.impl.HttpServerConnection;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
@@ -145,9 +147,15 @@
       written = response.closed() ? Future.succeededFuture() : response.end(chunk);
     }
 
+    /** Closes the connection at once, though the caller may not read what was sent before. */
     @Override
     public void close() {
-      written = request.connection().close();
+      Promise<Void> closed = Promise.promise();
+      ((HttpServerConnection) request.connection())
+          .channelHandlerContext()
+          .close()
+          .addListener(unused -> closed.complete());
+      written = closed.future();
     }
   }
 }
