gateway: bound the answers that are held back for all requests together

Callers of a node lost their requests when many upstreams sent bodies without end at once: up to 256 KiB of each answer to a repeatable request are held back, with a buffer of twice that size, and nothing bounded all of them.

Change: HoldBack decides, in the core, how much of an answer is held. 4 KiB need no shared memory, the rest comes from a budget of 8 MiB for the node; an answer that does not fit is passed on as it arrives, so that no other upstream answers it any more.

--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -6,6 +6,7 @@
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
 import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.forwarding.HoldBack;
 import io.briarward.core.quarantine.RequestFingerprint;
 import io.briarward.core.streams.StreamOrigin;
 import io.briarward.node.gateway.UpstreamProtocol.AnswerKind;
@@ -16,7 +17,6 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Future;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
@@ -79,6 +79,7 @@
   private Optional<Attempt> currentAttempt = Optional.empty();
   private Optional<Attempt> countedAttempt = Optional.empty();
   private Optional<BodySender> sender = Optional.empty();
+  private Optional<HeldAnswer> heldAnswer = Optional.empty();
   private Optional<UpstreamEntry> lastUpstream = Optional.empty();
   private Disposable deadline = Disposable.disposed();
   private Disposable attemptTimeout = Disposable.disposed();
@@ -332,7 +333,7 @@
   /**
    * Relays an answer.
    *
-   * <p>The answer to an idempotent request is held back until it is whole or too long to hold, so
+   * <p>The answer to an idempotent request is held back until it is whole or cannot be held, so
    * that another upstream can answer if this one breaks off or stalls. After its first bytes were
    * sent, the upstream, the deadline or the caller ends it.
    */
@@ -342,31 +343,23 @@
       origin.onSuccess(attempt.upstream());
     }
     log.relaying(answer.statusCode());
-    CallerResponse.Relayed relayed = response.relay(answer);
-    int maxHeldBytes = call.route().repeatable() ? MAX_HELD_BYTES : 0;
-    Buffer held = Buffer.buffer();
+    HeldAnswer held =
+        new HeldAnswer(
+            response.relay(answer),
+            HoldBack.of(context.heldAnswers(), call.route().repeatable() ? MAX_HELD_BYTES : 0));
+    heldAnswer = Optional.of(held);
     answer.exceptionHandler(cause -> onConnectionLost(attempt, cause));
-    answer.endHandler(unused -> onAnswerEnd(attempt, answer, relayed, held));
+    answer.endHandler(unused -> onAnswerEnd(attempt, answer, held));
     answer.handler(
         chunk -> {
-          if (!isCurrent(attempt)) {
-            return;
-          }
-          if (!response.isOpen()) {
-            relayed.write(chunk);
-            return;
-          }
-          held.appendBuffer(chunk);
-          if (held.length() > maxHeldBytes) {
+          if (isCurrent(attempt) && !held.add(chunk)) {
             // No other upstream may answer from here on.
             attemptTimeout.dispose();
-            relayed.write(held);
           }
         });
   }
 
-  private void onAnswerEnd(
-      Attempt attempt, HttpClientResponse answer, CallerResponse.Relayed relayed, Buffer held) {
+  private void onAnswerEnd(Attempt attempt, HttpClientResponse answer, HeldAnswer held) {
     if (!isCurrent(attempt)) {
       return;
     }
@@ -380,16 +373,11 @@
     if (answer.statusCode() < 500) {
       context.crashes().onCompleted(fingerprint);
     }
-    endWith(attempt, relayed, response.isOpen() ? held : Buffer.buffer());
-  }
-
-  /** Ends the response with the last bytes of an upstream's answer. */
-  private void endWith(Attempt attempt, CallerResponse.Relayed relayed, Buffer lastChunk) {
     endAttempt(attempt);
     context
         .balancer()
         .onAnswered(attempt.upstream().id(), context.nowMillis() - attempt.sentAtMillis());
-    Future<Void> written = relayed.end(lastChunk);
+    Future<Void> written = held.end();
     finish(written.failed() ? "broken" : "ok", attempt.upstream().id(), "");
   }
 
@@ -437,6 +425,7 @@
   private void endAttempt(Attempt attempt) {
     if (isCurrent(attempt)) {
       attemptTimeout.dispose();
+      heldAnswer.ifPresent(HeldAnswer::close);
       currentAttempt = Optional.empty();
       sender.ifPresent(BodySender::cancelUnlessSent);
     }
@@ -516,6 +505,7 @@
     finished = true;
     deadline.dispose();
     attemptTimeout.dispose();
+    heldAnswer.ifPresent(HeldAnswer::close);
     sender.ifPresent(BodySender::cancelUnlessSent);
     currentAttempt.ifPresent(
         attempt -> {
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import com.google.common.net.HostAndPort;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.RelayOffer;
+import io.briarward.core.memory.ByteBudget;
 import io.briarward.node.batch.BatchService;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.Incarnations;
@@ -39,6 +40,9 @@
   /** How long a stop waits for callers to notice that the node is not ready, in milliseconds. */
   private static final long READINESS_NOTICE_MILLIS = 2_500;
 
+  /** The part of the answers to idempotent requests that is held back, of all requests. */
+  private static final long MAX_HELD_ANSWER_BYTES = 8 << 20;
+
   private final Settings settings;
   private final Scheduler scheduler;
   private final EventLog log;
@@ -188,6 +192,7 @@
                 control.runs(),
                 crashes,
                 origins,
+                ByteBudget.of(MAX_HELD_ANSWER_BYTES),
                 metrics,
                 log));
     log.info("started", "node", settings.nodeName(), "incarnation", incarnation);
--- a/node/src/main/java/io/briarward/node/gateway/LiveForwarder.java
+++ b/node/src/main/java/io/briarward/node/gateway/LiveForwarder.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import io.briarward.core.fleet.UpstreamBalancer;
+import io.briarward.core.memory.ByteBudget;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.quarantine.CrashRegistry;
@@ -22,6 +23,7 @@
    * @param runs counts the requests that started to run
    * @param crashes records the requests under which upstreams ended
    * @param origins records at which software version each resumable stream began
+   * @param heldAnswers the memory of the answers that are held back
    */
   record Context(
       Scheduler scheduler,
@@ -34,6 +36,7 @@
       RunMeter runs,
       CrashRegistry crashes,
       StreamOrigins origins,
+      ByteBudget heldAnswers,
       Metrics metrics,
       EventLog log) {
     Context {
@@ -47,6 +50,7 @@
       checkNotNull(runs, "runs");
       checkNotNull(crashes, "crashes");
       checkNotNull(origins, "origins");
+      checkNotNull(heldAnswers, "heldAnswers");
       checkNotNull(metrics, "metrics");
       checkNotNull(log, "log");
     }
