gateway: a stopping node rejects late requests and cuts none off

Cause: a stopping node took every request until it was idle or 6.5 of 8 s had passed, and closed its connections 1.3 s later, whatever the deadlines.

Change: StopSchedule, in the core, takes all requests for the 2.5 s in which callers notice, and later only those whose deadline lies before the time at which the node ends its answers; others are rejected at once as not run. What is in flight at that time gets a whole failure.

Evidence: PlannedStopTest.lateRequestThatMayNotEndInTimeIsRejectedAndNoRequestIsCutOff got an empty response before, and passes; StopScheduleTest.

--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -26,6 +26,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -69,7 +70,7 @@
   private final HttpServerRequest downstream;
   private final CallerResponse response;
   private final LiveCall call;
-  private final Runnable onFinished;
+  private final Consumer<ForwardedExchange> onFinished;
   private final Set<String> triedUpstreams = new HashSet<>();
   private final ExchangeLog log;
   private final ExchangeRelays relays;
@@ -94,7 +95,7 @@
       LiveForwarder.Context context,
       HttpServerRequest downstream,
       LiveCall call,
-      Runnable onFinished) {
+      Consumer<ForwardedExchange> onFinished) {
     this.context = context;
     this.downstream = downstream;
     this.response = CallerResponse.to(downstream);
@@ -472,15 +473,28 @@
   }
 
   private void onDeadline() {
+    endWithoutAnswer(
+        ErrorKind.NO_UPSTREAM,
+        "no upstream within the due time",
+        "no whole answer within the due time");
+  }
+
+  /** Ends the request, since the node is about to end. */
+  void onStopped() {
+    endWithoutAnswer(
+        ErrorKind.STOPPING,
+        "the node stopped before the request was sent",
+        "the node stopped before the answer was whole");
+  }
+
+  private void endWithoutAnswer(ErrorKind kindIfNotRun, String detailIfNotRun, String detail) {
     if (finished) {
       return;
     }
     if (mayHaveRun || currentAttempt.isPresent() || relays.inProgress()) {
-      fail(Failure.unknown(ErrorKind.DEADLINE_EXCEEDED, "no whole answer within the due time"));
+      fail(Failure.unknown(ErrorKind.DEADLINE_EXCEEDED, detail));
     } else {
-      fail(
-          Failure.notRun(
-              ErrorKind.NO_UPSTREAM, "no upstream within the due time", RETRY_AFTER_MILLIS));
+      fail(Failure.notRun(kindIfNotRun, detailIfNotRun, RETRY_AFTER_MILLIS));
     }
   }
 
@@ -515,7 +529,7 @@
     currentAttempt = Optional.empty();
     relays.cancel();
     log.finished(service, target, lastUpstream, outcome, cause, attempts, rejections);
-    onFinished.run();
+    onFinished.accept(this);
   }
 
   /** Logs an attempt that failed; the request is tried again unless it is finished. */
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import com.google.common.net.HostAndPort;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.RelayOffer;
+import io.briarward.core.forwarding.StopSchedule;
 import io.briarward.core.memory.ByteBudget;
 import io.briarward.node.batch.BatchService;
 import io.briarward.node.fleet.FleetState;
@@ -249,11 +250,17 @@
    * Drains the node.
    *
    * <p>Releases the control lease and the batches, so that other nodes take them over, and
-   * completes once no live request is in flight or {@code stopMillis} have passed.
+   * completes once no live request is in flight. Those that still are {@code stopMillis} after this
+   * call are ended with a failure.
    */
   public Completable stop() {
     stopping = true;
     log.info("stopping", "requests", forwarder.inFlight());
+    long nowMillis = scheduler.now(TimeUnit.MILLISECONDS);
+    long answerByMillis = nowMillis + settings.stopMillis();
+    forwarder.stop(
+        new StopSchedule(
+            Math.min(nowMillis + READINESS_NOTICE_MILLIS, answerByMillis), answerByMillis));
     Completable noticed =
         Completable.timer(READINESS_NOTICE_MILLIS, TimeUnit.MILLISECONDS, scheduler);
     Completable handedOver =
