--- a/node/src/main/java/io/briarward/node/platform/JsonHttpClient.java
+++ b/node/src/main/java/io/briarward/node/platform/JsonHttpClient.java
@@ -47,21 +47,36 @@
 
   private final HttpClient client;
   private final long timeoutMillis;
+  private final long maxBodyBytes;
 
-  private JsonHttpClient(HttpClient client, long timeoutMillis) {
+  private JsonHttpClient(HttpClient client, long timeoutMillis, long maxBodyBytes) {
     this.client = client;
     this.timeoutMillis = timeoutMillis;
+    this.maxBodyBytes = maxBodyBytes;
   }
 
-  /** Returns a client whose requests time out after {@code timeoutMillis}. */
+  /**
+   * Returns a client whose requests time out after {@code timeoutMillis}, for responses as large as
+   * the objects of the platform's store.
+   */
   public static JsonHttpClient create(Vertx vertx, long timeoutMillis) {
+    return create(vertx, timeoutMillis, MAX_BODY_BYTES);
+  }
+
+  /**
+   * Returns a client whose requests time out after {@code timeoutMillis}.
+   *
+   * @param maxBodyBytes the largest response body; a request fails if its response is larger
+   */
+  public static JsonHttpClient create(Vertx vertx, long timeoutMillis, long maxBodyBytes) {
     HttpClientOptions options =
         new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setKeepAlive(true);
     PoolOptions pool =
         new PoolOptions()
             .setHttp1MaxSize(MAX_CONNECTIONS_PER_HOST)
             .setMaxWaitQueueSize(MAX_WAITING_REQUESTS);
-    return new JsonHttpClient(HttpClients.create(vertx, options, pool), timeoutMillis);
+    return new JsonHttpClient(
+        HttpClients.create(vertx, options, pool), timeoutMillis, maxBodyBytes);
   }
 
   /**
@@ -136,8 +151,8 @@
     client.close();
   }
 
-  private static Future<Reply> readReply(HttpClientRequest request, HttpClientResponse response) {
-    return ResponseBodies.read(request, response, MAX_BODY_BYTES)
+  private Future<Reply> readReply(HttpClientRequest request, HttpClientResponse response) {
+    return ResponseBodies.read(request, response, maxBodyBytes)
         .map(bytes -> new Reply(response.statusCode(), response.headers(), bytes));
   }
 
