batches: bound the unfinished texts of all items together

Callers of a node would lose their requests when samplers send whole events without end: 8 MiB a stream and again for each resumption, with an object for each event and no bound for all streams.

Change: TextMemory, in the core, holds the unfinished texts of a process to 16 MiB. When a text grows beyond what is left, the longest unfinished one is dropped and its item begins anew, so that texts of sound samplers stay. A run whose text was dropped ends with its next event and never completes.

Evidence: TextMemoryTest; BatchRunTest.itemWhoseTextIsTooLongBeginsAnew and itemWhoseTextWasDroppedDoesNotSucceedWithoutIt.

--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -48,14 +48,16 @@
   private final ToDoubleFunction<BatchItem> expectedLength;
   private int running;
 
-  private BatchRun(BatchSpec spec, BatchTerms terms, ImmutableSet<String> listed) {
+  private BatchRun(
+      BatchSpec spec, BatchTerms terms, ImmutableSet<String> listed, TextMemory memory) {
     this.spec = checkNotNull(spec, "spec");
     this.maxAttempts = terms.maxAttempts();
     this.expectedLength = lengthEstimator(spec.items());
     spec.items().stream()
         .filter(item -> !listed.contains(item.id()))
         .sorted(Comparator.comparingDouble(expectedLength).reversed())
-        .forEach(item -> items.put(item.id(), new ItemProgress(item, terms.singleVersion())));
+        .forEach(
+            item -> items.put(item.id(), new ItemProgress(item, terms.singleVersion(), memory)));
     items.values().forEach(progress -> unfinishedByGroup.add(progress.item().group()));
   }
 
@@ -74,9 +76,11 @@
    * Creates a run of the items that have no listed result.
    *
    * @param listed the ids of the items that have a listed result
+   * @param memory the memory of the unfinished texts, which all runs of a process share
    */
-  public static BatchRun create(BatchSpec spec, BatchTerms terms, ImmutableSet<String> listed) {
-    return new BatchRun(spec, terms, listed);
+  public static BatchRun create(
+      BatchSpec spec, BatchTerms terms, ImmutableSet<String> listed, TextMemory memory) {
+    return new BatchRun(spec, terms, listed, memory);
   }
 
   /**
@@ -159,11 +163,16 @@
     return progress(itemId).onEvent(event);
   }
 
-  /** Handles the regular end of an item's stream; the item succeeds or waits for its score. */
+  /**
+   * Handles the regular end of an item's stream; the item succeeds or waits for its score, or
+   * begins anew if its text was dropped for want of memory.
+   */
   public void onComplete(String itemId) {
     running--;
     ItemProgress progress = progress(itemId);
-    if (progress.item().rewardCall().isPresent()) {
+    if (progress.textDropped()) {
+      progress.waitUntil(progress.notBeforeMillis());
+    } else if (progress.item().rewardCall().isPresent()) {
       progress.onTextComplete();
       rewards.add(progress.item());
     } else {
@@ -277,6 +286,11 @@
     }
   }
 
+  /** Discards all unfinished texts, since the process no longer runs the batch. */
+  public void discardTexts() {
+    items.values().forEach(ItemProgress::discardOutput);
+  }
+
   private void fail(ItemProgress progress) {
     rewards.remove(progress.item().id());
     addResult(progress, progress.fail());
--- a/core/src/main/java/io/briarward/core/batch/ItemProgress.java
+++ b/core/src/main/java/io/briarward/core/batch/ItemProgress.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.base.Utf8;
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,8 +19,12 @@
     FINISHED
   }
 
+  /** What an event takes beside its characters. */
+  private static final int EVENT_OVERHEAD_BYTES = 64;
+
   private final BatchItem item;
   private final boolean singleVersion;
+  private final TextMemory.Text memory;
   private final List<String> texts = new ArrayList<>();
   private final TreeSet<Long> versions = new TreeSet<>();
   private State state = State.WAITING;
@@ -28,10 +33,12 @@
   private long currentVersion;
   private int failures;
   private long notBeforeMillis = Long.MIN_VALUE;
+  private boolean textDropped;
 
-  ItemProgress(BatchItem item, boolean singleVersion) {
+  ItemProgress(BatchItem item, boolean singleVersion, TextMemory memory) {
     this.item = checkNotNull(item, "item");
     this.singleVersion = singleVersion;
+    this.memory = memory.open(this::onTextDropped);
   }
 
   BatchItem item() {
@@ -70,6 +77,7 @@
       discardOutput();
     }
     softwareVersion = Optional.of(samplerSoftwareVersion);
+    textDropped = false;
     state = State.RUNNING;
   }
 
@@ -91,7 +99,10 @@
   boolean onEvent(SampleEvent event) {
     long version = event.version().orElse(currentVersion);
     boolean isNextEvent = lastEventId.isEmpty() || event.id() == lastEventId.getAsLong() + 1;
-    if (!isNextEvent || !acceptsVersion(version)) {
+    if (textDropped || !isNextEvent || !acceptsVersion(version)) {
+      return false;
+    }
+    if (!memory.grow(EVENT_OVERHEAD_BYTES + Utf8.encodedLength(event.data()))) {
       return false;
     }
     currentVersion = version;
@@ -113,27 +124,42 @@
     }
   }
 
+  /** Returns whether the text of the run was dropped, so that the item must begin anew. */
+  boolean textDropped() {
+    return textDropped;
+  }
+
   /** Handles the end of the text, which does not change from now on. */
   void onTextComplete() {
+    memory.keep();
     state = State.UNSCORED;
   }
 
   ItemResult finish() {
     state = State.FINISHED;
+    memory.close();
     return new ItemResult(
         item.id(), true, String.join("\n", texts), ImmutableList.copyOf(versions));
   }
 
   ItemResult fail() {
     state = State.FINISHED;
+    discardOutput();
     return ItemResult.lost(item.id());
   }
 
+  private void onTextDropped() {
+    textDropped = state == State.RUNNING;
+    discardOutput();
+  }
+
   private boolean acceptsVersion(long version) {
     return !singleVersion || versions.isEmpty() || versions.first() == version;
   }
 
-  private void discardOutput() {
+  /** Discards the text; the item begins anew. */
+  void discardOutput() {
+    memory.close();
     texts.clear();
     versions.clear();
     lastEventId = OptionalLong.empty();
--- a/core/src/test/java/io/briarward/core/batch/BatchRunTest.java
+++ b/core/src/test/java/io/briarward/core/batch/BatchRunTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 class BatchRunTest {
+  private static final TextMemory MEMORY = TextMemory.of(1 << 20, bytes -> {});
   private static final BatchSpec SPEC =
       new BatchSpec(
           "batch", Optional.of("model"), 5, 1, ImmutableList.of(item("a"), item("b"), item("c")));
@@ -29,7 +30,7 @@
   }
 
   private static BatchRun run(boolean singleVersion) {
-    return BatchRun.create(SPEC, terms(singleVersion), ImmutableSet.of());
+    return BatchRun.create(SPEC, terms(singleVersion), ImmutableSet.of(), MEMORY);
   }
 
   private static SampleEvent event(long id, String data) {
@@ -59,7 +60,7 @@
             1,
             ImmutableList.of(
                 item("short", 10), item("unknown", 0), item("long", 900), item("medium", 290)));
-    BatchRun run = BatchRun.create(spec, terms(false), ImmutableSet.of());
+    BatchRun run = BatchRun.create(spec, terms(false), ImmutableSet.of(), MEMORY);
     List<String> order = new ArrayList<>();
     for (String next = next(run, 0); !next.equals("none"); next = next(run, 0)) {
       order.add(next);
@@ -73,7 +74,7 @@
     BatchSpec spec =
         new BatchSpec(
             "batch", Optional.of("model"), 5, 1, ImmutableList.of(item("b", 10), item("a", 90)));
-    BatchRun run = BatchRun.create(spec, terms(false), ImmutableSet.of());
+    BatchRun run = BatchRun.create(spec, terms(false), ImmutableSet.of(), MEMORY);
     run.start("a", "v1");
     run.onInterrupted("a", 0);
     assertThat(next(run, 100)).isEqualTo("a");
@@ -81,7 +82,7 @@
 
   @Test
   void listedItemsAreNotRun() {
-    BatchRun run = BatchRun.create(SPEC, terms(false), ImmutableSet.of("a", "c"));
+    BatchRun run = BatchRun.create(SPEC, terms(false), ImmutableSet.of("a", "c"), MEMORY);
     assertThat(next(run, 0)).isEqualTo("b");
     run.start("b", "v1");
     assertThat(run.startable(0)).isEmpty();
@@ -226,4 +227,58 @@
     assertThat(run.hasWaitedToResume("a", 500)).isFalse();
     assertThat(run.hasWaitedToResume("a", 520)).isTrue();
   }
+
+  private static BatchRun runWithin(TextMemory memory) {
+    return BatchRun.create(SPEC, terms(false), ImmutableSet.of(), memory);
+  }
+
+  /** Streams of whole events without end filled the memory of the process. */
+  @Test
+  void itemWhoseTextIsTooLongBeginsAnew() {
+    TextMemory memory = TextMemory.of(10_000, bytes -> {});
+    BatchRun run = runWithin(memory);
+    run.onVersion(run.start("a", "v1").item().id(), 5);
+    run.onVersion(run.start("b", "v1").item().id(), 5);
+    assertThat(run.onEvent("b", event(1, "x"))).isTrue();
+    long id = 1;
+    while (run.onEvent("a", event(id, "endless"))) {
+      assertThat(memory.heldBytes()).isAtMost(10_000);
+      id++;
+    }
+    assertThat(run.onEvent("a", event(id + 1, "endless"))).isFalse();
+    run.onInterrupted("a", 0);
+    assertThat(run.start("a", "v2").resumeAfter()).isEqualTo(OptionalLong.empty());
+    run.onVersion("a", 5);
+    assertThat(run.onEvent("a", event(1, "short"))).isTrue();
+    run.onComplete("a");
+    assertThat(run.onEvent("b", event(2, "y"))).isTrue();
+    run.onComplete("b");
+    assertThat(run.results(2).stream().map(ItemResult::output).toList())
+        .containsExactly("short", "x\ny");
+    assertThat(memory.heldBytes()).isEqualTo(0);
+  }
+
+  /** The stream of an item whose text is gone may end before its next event. */
+  @Test
+  void itemWhoseTextWasDroppedDoesNotSucceedWithoutIt() {
+    TextMemory memory = TextMemory.of(1_000, bytes -> {});
+    BatchRun run = runWithin(memory);
+    run.onVersion(run.start("a", "v1").item().id(), 5);
+    run.onVersion(run.start("b", "v1").item().id(), 5);
+    assertThat(run.onEvent("a", event(1, "x".repeat(500)))).isTrue();
+    assertThat(run.onEvent("b", event(1, "y".repeat(400)))).isTrue();
+    run.onComplete("a");
+    assertThat(run.hasResults()).isFalse();
+    assertThat(run.start("a", "v1").resumeAfter()).isEqualTo(OptionalLong.empty());
+  }
+
+  @Test
+  void discardedTextsTakeNoMemory() {
+    TextMemory memory = TextMemory.of(1_000, bytes -> {});
+    BatchRun run = runWithin(memory);
+    run.onVersion(run.start("a", "v1").item().id(), 5);
+    assertThat(run.onEvent("a", event(1, "x"))).isTrue();
+    run.discardTexts();
+    assertThat(memory.heldBytes()).isEqualTo(0);
+  }
 }
--- a/node/src/main/java/io/briarward/node/batch/BatchContext.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchContext.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import io.briarward.core.batch.RunPlacement;
+import io.briarward.core.batch.TextMemory;
 import io.briarward.core.fleet.FleetConfiguration;
 import io.briarward.core.fleet.UpstreamBalancer;
 import io.briarward.core.fleet.UpstreamEntry;
@@ -22,6 +23,9 @@
  * <p>Confined to the event loop.
  */
 final class BatchContext {
+  /** The unfinished texts of all batches of a process, many times those of one batch. */
+  private static final long MAX_TEXT_BYTES = 16 << 20;
+
   private final Scheduler scheduler;
   private final FleetState fleet;
   private final BatchStore store;
@@ -34,6 +38,7 @@
   private final BatchDirectory directory;
   private final Runnable onStepRequested;
   private final RunPlacement placement = RunPlacement.create();
+  private final TextMemory texts;
   private long tokenCount;
 
   BatchContext(
@@ -59,6 +64,7 @@
     this.storeClockMillis = checkNotNull(storeClockMillis, "storeClockMillis");
     this.directory = checkNotNull(directory, "directory");
     this.onStepRequested = checkNotNull(onStepRequested, "onStepRequested");
+    this.texts = TextMemory.of(MAX_TEXT_BYTES, bytes -> log.warn("text-dropped", "bytes", bytes));
   }
 
   Scheduler scheduler() {
@@ -102,6 +108,11 @@
     return placement;
   }
 
+  /** Returns the memory of the unfinished texts of all batches. */
+  TextMemory texts() {
+    return texts;
+  }
+
   Optional<FleetConfiguration> configuration() {
     return fleet.configuration();
   }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -100,7 +100,7 @@
     this.context = checkNotNull(context, "context");
     this.spec = checkNotNull(spec, "spec");
     this.head = checkNotNull(head, "head");
-    this.run = BatchRun.create(spec, head.head().terms(), recordedIds);
+    this.run = BatchRun.create(spec, head.head().terms(), recordedIds, context.texts());
     this.samplers = new SamplerChooser(context, spec, head.head().terms(), run);
     this.rewards = new RewardRunner(context, spec.id(), head.head().terms(), run);
   }
@@ -216,6 +216,7 @@
             });
     activeRuns.clear();
     rewards.close();
+    run.discardTexts();
     context
         .log()
         .info(
