http: close a connection on which a part of a response cannot be written

Callers saw nothing, but would have read the next response as the rest of one whose part was lost (MIXED): the results of writes were ignored, and a write fails alone when no direct memory is left, which does not end the process.

Change: a failed write closes the connection and is logged.

Evidence: CallerResponseTest.connectionIsClosedIfPartOfTheResponseCannotBeWritten timed out after 30 s on the open connection before, and passes. Direct memory that is used up was not reproduced.

--- a/node/src/main/java/io/briarward/node/fleet/TableWatch.java
+++ b/node/src/main/java/io/briarward/node/fleet/TableWatch.java
@@ -166,7 +166,8 @@
    * Returns the latest time that the store's clock may show, for times that are stored; valid only
    * if {@link #clockKnown}.
    *
-   * <p>It is too early for a while after a suspension of the VM; see {@link #readClock}.
+   * <p>It is too early for a while after a suspension of the VM that the scheduler's clock does not
+   * count; see {@link #readClock}.
    */
   public long latestStoreMillis() {
     return clock.latestMillis(nowMillis());
--- a/node/src/main/java/io/briarward/node/http/CallerResponse.java
+++ b/node/src/main/java/io/briarward/node/http/CallerResponse.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
+import org.tinylog.Logger;
 
 /**
  * The response to one request of a caller, to which an upstream's response is relayed.
@@ -139,12 +140,25 @@
 
     @Override
     public void sendChunk(Buffer chunk) {
-      response.write(chunk);
+      closeOnFailure(response.write(chunk));
     }
 
     @Override
     public void sendLast(Buffer chunk) {
-      written = response.closed() ? Future.succeededFuture() : response.end(chunk);
+      written = response.closed() ? Future.succeededFuture() : closeOnFailure(response.end(chunk));
+    }
+
+    /**
+     * Closes the connection if a write fails, for example for want of direct memory; the bytes that
+     * follow would otherwise take the place of those that are missing.
+     */
+    @CanIgnoreReturnValue
+    private Future<Void> closeOnFailure(Future<Void> write) {
+      return write.onFailure(
+          cause -> {
+            Logger.warn("closing a connection on which a write failed: {}", cause.toString());
+            close();
+          });
     }
 
     /** Closes the connection at once, though the caller may not read what was sent before. */
