http: close a connection on which interim responses come without end

This is a head without end that no limit of a head's size stops.

Change: more than 16 interim responses to a request make the response invalid, which closes the connection, with a stray-bytes line.

Evidence: ResponseBoundaryGuardTest.interimResponsesWithoutEndCloseTheConnection; the guard had no such limit.

--- a/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
+++ b/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
@@ -33,13 +33,17 @@
  * sends the beginning of a surplus response on a pooled connection, the response to the next
  * request would be read as the rest of it and get its status. Bytes are therefore decoded only
  * while a response is awaited, a response must end with the last of the bytes that were received
- * together, and a head must not contain another status line. Confined to the event loop of the
- * connection.
+ * together, and a head must not contain another status line. A server that sends interim responses
+ * without end does not occupy the event loop until the time-out of the request. Confined to the
+ * event loop of the connection.
  */
 final class ResponseBoundaryGuard {
   private static final AttributeKey<ResponseBoundaryGuard> GUARD =
       AttributeKey.valueOf(ResponseBoundaryGuard.class, "guard");
 
+  /** Far more than servers send; each takes processor time and keeps the response away. */
+  private static final int MAX_INTERIM_RESPONSES = 16;
+
   private final Listener listener;
   private final SocketAddress server;
   private final MessageHandler messageHandler = new MessageHandler();
@@ -57,7 +61,9 @@
     /** Together with the end of a response. */
     AFTER_RESPONSE("after-response"),
     /** Before a response, so that the two have one head. */
-    BEFORE_RESPONSE("before-response");
+    BEFORE_RESPONSE("before-response"),
+    /** In place of a response: interim ones without end. */
+    INTERIM("interim");
 
     private final String label;
 
@@ -169,6 +175,7 @@
   private final class MessageHandler extends ChannelDuplexHandler {
     private Optional<ChannelHandlerContext> ownContext = Optional.empty();
     private boolean informational;
+    private int interimResponses;
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
@@ -180,6 +187,7 @@
       if (message instanceof HttpRequest) {
         sentRequests++;
         awaitedResponses++;
+        interimResponses = 0;
       }
       context.write(message, promise);
     }
@@ -211,14 +219,20 @@
 
     private void onHead(HttpResponse response) {
       informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-      if (JoinedHeads.isJoined(response.status().reasonPhrase(), response.headers())) {
-        reject(Position.BEFORE_RESPONSE);
-        // The client closes the connection on which a response is invalid.
-        response.setDecoderResult(
-            DecoderResult.failure(new IllegalArgumentException("head joined from two responses")));
+      interimResponses += informational ? 1 : 0;
+      if (interimResponses > MAX_INTERIM_RESPONSES) {
+        invalidate(response, Position.INTERIM, "interim responses without end");
+      } else if (JoinedHeads.isJoined(response.status().reasonPhrase(), response.headers())) {
+        invalidate(response, Position.BEFORE_RESPONSE, "head joined from two responses");
       }
     }
 
+    /** Makes a response invalid, so that the client closes the connection. */
+    private void invalidate(HttpResponse response, Position position, String cause) {
+      reject(position);
+      response.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(cause)));
+    }
+
     /** Passes on what was held. */
     void release() {
       Optional<HttpContent> content = heldContent;
--- a/node/src/test/java/io/briarward/node/http/ResponseBoundaryGuardTest.java
+++ b/node/src/test/java/io/briarward/node/http/ResponseBoundaryGuardTest.java
@@ -190,4 +190,28 @@
     }
     assertThat(strayBytes).contains(Position.BEFORE_RESPONSE);
   }
+
+  /** Guards against interim responses without end, which occupied the event loop. */
+  @Test
+  void interimResponsesWithoutEndCloseTheConnection() {
+    send();
+    for (int i = 0; i < 16; i++) {
+      receive(INTERIM);
+    }
+    assertThat(client.received.toString()).doesNotContain("invalid");
+    receive(INTERIM.repeat(100));
+    assertThat(client.received.toString()).contains("invalid");
+    assertThat(strayBytes).containsExactly(Position.INTERIM);
+  }
+
+  @Test
+  void interimResponsesAreCountedForEachRequest() {
+    for (int i = 0; i < 20; i++) {
+      send();
+      receive(INTERIM);
+      receive(SUCCESS);
+    }
+    assertThat(client.received.toString()).doesNotContain("invalid");
+    assertThat(strayBytes).isEmpty();
+  }
 }
