--- a/node/src/test/java/io/briarward/node/batch/BatchClockTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchClockTest.java
@@ -111,4 +111,15 @@
     cluster.stepTimeOfDay(-10_000);
     assertItemsAreGivenUpInTime();
   }
+
+  /** The store does not tell its clock in time, and the steady clock does not count the time. */
+  @Test
+  void itemsAreNotGivenUpEarlyAfterSuspensionWhileTheFeedIsSilent() {
+    cluster.store.setFeedDelayMillis(5_000);
+    cluster.store.advanceClock(1_800);
+    cluster.stepTimeOfDay(1_800);
+    submit("x");
+    cluster.store.setFeedDelayMillis(0);
+    assertItemsAreGivenUpInTime();
+  }
 }
--- a/node/src/test/java/io/briarward/node/timing/UptimeSchedulerTest.java
+++ b/node/src/test/java/io/briarward/node/timing/UptimeSchedulerTest.java
@@ -45,7 +45,7 @@
   /** Heartbeats paused for as long as the time of day was set back. */
   @Test
   void periodicActionsGoOnWhileTimeOfDayIsSetBack() {
-    Disposable timer = Timers.every(scheduler, 100, () -> ticks.add(nowMillis()));
+    final Disposable timer = Timers.every(scheduler, 100, () -> ticks.add(nowMillis()));
     actions.advanceTimeBy(1, TimeUnit.SECONDS);
     timeOfDayOffsetMillis -= 2_000;
     actions.advanceTimeBy(1, TimeUnit.SECONDS);
