Idle nodes read the store and wake up less often

With 76 nodes each read the table of upstreams as often as the store responded, about 20 times a second of 20 calls in all, since each upstream renews its row every 1.2 s. The pause between two reads now grows with the number of nodes, from 20 ms to 300 ms. Only three nodes read the lease, as the other duties do, and all while the others are not known. The timers of batches and duties run ten and two times less often on a node without work.

--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -105,7 +105,8 @@
                     .mapToDouble(owner -> owner.neededPerSecond(sampler))
                     .sum());
     ownership.timers.add(directory.changes().subscribe(ownership::onHead));
-    ownership.timers.add(Timers.every(scheduler, STEP_INTERVAL_MILLIS, ownership::step));
+    ownership.timers.add(
+        Timers.repeatedly(scheduler, ownership::stepIntervalMillis, ownership::step));
     ownership.timers.add(
         Timers.every(scheduler, TAKEOVER_SCAN_INTERVAL_MILLIS, ownership::takeOver));
     return ownership;
@@ -181,6 +182,11 @@
     }
   }
 
+  /** A process without batches has nothing to do until one is accepted or taken over. */
+  private long stepIntervalMillis() {
+    return owners.isEmpty() ? TAKEOVER_SCAN_INTERVAL_MILLIS : STEP_INTERVAL_MILLIS;
+  }
+
   private void requestStep() {
     if (!stepPending) {
       stepPending = true;
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -9,6 +9,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.fleet.NodeDemand;
 import io.briarward.core.fleet.RelayOffer;
+import io.briarward.core.lease.DutyCandidates;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
 import io.briarward.core.platform.Transaction;
@@ -54,6 +55,9 @@
    */
   private static final long STALE_MILLIS = 2_000;
 
+  /** One process still competes for a lease if two others fail together. */
+  private static final int DUTY_CANDIDATES = 3;
+
   /** Bounds the rate of calls for changes; heartbeats written meanwhile are read in one call. */
   private static final long WATCH_PAUSE_MILLIS = 500;
 
@@ -157,6 +161,21 @@
     return alive.build();
   }
 
+  /**
+   * Returns whether this process is one of those that compete for the lease of a duty.
+   *
+   * <p>While the others are not known, each process is one.
+   */
+  public boolean isDutyCandidate(String duty) {
+    return !reliable()
+        || DutyCandidates.choose(duty, alive(), DUTY_CANDIDATES).contains(incarnation);
+  }
+
+  /** Returns the number of incarnations presumed alive, including this process's. */
+  public int aliveCount() {
+    return 1 + (int) others().count();
+  }
+
   /**
    * Returns whether an incarnation that is absent from {@link #alive} may be presumed dead.
    *
--- a/node/src/main/java/io/briarward/node/fleet/TableWatch.java
+++ b/node/src/main/java/io/briarward/node/fleet/TableWatch.java
@@ -37,7 +37,7 @@
   private final Scheduler scheduler;
   private final EventLog log;
   private final String table;
-  private final long pauseMillis;
+  private final LongSupplier pauseMillis;
   private final Listener listener;
   private final LongSupplier steadyMillis;
   private final StoreClock clock = StoreClock.create();
@@ -65,14 +65,14 @@
       Scheduler scheduler,
       EventLog log,
       String table,
-      long pauseMillis,
+      LongSupplier pauseMillis,
       LongSupplier steadyMillis,
       Listener listener) {
     this.feed = checkNotNull(feed, "feed");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.table = checkNotNull(table, "table");
-    this.pauseMillis = pauseMillis;
+    this.pauseMillis = checkNotNull(pauseMillis, "pauseMillis");
     this.steadyMillis = checkNotNull(steadyMillis, "steadyMillis");
     this.listener = checkNotNull(listener, "listener");
   }
@@ -89,14 +89,33 @@
       String table,
       long pauseMillis,
       Listener listener) {
-    return start(
-        feed,
-        scheduler,
-        log,
-        table,
-        pauseMillis,
-        () -> scheduler.now(TimeUnit.MILLISECONDS),
-        listener);
+    return start(feed, scheduler, log, table, () -> pauseMillis, listener);
+  }
+
+  /**
+   * Starts to follow a table with a varying pause.
+   *
+   * @param pauseMillis returns the pause after a response with changes, which bounds the rate of
+   *     calls
+   */
+  public static TableWatch start(
+      ChangeFeed feed,
+      Scheduler scheduler,
+      EventLog log,
+      String table,
+      LongSupplier pauseMillis,
+      Listener listener) {
+    TableWatch watch =
+        new TableWatch(
+            feed,
+            scheduler,
+            log,
+            table,
+            pauseMillis,
+            () -> scheduler.now(TimeUnit.MILLISECONDS),
+            listener);
+    watch.poll();
+    return watch;
   }
 
   /**
@@ -115,7 +134,7 @@
       LongSupplier steadyMillis,
       Listener listener) {
     TableWatch watch =
-        new TableWatch(feed, scheduler, log, table, pauseMillis, steadyMillis, listener);
+        new TableWatch(feed, scheduler, log, table, () -> pauseMillis, steadyMillis, listener);
     watch.poll();
     return watch;
   }
@@ -230,7 +249,7 @@
       schedulePoll(0);
       return;
     }
-    deliver(() -> listener.onChanges(changes.changes()), pauseMillis);
+    deliver(() -> listener.onChanges(changes.changes()), pauseMillis.getAsLong());
   }
 
   /**
--- a/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
+++ b/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
@@ -21,6 +21,7 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -29,8 +30,20 @@
  * <p>One node at a time does so, under a lease. Confined to the event loop.
  */
 public final class ControlDuty implements AutoCloseable {
-  private static final String DUTY = "control";
+  /** The name of the duty, which is the key of its lease. */
+  static final String DUTY = "control";
+
   private static final long STEP_INTERVAL_MILLIS = 50;
+
+  /** A fifth of the interval at which a process that does not hold the lease reads it. */
+  private static final long IDLE_STEP_INTERVAL_MILLIS = 100;
+
+  /**
+   * The time after the start in which a process reads the lease even if it is no candidate, since
+   * it does not know the other processes yet, and may succeed its predecessor on the same VM.
+   */
+  private static final long START_MILLIS = 5_000;
+
   private static final long USAGE_WRITE_INTERVAL_MILLIS = 500;
 
   /** The time-out of each call that is sent under the lease, in milliseconds. */
@@ -52,6 +65,8 @@
   private final UsageReporter usage;
   private final LeaseRunner lease;
   private final long reacquireDelayMillis;
+  private final BooleanSupplier isCandidate;
+  private final long startedAtMillis;
   private final SuspensionDetector suspension = SuspensionDetector.create();
   private Disposable stepTimer = Disposable.disposed();
   private Disposable usageWriteTimer = Disposable.disposed();
@@ -85,7 +100,8 @@
       FleetState fleet,
       SamplerOrders samplers,
       UsageReports reports,
-      Supplier<ImmutableMap<String, FreshnessDemand>> demands) {
+      Supplier<ImmutableMap<String, FreshnessDemand>> demands,
+      BooleanSupplier isCandidate) {
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.lease =
@@ -96,7 +112,8 @@
             DUTY,
             settings.incarnation(),
             other -> Incarnations.sameVm(other, settings.incarnation()));
-    lease.setWatching(true);
+    this.isCandidate = checkNotNull(isCandidate, "isCandidate");
+    this.startedAtMillis = nowMillis();
     this.reacquireDelayMillis = settings.reacquireDelayMillis();
     this.candidateFromMillis = nowMillis() + reacquireDelayMillis;
     SendPermission permission = new LeasePermission();
@@ -110,6 +127,7 @@
    * Starts a duty that competes for the lease.
    *
    * @param demands returns the current staleness bound of each model's weights
+   * @param isCandidate returns whether this process is one of those that compete for the lease
    */
   public static ControlDuty start(
       Settings settings,
@@ -119,10 +137,12 @@
       FleetState fleet,
       SamplerOrders samplers,
       UsageReports reports,
-      Supplier<ImmutableMap<String, FreshnessDemand>> demands) {
+      Supplier<ImmutableMap<String, FreshnessDemand>> demands,
+      BooleanSupplier isCandidate) {
     ControlDuty duty =
-        new ControlDuty(settings, tables, scheduler, log, fleet, samplers, reports, demands);
-    duty.stepTimer = Timers.every(scheduler, STEP_INTERVAL_MILLIS, duty::step);
+        new ControlDuty(
+            settings, tables, scheduler, log, fleet, samplers, reports, demands, isCandidate);
+    duty.stepTimer = Timers.repeatedly(scheduler, duty::stepIntervalMillis, duty::step);
     duty.usageWriteTimer =
         Timers.every(scheduler, USAGE_WRITE_INTERVAL_MILLIS, duty.usage::storeCounts);
     return duty;
@@ -177,13 +197,21 @@
     return lease.released();
   }
 
+  private long stepIntervalMillis() {
+    return leaseHeld ? STEP_INTERVAL_MILLIS : IDLE_STEP_INTERVAL_MILLIS;
+  }
+
   private void step() {
+    boolean competes =
+        leaseHeld || nowMillis() < startedAtMillis + START_MILLIS || isCandidate.getAsBoolean();
+    lease.setWatching(competes);
     // A VM that lost the lease to another VM may take it back only after reacquireDelayMillis. A
     // restarted VM waits as well, since its previous process may have sent an order just before the
     // restart, unless no other VM has held the lease since that process.
     boolean reacquireDelayOver = nowMillis() >= candidateFromMillis;
     lease.setCandidate(
-        !stopping && (leaseHeld || reacquireDelayOver || lease.isHeldByPredecessor()));
+        !stopping
+            && (leaseHeld || (competes && (reacquireDelayOver || lease.isHeldByPredecessor()))));
     Optional<LeaseGuard> guard = guard();
     if (guard.isPresent() != leaseHeld) {
       leaseHeld = guard.isPresent();
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.net.HostAndPort;
+import io.briarward.core.fleet.FeedPause;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.RelayOffer;
 import io.briarward.core.forwarding.StopSchedule;
@@ -107,15 +108,6 @@
             dependencies.decoder().operatorTable(),
             FEED_INTERVAL_MILLIS,
             fleet.operatorRows()));
-    TableWatch upstreams =
-        TableWatch.start(
-            dependencies.feed(),
-            scheduler,
-            log,
-            dependencies.decoder().upstreamTable(),
-            FEED_INTERVAL_MILLIS,
-            fleet.upstreamRows());
-    parts.push(upstreams);
     String incarnation = Incarnations.create(settings.nodeName(), settings.address());
     this.nodes =
         NodeRegistry.start(
@@ -128,6 +120,15 @@
             fleet::demand,
             scheduler::steadyMillis);
     parts.push(nodes);
+    TableWatch upstreams =
+        TableWatch.start(
+            dependencies.feed(),
+            scheduler,
+            log,
+            dependencies.decoder().upstreamTable(),
+            () -> FeedPause.ofNodesMillis(nodes.aliveCount()),
+            fleet.upstreamRows());
+    parts.push(upstreams);
     nodes.offerRelay(
         () ->
             new RelayOffer(
@@ -164,7 +165,8 @@
             fleet,
             dependencies.orders(),
             dependencies.reports(),
-            batches::freshnessDemands);
+            batches::freshnessDemands,
+            () -> nodes.isDutyCandidate(ControlDuty.DUTY));
     parts.push(control);
     CrashRegistry crashes =
         CrashRegistry.start(
--- a/node/src/main/java/io/briarward/node/timing/Timers.java
+++ b/node/src/main/java/io/briarward/node/timing/Timers.java
@@ -4,8 +4,10 @@
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.disposables.SerialDisposable;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.tinylog.Logger;
 
 /**
@@ -27,6 +29,32 @@
     return start(scheduler, 0, periodMillis, action);
   }
 
+  /**
+   * Runs an action again and again until disposed, first after one period.
+   *
+   * @param periodMillis returns the time until the next run, asked after each run
+   */
+  public static Disposable repeatedly(
+      Scheduler scheduler, LongSupplier periodMillis, Runnable action) {
+    SerialDisposable next = new SerialDisposable();
+    scheduleNext(scheduler, periodMillis, action, next);
+    return next;
+  }
+
+  private static void scheduleNext(
+      Scheduler scheduler, LongSupplier periodMillis, Runnable action, SerialDisposable next) {
+    next.set(
+        scheduler.scheduleDirect(
+            () -> {
+              runSafely(action);
+              if (!next.isDisposed()) {
+                scheduleNext(scheduler, periodMillis, action, next);
+              }
+            },
+            periodMillis.getAsLong(),
+            TimeUnit.MILLISECONDS));
+  }
+
   private static Disposable start(
       Scheduler scheduler, long delayMillis, long periodMillis, Runnable action) {
     return Flowable.interval(delayMillis, periodMillis, TimeUnit.MILLISECONDS, scheduler)
--- a/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
+++ b/node/src/test/java/io/briarward/node/gateway/ControlDutyTest.java
@@ -23,6 +23,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -72,6 +74,10 @@
     private final List<AutoCloseable> parts = new ArrayList<>();
 
     Node(String name) {
+      this(name, () -> true);
+    }
+
+    Node(String name, BooleanSupplier isCandidate) {
       EventLog log = EventLog.create(scheduler);
       FleetState fleet =
           FleetState.create(decoder, scheduler, log, "nadi", LimitShares.create(name));
@@ -91,7 +97,8 @@
               fleet,
               samplers,
               usageReports,
-              () -> ImmutableMap.of());
+              () -> ImmutableMap.of(),
+              isCandidate);
       parts.add(duty);
     }
 
@@ -191,6 +198,36 @@
     assertThat(orders.get(0).fencingNumber()).isEqualTo(3);
   }
 
+  /** Guards against a store that every process asks for the lease twice a second. */
+  @Test
+  void processThatIsNoCandidateStopsReadingLease() {
+    new Node("a");
+    new Node("b", () -> false);
+    advance(6_000);
+    int readsOfOne = store.reads("leases");
+    advance(10_000);
+    int reads = store.reads("leases") - readsOfOne;
+    new Node("c");
+    advance(10_000);
+    assertThat(store.reads("leases") - readsOfOne - reads).isGreaterThan(reads + 15);
+  }
+
+  /** Guards against a duty that nobody carries out since the candidates failed together. */
+  @Test
+  void processThatBecomesCandidateTakesLeaseOfLostHolder() throws Exception {
+    AtomicBoolean candidate = new AtomicBoolean();
+    Node holder = new Node("a");
+    new Node("b", candidate::get);
+    advance(10_000);
+    holder.kill();
+    advance(3_500);
+    candidate.set(true);
+    announce(2);
+    advance(LEASE_MILLIS + 1_500);
+    assertThat(orders).hasSize(4);
+    assertThat(orders.get(0).holder()).isEqualTo("b");
+  }
+
   @Test
   void allSamplersAreOrderedAfterUnansweredOrders() {
     new Node("a");
--- a/node/src/test/java/io/briarward/node/testing/MemoryStore.java
+++ b/node/src/test/java/io/briarward/node/testing/MemoryStore.java
@@ -1,8 +1,10 @@
 package io.briarward.node.testing;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.HashMultiset;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Multiset;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
@@ -69,6 +71,7 @@
   private Predicate<String> tablesWithoutSnapshots = name -> false;
   private Predicate<String> tablesWithLaggingFeed = name -> false;
   private Predicate<String> objectsWithoutPuts = name -> false;
+  private final Multiset<String> readsByTable = HashMultiset.create();
   private boolean down;
   private long objectDelayMillis;
   private long feedDelayMillis;
@@ -153,6 +156,11 @@
     return ImmutableSet.copyOf(objects.keySet());
   }
 
+  /** Returns how often single rows of a table were read. */
+  public int reads(String table) {
+    return readsByTable.count(table);
+  }
+
   /** Returns the rows of a table. */
   public ImmutableList<Row> rows(String table) {
     return tables.scan(table, "", "", 10_000);
@@ -219,6 +227,7 @@
 
   @Override
   public Single<Optional<Row>> read(RowKey key) {
+    readsByTable.add(key.table());
     return respond(() -> Single.just(tables.read(key)));
   }
 
--- a/node/src/test/java/io/briarward/node/timing/TimersTest.java
+++ b/node/src/test/java/io/briarward/node/timing/TimersTest.java
@@ -29,6 +29,22 @@
     assertThat(runs.get()).isEqualTo(2);
   }
 
+  @Test
+  void repeatedlyAsksForThePeriodAfterEachRunAndEndsWithDisposal() {
+    final AtomicInteger periodMillis = new AtomicInteger(50);
+    final Disposable timer = Timers.repeatedly(scheduler, periodMillis::get, runs::incrementAndGet);
+    advance(50);
+    assertThat(runs.get()).isEqualTo(1);
+    periodMillis.set(10);
+    advance(50);
+    assertThat(runs.get()).isEqualTo(2);
+    advance(10);
+    assertThat(runs.get()).isEqualTo(3);
+    timer.dispose();
+    advance(100);
+    assertThat(runs.get()).isEqualTo(3);
+  }
+
   @Test
   void actionThatFailsRunsAgain() {
     var unused =
