batches: nodes without waiting callers read listings less often

Every node followed each listing of each batch, up to 20 reads a second while batches run. A node reads that often only while one of its callers waits for results; otherwise the pause grows with the number of nodes, as that of the upstreams does.

--- a/node/src/main/java/io/briarward/node/batch/BatchDirectory.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchDirectory.java
@@ -25,6 +25,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Caches the newest known head of every batch.
@@ -33,6 +34,7 @@
  * head never replaces a newer one. Confined to the event loop.
  */
 final class BatchDirectory implements AutoCloseable {
+  /** The pause between two reads while a caller of this node waits for results. */
   private static final long FEED_PAUSE_MILLIS = 50;
 
   /** The age of the change feed's last response above which a head is read from the store. */
@@ -54,20 +56,46 @@
   private final PublishSubject<StoredHead> changes = PublishSubject.create();
   private final Cache<String, BatchSpec> specs =
       CacheBuilder.newBuilder().maximumSize(MAX_CACHED_SPECS).build();
-
-  private BatchDirectory(ChangeFeed feed, Scheduler scheduler, EventLog log, BatchStore store) {
+  private int waitingCallers;
+
+  private BatchDirectory(
+      ChangeFeed feed,
+      Scheduler scheduler,
+      EventLog log,
+      BatchStore store,
+      LongSupplier idlePauseMillis) {
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.store = checkNotNull(store, "store");
     this.watch =
         TableWatch.start(
-            feed, scheduler, log, BatchStore.HEADS_TABLE, FEED_PAUSE_MILLIS, new HeadListener());
+            feed,
+            scheduler,
+            log,
+            BatchStore.HEADS_TABLE,
+            () -> pauseMillis(idlePauseMillis),
+            new HeadListener());
   }
 
-  /** Starts to follow the heads of all batches by the change feed. */
+  /**
+   * Starts to follow the heads of all batches by the change feed.
+   *
+   * @param idlePauseMillis returns the pause between two reads of changes while no caller waits for
+   *     results
+   */
   static BatchDirectory start(
-      ChangeFeed feed, Scheduler scheduler, EventLog log, BatchStore store) {
-    return new BatchDirectory(feed, scheduler, log, store);
+      ChangeFeed feed,
+      Scheduler scheduler,
+      EventLog log,
+      BatchStore store,
+      LongSupplier idlePauseMillis) {
+    return new BatchDirectory(feed, scheduler, log, store, idlePauseMillis);
+  }
+
+  private long pauseMillis(LongSupplier idlePauseMillis) {
+    return waitingCallers > 0
+        ? FEED_PAUSE_MILLIS
+        : Math.max(FEED_PAUSE_MILLIS, idlePauseMillis.getAsLong());
   }
 
   /** Returns the newest known head of a batch without reading the store. */
@@ -159,7 +187,9 @@
         .filter(head -> head.id().equals(id) && head.listed() > count)
         .firstOrError()
         .timeout(waitMillis, TimeUnit.MILLISECONDS, scheduler)
-        .onErrorResumeNext(unused -> currentHead(id));
+        .onErrorResumeNext(unused -> currentHead(id))
+        .doOnSubscribe(unused -> waitingCallers++)
+        .doFinally(() -> waitingCallers--);
   }
 
   private Single<BatchHead> currentHead(String id) {
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -11,6 +11,7 @@
 import io.briarward.core.batch.BatchTerms;
 import io.briarward.core.batch.BatchVersions;
 import io.briarward.core.batch.ItemResult;
+import io.briarward.core.fleet.FeedPause;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.weights.FreshnessDemand;
@@ -99,7 +100,13 @@
     this.store =
         new BatchStore(
             scheduler, dependencies.tables(), dependencies.objects(), dependencies.decoder());
-    this.directory = BatchDirectory.start(dependencies.feed(), scheduler, log, store);
+    this.directory =
+        BatchDirectory.start(
+            dependencies.feed(),
+            scheduler,
+            log,
+            store,
+            () -> FeedPause.ofNodesMillis(nodes.aliveCount()));
     this.ownership =
         BatchOwnership.start(
             incarnation, dependencies, store, directory, scheduler, fleet, nodes, log);
