Batches are taken over by due time, two at a time, by capacity

Cause: after the loss of all VMs each VM claimed and loaded all its batches at once in any order, VMs with a quarter of a core got as many as those with a whole one, and batches selected for a VM whose row was left from before the loss waited for 3,500 ms.

Change: TakeoverOrder orders the loads; WeightedCandidates selects the owner by rendezvous hashing weighted by the capacity that each VM publishes in its row of `nodes` (cpuShare x cpuCores). Equal or unknown capacities select as DutyCandidates does, so VMs of the previous version agree. A process takes the batches of the one before it on its VM at once, and processes silent for 2,000 ms are not selected. BatchTakeover scans when a VM's process changes, when a head is released, and when a silent process is presumed dead, instead of up to 500 ms later; this reads no row more. A batch that cannot be loaded is left out for 500 ms, so that it does not keep the two loads from the others.

A test found that the process selected its predecessor on the same VM, whose row it had read; such a row no longer counts as alive.

--- a/core/src/main/java/io/briarward/core/lease/DutyCandidates.java
+++ b/core/src/main/java/io/briarward/core/lease/DutyCandidates.java
@@ -40,7 +40,8 @@
         .collect(toImmutableList());
   }
 
-  private static long score(String duty, String vmId) {
+  /** Returns the hash by which a VM is preferred; the lowest one is first. */
+  static long score(String duty, String vmId) {
     return HASH.hashString(duty + '\n' + vmId, StandardCharsets.UTF_8).asLong();
   }
 }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -4,10 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import io.briarward.core.batch.BatchHead;
 import io.briarward.core.batch.BatchSpec;
-import io.briarward.core.lease.DutyCandidates;
-import io.briarward.core.platform.CommitResult;
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.NodeRegistry;
@@ -16,14 +13,11 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
-import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -33,7 +27,7 @@
  */
 final class BatchOwnership implements AutoCloseable {
   private static final long STEP_INTERVAL_MILLIS = 50;
-  private static final long TAKEOVER_SCAN_INTERVAL_MILLIS = 500;
+  private static final long IDLE_STEP_INTERVAL_MILLIS = 500;
 
   /** Two heartbeats and the probes of the other nodes take less. */
   private static final long MIN_SCORERS_LOST_MILLIS = 3_000;
@@ -42,12 +36,9 @@
   private final FleetState fleet;
   private final NodeRegistry nodes;
   private final EventLog log;
-  private final String incarnation;
-  private final BatchStore store;
   private final BatchDirectory directory;
   private final BatchContext context;
   private final Map<String, BatchOwner> owners = new HashMap<>();
-  private final Set<String> acquiringIds = new HashSet<>();
   private final Map<String, Long> lostSinceMillis = new HashMap<>();
   private final CompositeDisposable timers = new CompositeDisposable();
   private boolean stepPending;
@@ -66,8 +57,6 @@
     this.fleet = checkNotNull(fleet, "fleet");
     this.nodes = checkNotNull(nodes, "nodes");
     this.log = checkNotNull(log, "log");
-    this.incarnation = checkNotNull(incarnation, "incarnation");
-    this.store = checkNotNull(store, "store");
     this.directory = checkNotNull(directory, "directory");
     this.context =
         new BatchContext(
@@ -108,7 +97,8 @@
     ownership.timers.add(
         Timers.repeatedly(scheduler, ownership::stepIntervalMillis, ownership::step));
     ownership.timers.add(
-        Timers.every(scheduler, TAKEOVER_SCAN_INTERVAL_MILLIS, ownership::takeOver));
+        BatchTakeover.start(
+            ownership.context, fleet, nodes, directory, ownership.new TakenOverBatches()));
     return ownership;
   }
 
@@ -184,7 +174,7 @@
 
   /** A process without batches has nothing to do until one is accepted or taken over. */
   private long stepIntervalMillis() {
-    return owners.isEmpty() ? TAKEOVER_SCAN_INTERVAL_MILLIS : STEP_INTERVAL_MILLIS;
+    return owners.isEmpty() ? IDLE_STEP_INTERVAL_MILLIS : STEP_INTERVAL_MILLIS;
   }
 
   private void requestStep() {
@@ -208,33 +198,6 @@
     }
   }
 
-  /**
-   * Takes over batches without a live owner.
-   *
-   * <p>Of the live nodes that reach the samplers of a batch, the one that the hash of its id
-   * selects takes it over; nodes that are cut off from another service only if there is no other.
-   */
-  private void takeOver() {
-    if (draining || !fleet.known() || !nodes.clockKnown()) {
-      return;
-    }
-    handOverUnreachable();
-    ImmutableSet<String> alive = nodes.alive();
-    for (StoredHead stored : directory.cachedHeads()) {
-      BatchHead head = stored.head();
-      if (!head.isOpen() || owners.containsKey(head.id()) || acquiringIds.contains(head.id())) {
-        continue;
-      }
-      if (head.isOwnedBy(incarnation)) {
-        loadAndRun(stored);
-      } else if (hasNoLiveOwner(head, alive)
-          && DutyCandidates.choose(head.id(), nodes.bestPlaced(head.terms().service()), 1)
-              .contains(incarnation)) {
-        claim(stored);
-      }
-    }
-  }
-
   /**
    * Releases the batches that need a service which another node reaches and this node does not.
    *
@@ -269,114 +232,29 @@
         .findFirst();
   }
 
-  private void logReleaseFailed(BatchOwner owner, Throwable error) {
-    log.warn("batch-release-failed", "batch", owner.spec().id(), "cause", error.toString());
-  }
-
-  /** Returns whether a batch was released, or its owner was replaced or is presumed dead. */
-  private boolean hasNoLiveOwner(BatchHead head, ImmutableSet<String> alive) {
-    if (head.owner().isEmpty() || nodes.replaced(head.owner().get())) {
-      return true;
+  private final class TakenOverBatches implements BatchTakeover.Batches {
+    @Override
+    public boolean runs(String id) {
+      return owners.containsKey(id);
     }
-    return nodes.reliable() && !alive.contains(head.owner().get());
-  }
 
-  /** Makes this process the owner unless another process has changed the head. */
-  private void claim(StoredHead stored) {
-    BatchHead next = stored.head().withOwner(Optional.of(incarnation), context.nextToken());
-    acquiringIds.add(next.id());
-    log.info(
-        "batch-takeover",
-        "batch",
-        next.id(),
-        "from",
-        stored.head().owner().orElse("nobody"),
-        "listed",
-        next.listed(),
-        "total",
-        next.total(),
-        "storeAgeMillis",
-        nodes.storeAgeMillis());
-    var unused =
-        store
-            .replace(stored, next, ImmutableList.of())
-            .doFinally(() -> acquiringIds.remove(next.id()))
-            .subscribe(
-                result -> {
-                  if (result instanceof CommitResult.Committed committed) {
-                    loadAndRun(StoredHead.written(next, committed));
-                  }
-                },
-                error ->
-                    log.warn("takeover-failed", "batch", next.id(), "cause", error.toString()));
-  }
+    @Override
+    public boolean acceptsMore() {
+      return !draining;
+    }
 
-  /**
-   * Runs a loaded batch unless it was ended, removed or taken over while it was read, or more items
-   * were listed; it is then loaded again if this process still owns it.
-   *
-   * @param listedIds the id of the item at each listed position
-   */
-  private void runIfStillOwned(BatchSpec spec, ImmutableList<String> listedIds) {
-    ImmutableSet<String> recordedIds = ImmutableSet.copyOf(listedIds);
-    Optional<StoredHead> newest =
-        directory
-            .cachedHead(spec.id())
-            .filter(head -> head.head().isOpen())
-            .filter(head -> head.head().isOwnedBy(incarnation))
-            .filter(head -> head.head().listed() == listedIds.size());
-    newest
-        .filter(head -> recordedIds.size() < listedIds.size())
-        .ifPresent(
-            head ->
-                log.warn(
-                    "items-listed-twice",
-                    "batch",
-                    spec.id(),
-                    "positions",
-                    head.head().listed(),
-                    "items",
-                    recordedIds.size()));
-    newest.ifPresent(head -> run(spec, head, recordedIds));
-    log.info(
-        newest.isPresent() ? "batch-adopted" : "batch-not-adopted",
-        "batch",
-        spec.id(),
-        "rowVersion",
-        directory.cachedHead(spec.id()).map(StoredHead::rowVersion).orElse(0L),
-        "listed",
-        directory.cachedHead(spec.id()).map(stored -> stored.head().listed()).orElse(0),
-        "read",
-        listedIds.size());
-  }
+    @Override
+    public void onScan() {
+      handOverUnreachable();
+    }
 
-  /** Loads and runs a batch whose head names this process as the owner. */
-  private void loadAndRun(StoredHead stored) {
-    String id = stored.head().id();
-    directory.update(stored);
-    acquiringIds.add(id);
-    var unused =
-        Single.zip(
-                store.submission(stored.head()),
-                listedItemIds(id),
-                (spec, listedIds) -> {
-                  if (spec.isEmpty()) {
-                    log.warn("submission-missing", "batch", id);
-                  } else if (!owners.containsKey(id)) {
-                    runIfStillOwned(spec.get(), listedIds);
-                  }
-                  return id;
-                })
-            .doFinally(() -> acquiringIds.remove(id))
-            .subscribe(
-                done -> {},
-                error -> log.warn("adoption-failed", "batch", id, "cause", error.toString()));
+    @Override
+    public void run(BatchSpec spec, StoredHead head, ImmutableSet<String> recordedIds) {
+      BatchOwnership.this.run(spec, head, recordedIds);
+    }
   }
 
-  /** Reads the id of the item at each listed position, and then the head that lists them. */
-  private Single<ImmutableList<String>> listedItemIds(String id) {
-    return store
-        .recordedItemIds(id)
-        .flatMap(listedIds -> directory.read(id).map(unused -> listedIds));
+  private void logReleaseFailed(BatchOwner owner, Throwable error) {
+    log.warn("batch-release-failed", "batch", owner.spec().id(), "cause", error.toString());
   }
 }
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -1,5 +1,6 @@
 package io.briarward.node.fleet;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -19,11 +20,15 @@
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.timing.Timers;
 import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Observable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.subjects.PublishSubject;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -55,6 +60,14 @@
    */
   private static final long STALE_MILLIS = 2_000;
 
+  /**
+   * The age of a row above which its process is not selected for further work. A heartbeat and the
+   * time until its row is read take {@value #HEARTBEAT_INTERVAL_MILLIS} and {@value
+   * #WATCH_PAUSE_MILLIS} ms. After a loss of all VMs, the first read returns rows of processes that
+   * are gone, and work selected for them would wait until they are presumed dead.
+   */
+  private static final long CANDIDATE_MAX_AGE_MILLIS = 2_000;
+
   /** One process still competes for a lease if two others fail together. */
   private static final int DUTY_CANDIDATES = 3;
 
@@ -76,10 +89,17 @@
   private NodeDemand publishedDemand = NodeDemand.NONE;
   private Supplier<RelayOffer> relayOffer = () -> RelayOffer.NONE;
   private RelayOffer publishedOffer = RelayOffer.NONE;
+  private OptionalDouble capacity = OptionalDouble.empty();
+  private final PublishSubject<String> processChanges = PublishSubject.create();
   private boolean heartbeatInFlight;
 
   private record Peer(
-      String incarnation, NodeDemand demand, RelayOffer relayOffer, long seenAtMillis) {}
+      String incarnation,
+      NodeDemand demand,
+      RelayOffer relayOffer,
+      long seenAtMillis,
+      OptionalDouble capacity,
+      boolean onThisVm) {}
 
   private NodeRegistry(
       TableService tables,
@@ -207,6 +227,32 @@
     relayOffer = checkNotNull(offer, "offer");
   }
 
+  /**
+   * Sets the processor capacity of this VM in cores, which its row contains from now on; empty if
+   * it is unknown.
+   */
+  public void publishCapacity(OptionalDouble cores) {
+    cores.ifPresent(value -> checkArgument(value > 0, "cores is %s, expected > 0", value));
+    capacity = cores;
+  }
+
+  /**
+   * Returns a stream of the names of VMs on which a process was seen for the first time, or whose
+   * row was removed.
+   */
+  public Observable<String> processChanges() {
+    return processChanges;
+  }
+
+  /**
+   * Returns the time until the next other process is presumed dead unless it renews its row, in
+   * milliseconds; empty if there is none.
+   */
+  public OptionalLong millisUntilNextPresumedDead() {
+    long nowMillis = nowMillis();
+    return others().mapToLong(peer -> peer.seenAtMillis() + DEAD_AFTER_MILLIS - nowMillis).min();
+  }
+
   /**
    * Returns the addresses at which other live processes accept requests of nodes for a service,
    * without those that are cut off from it.
@@ -218,27 +264,31 @@
   }
 
   /**
-   * Returns the incarnations presumed alive that are best placed to use a service.
+   * Returns the capacities of the processes that are best placed to use a service, by incarnation.
    *
    * <p>These are the ones that are cut off from no service at all; if there are none, those that
-   * reach this one; if there are none either, all. May include this process.
+   * reach this one; if there are none either, all. May include this process. Processes presumed
+   * alive that have not renewed their rows for {@value #CANDIDATE_MAX_AGE_MILLIS} ms are left out.
    */
-  public ImmutableSet<String> bestPlaced(String service) {
-    ImmutableSet<String> unimpaired = incarnations(offer -> offer.cutOffServices().isEmpty());
-    ImmutableSet<String> candidates =
-        unimpaired.isEmpty() ? incarnations(offer -> offer.reaches(service)) : unimpaired;
-    return candidates.isEmpty() ? alive() : candidates;
+  public ImmutableMap<String, OptionalDouble> bestPlaced(String service) {
+    ImmutableMap<String, OptionalDouble> unimpaired =
+        candidates(offer -> offer.cutOffServices().isEmpty());
+    ImmutableMap<String, OptionalDouble> reaching =
+        unimpaired.isEmpty() ? candidates(offer -> offer.reaches(service)) : unimpaired;
+    return reaching.isEmpty() ? candidates(offer -> true) : reaching;
   }
 
-  private ImmutableSet<String> incarnations(Predicate<RelayOffer> condition) {
-    ImmutableSet.Builder<String> matching = ImmutableSet.builder();
+  private ImmutableMap<String, OptionalDouble> candidates(Predicate<RelayOffer> condition) {
+    ImmutableMap.Builder<String, OptionalDouble> matching = ImmutableMap.builder();
     if (condition.test(relayOffer.get())) {
-      matching.add(incarnation);
+      matching.put(incarnation, capacity);
     }
+    long sinceMillis = nowMillis() - CANDIDATE_MAX_AGE_MILLIS;
     others()
+        .filter(peer -> peer.seenAtMillis() > sinceMillis)
         .filter(peer -> condition.test(peer.relayOffer()))
-        .forEach(peer -> matching.add(peer.incarnation()));
-    return matching.build();
+        .forEach(peer -> matching.put(peer.incarnation(), peer.capacity()));
+    return matching.buildKeepingLast();
   }
 
   /** Returns the services from which other live processes are cut off. */
@@ -257,11 +307,19 @@
     long sinceMillis = nowMillis() - DEAD_AFTER_MILLIS;
     return peers.values().stream()
         .filter(peer -> peer.seenAtMillis() > sinceMillis)
-        .filter(peer -> !peer.incarnation().equals(incarnation));
+        .filter(peer -> !peer.onThisVm()); // This process, or the one before it, which is dead.
   }
 
-  /** Returns whether a different process now runs on the VM of the given incarnation. */
+  /**
+   * Returns whether a different process now runs on the VM of the given incarnation.
+   *
+   * <p>A process before this one on its own VM is replaced as soon as this one runs, before its row
+   * is written.
+   */
   public boolean replaced(String otherIncarnation) {
+    if (Incarnations.sameVm(incarnation, otherIncarnation)) {
+      return !incarnation.equals(otherIncarnation);
+    }
     Peer now = peers.get(Incarnations.vm(otherIncarnation));
     return now != null
         && !now.incarnation().equals(otherIncarnation)
@@ -320,20 +378,32 @@
       @Override
       public void onChanges(ImmutableList<Change> changes) {
         for (Change change : changes) {
-          change.row().ifPresentOrElse(row -> onRow(row), () -> peers.remove(change.key()));
+          change.row().ifPresentOrElse(row -> onRow(row), () -> onRemoved(change.key()));
         }
       }
     };
   }
 
   private void onRow(Row row) {
-    peers.put(
-        row.key(),
+    String rowIncarnation = row.value().path("incarnation").asText();
+    Peer now =
         new Peer(
-            row.value().path("incarnation").asText(),
+            rowIncarnation,
             NodeDemandCodec.read(row.value()),
             RelayOfferCodec.read(row.value()),
-            nowMillis()));
+            nowMillis(),
+            NodeCapacityCodec.read(row.value()),
+            rowIncarnation.equals(incarnation) || Incarnations.sameVm(rowIncarnation, incarnation));
+    Peer before = peers.put(row.key(), now);
+    if (before == null || !before.incarnation().equals(now.incarnation())) {
+      processChanges.onNext(row.key());
+    }
+  }
+
+  private void onRemoved(String vm) {
+    if (peers.remove(vm) != null) {
+      processChanges.onNext(vm);
+    }
   }
 
   /**
@@ -361,6 +431,7 @@
     NodeDemandCodec.write(publishedDemand, row);
     publishedOffer = relayOffer.get();
     RelayOfferCodec.write(publishedOffer, row);
+    NodeCapacityCodec.write(capacity, row);
     Transaction transaction = Transaction.builder().put(key, row).build();
     var unused =
         tables
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -69,6 +70,7 @@
    * @param usageWindowMillis the length of a usage window, in milliseconds
    * @param stopMillis the time-out of {@link #stop}, in milliseconds
    * @param retentionMillis how long an ended batch is kept, in milliseconds after its acceptance
+   * @param processorCores the processor capacity of the VM in cores, empty if unknown
    */
   public record Settings(
       String nodeName,
@@ -78,13 +80,15 @@
       long reacquireDelayMillis,
       long usageWindowMillis,
       long stopMillis,
-      long retentionMillis) {
+      long retentionMillis,
+      OptionalDouble processorCores) {
     /** Validates the components. */
     public Settings {
       checkNotNull(nodeName, "nodeName");
       checkNotNull(address, "address");
       checkNotNull(relayAddress, "relayAddress");
       checkNotNull(dataCentre, "dataCentre");
+      checkNotNull(processorCores, "processorCores");
     }
   }
 
@@ -119,6 +123,7 @@
             incarnation,
             fleet::demand,
             scheduler::steadyMillis);
+    nodes.publishCapacity(settings.processorCores());
     parts.push(nodes);
     TableWatch upstreams =
         TableWatch.start(
--- a/node/src/main/java/io/briarward/node/telemetry/Metrics.java
+++ b/node/src/main/java/io/briarward/node/telemetry/Metrics.java
@@ -70,6 +70,13 @@
           .labelNames("service")
           .register(registry);
 
+  private final Counter batchTakeovers =
+      Counter.builder()
+          .name("briarward_batch_takeovers_total")
+          .help("Batches that this node claimed, by the reason why they had no live owner.")
+          .labelNames("reason")
+          .register(registry);
+
   private Metrics() {}
 
   /** Returns the metrics of a new node, all at their initial values. */
@@ -124,6 +131,11 @@
     rewardCallSeconds.labelValues(service).observe(durationSeconds);
   }
 
+  /** Counts a batch that this node claims. */
+  public void batchTakenOver(String reason) {
+    batchTakeovers.labelValues(reason).inc();
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   public String scrape() {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
