Evacuated data centres get no requests, cold upstreams a shared rate

Cause: after the return of a data centre its upstreams tolerate a low rate from all nodes together, and the operator may evacuate data centres; the balancer knew of neither.

Change: rows evacuate/ZONE empty a data centre for the balancer, orders and probes. Registrations and responses tell for how long an upstream is cold. Its rate is divided evenly among senders chosen by the names of the nodes, so that nodes with rows of different age choose no more senders than the bound allows (SenderView, ColdLimit, ColdUpstreams). RequestLimits.permits stays the gate. An invalid warmupLeftMs no longer rejects a registration; it counts as not cold.

--- a/core/src/main/java/io/briarward/core/fleet/FleetService.java
+++ b/core/src/main/java/io/briarward/core/fleet/FleetService.java
@@ -15,13 +15,45 @@
  *     the memory of one upstream; 0 for a plain service
  * @param models the models that its upstreams run, empty for a plain service
  * @param scaling the limits for ordering upstreams, empty if none may be ordered
+ * @param warmup how its upstreams warm up, empty if they are never cold
+ * @param defects why values of the service are not used, empty if all are valid
  */
 public record FleetService(
     String name,
     int maxConnections,
     long tokenCapacity,
     ImmutableList<String> models,
-    Optional<Scaling> scaling) {
+    Optional<Scaling> scaling,
+    Optional<Warmup> warmup,
+    ImmutableList<String> defects) {
+
+  /** Creates a service whose upstreams are never cold. */
+  public FleetService(
+      String name,
+      int maxConnections,
+      long tokenCapacity,
+      ImmutableList<String> models,
+      Optional<Scaling> scaling) {
+    this(
+        name, maxConnections, tokenCapacity, models, scaling, Optional.empty(), ImmutableList.of());
+  }
+
+  /**
+   * How an upstream warms up that starts while there is traffic.
+   *
+   * @param durationMillis for how long it is cold
+   * @param requestsPerSecond what it tolerates from all nodes together while it is cold
+   */
+  public record Warmup(long durationMillis, double requestsPerSecond) {
+    /** Checks the fields. */
+    public Warmup {
+      checkArgument(durationMillis > 0, "durationMillis is %s, expected > 0", durationMillis);
+      checkArgument(
+          requestsPerSecond > 0 && Double.isFinite(requestsPerSecond),
+          "requestsPerSecond is %s, expected a finite number > 0",
+          requestsPerSecond);
+    }
+  }
 
   /**
    * The limits for ordering upstreams.
@@ -50,5 +82,7 @@
     checkArgument(tokenCapacity >= 0, "tokenCapacity is %s, expected >= 0", tokenCapacity);
     checkNotNull(models, "models");
     checkNotNull(scaling, "scaling");
+    checkNotNull(warmup, "warmup");
+    checkNotNull(defects, "defects");
   }
 }
--- a/core/src/main/java/io/briarward/core/fleet/LimitShares.java
+++ b/core/src/main/java/io/briarward/core/fleet/LimitShares.java
@@ -6,6 +6,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
@@ -45,6 +46,10 @@
   private final Map<String, Share> shares = new HashMap<>();
   private final Map<String, Double> publishedLimits = new HashMap<>();
 
+  private SenderView senders;
+  private ImmutableSet<String> rankedNames = ImmutableSet.of();
+  private final Map<String, Integer> ranks = new HashMap<>(); // By instance key.
+
   private record Share(double limitPerSecond, double value) {}
 
   private record Member(String name, double weight, double score) {}
@@ -52,6 +57,7 @@
   private LimitShares(String self) {
     this.self = checkNotNull(self, "self");
     this.members = ImmutableMap.of(self, NodeDemand.NONE);
+    this.senders = SenderView.create(self);
   }
 
   /** Creates the shares of a node that knows of no other node. */
@@ -129,10 +135,51 @@
     return current ? share : Math.min(share, STALE_FACTOR / members.size());
   }
 
+  /** Sets the nodes among which the rates of cold upstreams are divided. */
+  public void setSenders(SenderView view) {
+    senders = checkNotNull(view, "view");
+  }
+
+  /**
+   * Returns this node's share of the rate of a cold upstream, from 0 to 1.
+   *
+   * <p>The senders are chosen by the names of the nodes alone, and each has the same share. Nodes
+   * with rows of different age would choose different senders by the demands of {@link #share},
+   * which change often.
+   *
+   * @param maxSenders the maximum number of nodes that send
+   */
+  double evenShare(UpstreamEntry upstream, int maxSenders, long nowMillis) {
+    ImmutableSet<String> names = senders.names();
+    if (!names.equals(rankedNames)) {
+      rankedNames = names;
+      ranks.clear();
+    }
+    int rank = ranks.computeIfAbsent(upstream.instanceKey(), key -> rank(key, names));
+    return rank < maxSenders ? senders.part(nowMillis) / Math.min(maxSenders, names.size()) : 0;
+  }
+
+  /** Returns the number of nodes that are chosen before this one. */
+  private int rank(String instanceKey, ImmutableSet<String> names) {
+    long own = senderHash(instanceKey, self);
+    return (int)
+        names.stream()
+            .filter(name -> !name.equals(self))
+            .filter(
+                name -> {
+                  int order = Long.compareUnsigned(senderHash(instanceKey, name), own);
+                  return order < 0 || (order == 0 && name.compareTo(self) < 0);
+                })
+            .count();
+  }
+
+  private static long senderHash(String instanceKey, String name) {
+    return HASH.hashString(instanceKey + '\n' + name, StandardCharsets.UTF_8).asLong();
+  }
+
   private static Member member(String instanceKey, Map.Entry<String, NodeDemand> member) {
     double weight = BASE_NEED_PER_SECOND + member.getValue().neededPerSecond(instanceKey);
-    long hash =
-        HASH.hashString(instanceKey + '\n' + member.getKey(), StandardCharsets.UTF_8).asLong();
+    long hash = senderHash(instanceKey, member.getKey());
     double uniform = ((hash >>> 11) + 0.5) * 0x1.0p-53;
     return new Member(member.getKey(), weight, -Math.log(uniform) / weight);
   }
--- a/core/src/main/java/io/briarward/core/fleet/RequestLimits.java
+++ b/core/src/main/java/io/briarward/core/fleet/RequestLimits.java
@@ -4,12 +4,15 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
- * Paces this node's requests to the upstreams that name a limit in their responses.
+ * Decides whether this node may send a request to an upstream: not to an evacuated data centre, and
+ * paced to a cold upstream ({@link ColdUpstreams}) and to one that names a limit in its responses.
  *
  * <p>An upstream's limit counts the requests of all nodes. This node sends at its share of the
  * limit, from a token bucket that is empty when the limit becomes known. The latest response to
@@ -33,10 +36,13 @@
   private static final long BURST_MILLIS = 250;
 
   private final LimitShares shares;
+  private final ColdUpstreams cold;
+  private final EvacuatedDataCentres evacuated = new EvacuatedDataCentres();
   private final Map<String, Pace> paces = new HashMap<>(); // By instance key.
 
   RequestLimits(LimitShares shares) {
     this.shares = checkNotNull(shares, "shares");
+    this.cold = new ColdUpstreams(shares);
   }
 
   /** The knowledge of one upstream's limit and the bucket of this node's requests to it. */
@@ -86,8 +92,27 @@
     return changed;
   }
 
-  /** Returns whether this node may send a request to an upstream now. */
+  /** Returns the upstreams that are cold after a start. */
+  ColdUpstreams cold() {
+    return cold;
+  }
+
+  /** Returns the data centres whose upstreams get no requests. */
+  EvacuatedDataCentres evacuated() {
+    return evacuated;
+  }
+
+  /**
+   * Returns whether this node may send a request to an upstream now. If it names a limit and is
+   * cold, both must permit the request, so the lower one binds.
+   */
   boolean permits(UpstreamEntry upstream, long nowMillis) {
+    return !evacuated.contains(upstream)
+        && permitsByName(upstream, nowMillis)
+        && cold.permits(upstream, nowMillis);
+  }
+
+  private boolean permitsByName(UpstreamEntry upstream, long nowMillis) {
     OptionalDouble limit = limitPerSecond(upstream, nowMillis);
     if (limit.isEmpty()) {
       pace(upstream).ifPresent(pace -> pace.empty(nowMillis));
@@ -100,6 +125,7 @@
 
   /** Handles a request that was sent to an upstream. */
   void onSent(UpstreamEntry upstream) {
+    cold.onSent(upstream);
     pace(upstream)
         .ifPresent(
             pace -> {
@@ -108,7 +134,40 @@
             });
   }
 
-  /** Returns the limit of an upstream, empty if it has none. */
+  /**
+   * Returns the requests per second that an upstream accepts from all nodes together, by the limit
+   * that it names or since it is cold; empty if neither applies.
+   */
+  OptionalDouble acceptedPerSecond(UpstreamEntry upstream, long nowMillis) {
+    OptionalDouble named = limitPerSecond(upstream, nowMillis);
+    OptionalDouble whileCold = cold.perSecond(upstream, nowMillis);
+    return named.isPresent() && whileCold.isPresent()
+        ? OptionalDouble.of(Math.min(named.getAsDouble(), whileCold.getAsDouble()))
+        : named.isPresent() ? named : whileCold;
+  }
+
+  /**
+   * Returns the time, in milliseconds, after which upstreams may accept a request that this node
+   * rejected.
+   *
+   * <p>It is the time until this node may send to one that is cold. If it has no share of a cold
+   * one, it is the mean time in which all upstreams together accept one request of any node; empty
+   * if one of them has no limit or there are none.
+   */
+  OptionalLong retryAfterMillis(List<UpstreamEntry> upstreams, long nowMillis) {
+    OptionalLong ownMillis = cold.waitMillis(upstreams.stream(), nowMillis);
+    double totalPerSecond =
+        upstreams.stream()
+            .mapToDouble(
+                entry -> acceptedPerSecond(entry, nowMillis).orElse(Double.POSITIVE_INFINITY))
+            .sum();
+    if (ownMillis.isPresent() || totalPerSecond == 0 || Double.isInfinite(totalPerSecond)) {
+      return ownMillis;
+    }
+    return OptionalLong.of(Math.round(1_000 / totalPerSecond));
+  }
+
+  /** Returns the limit that an upstream names, empty if it names none. */
   OptionalDouble limitPerSecond(UpstreamEntry upstream, long nowMillis) {
     Optional<Pace> pace = pace(upstream);
     return pace.isPresent() && pace.get().isNoticeValid(nowMillis)
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -26,7 +26,8 @@
  * upstream that fails is ejected for a time that doubles with each consecutive failure. An upstream
  * that rejects a request is ejected for a given time, then receives a single probe request, and
  * more requests once it accepts that one. An upstream that names a limit gets this node's share of
- * it. Not thread-safe.
+ * it, one that is cold its share of a lower rate, one in an evacuated data centre nothing. Not
+ * thread-safe.
  */
 public final class UpstreamBalancer {
   /** The ejection time after the first failure; about the restart time of a crashed process. */
@@ -117,6 +118,16 @@
     return limits.sent(upstream);
   }
 
+  /** Returns the upstreams that are cold after a start. */
+  public ColdUpstreams cold() {
+    return limits.cold();
+  }
+
+  /** Returns the data centres whose upstreams get no requests. */
+  public EvacuatedDataCentres evacuated() {
+    return limits.evacuated();
+  }
+
   /** Handles the arrival of a request that an upstream of a service is to run. */
   public void onArrival(String service, long nowMillis) {
     arrivals.onRequest(service, nowMillis);
@@ -149,22 +160,15 @@
   /** Returns whether an upstream of a service has a limit. */
   public boolean hasLimited(String service, long nowMillis) {
     return notDraining(service, ImmutableSet.of())
-        .anyMatch(entry -> limits.limitPerSecond(entry, nowMillis).isPresent());
+        .anyMatch(entry -> limits.acceptedPerSecond(entry, nowMillis).isPresent());
   }
 
   /**
-   * Returns the mean time, in milliseconds, in which the upstreams of a service together accept one
-   * request; empty if one of them has no limit or there are none.
+   * Returns the time, in milliseconds, after which a rejected request for a service may be
+   * accepted; empty if no limit of the upstreams tells it.
    */
-  public OptionalLong requestIntervalMillis(String service, long nowMillis) {
-    double totalPerSecond =
-        notDraining(service, ImmutableSet.of())
-            .mapToDouble(
-                entry -> limits.limitPerSecond(entry, nowMillis).orElse(Double.POSITIVE_INFINITY))
-            .sum();
-    return totalPerSecond > 0 && Double.isFinite(totalPerSecond)
-        ? OptionalLong.of(Math.round(1_000 / totalPerSecond))
-        : OptionalLong.empty();
+  public OptionalLong retryAfterMillis(String service, long nowMillis) {
+    return limits.retryAfterMillis(notDraining(service).toList(), nowMillis);
   }
 
   /** Removes an upstream. */
@@ -241,10 +245,11 @@
             .collect(ImmutableList.toImmutableList()));
   }
 
-  /** Returns the upstreams of a service that are not draining. */
+  /** Returns the upstreams of a service that are neither draining nor evacuated. */
   public Stream<UpstreamEntry> notDraining(String service) {
     return entries.values().stream()
-        .filter(entry -> !entry.leaving() && entry.service().equals(service));
+        .filter(entry -> !entry.leaving() && !limits.evacuated().contains(entry))
+        .filter(entry -> entry.service().equals(service));
   }
 
   private Stream<UpstreamEntry> notDraining(String service, ImmutableSet<String> excluded) {
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamEntry.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamEntry.java
@@ -17,6 +17,8 @@
  * @param softwareVersion the version of its software, not of its weights; streams of two versions
  *     do not fit together
  * @param modelVersions the weight version of each model that it runs
+ * @param coldMillis for how long it stays cold from when the registration is read, in milliseconds;
+ *     0 if it is not cold
  */
 public record UpstreamEntry(
     String id,
@@ -29,7 +31,8 @@
     boolean leaving,
     boolean reclaimable,
     String softwareVersion,
-    ImmutableMap<String, Long> modelVersions) {
+    ImmutableMap<String, Long> modelVersions,
+    long coldMillis) {
 
   /** Checks the fields. */
   public UpstreamEntry {
@@ -41,10 +44,48 @@
     checkArgument(slots > 0, "slots is %s, expected > 0", slots);
     checkNotNull(softwareVersion, "softwareVersion");
     checkNotNull(modelVersions, "modelVersions");
+    checkArgument(coldMillis >= 0, "coldMillis is %s, expected >= 0", coldMillis);
+  }
+
+  /** Creates the registration of an upstream that is not cold. */
+  public UpstreamEntry(
+      String id,
+      String service,
+      String dataCentre,
+      String host,
+      int port,
+      long startedAtMillis,
+      int slots,
+      boolean leaving,
+      boolean reclaimable,
+      String softwareVersion,
+      ImmutableMap<String, Long> modelVersions) {
+    this(
+        id,
+        service,
+        dataCentre,
+        host,
+        port,
+        startedAtMillis,
+        slots,
+        leaving,
+        reclaimable,
+        softwareVersion,
+        modelVersions,
+        0);
   }
 
   /** Returns this entry as that of a leaving upstream. */
   UpstreamEntry asLeaving() {
+    return with(true, coldMillis);
+  }
+
+  /** Returns this entry with another remaining time for which the upstream is cold. */
+  public UpstreamEntry withColdMillis(long millis) {
+    return with(leaving, millis);
+  }
+
+  private UpstreamEntry with(boolean isLeaving, long millis) {
     return new UpstreamEntry(
         id,
         service,
@@ -53,10 +94,11 @@
         port,
         startedAtMillis,
         slots,
-        true,
+        isLeaving,
         reclaimable,
         softwareVersion,
-        modelVersions);
+        modelVersions,
+        millis);
   }
 
   /** Returns a key that identifies the upstream from its start to its end. */
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamNotice.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamNotice.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * What a response says about the upstream that sent it.
@@ -11,11 +13,23 @@
  * @param leaving whether the upstream leaves and wants no further requests
  * @param limitPerSecond the number of requests per second that the upstream accepts from all nodes
  *     together; empty if it names no limit
+ * @param coldMillis for how long the upstream stays cold, in milliseconds; empty if it does not say
+ * @param coldDefect why a value for {@code coldMillis} is not used; empty if there is none or it is
+ *     valid
  */
-public record UpstreamNotice(boolean leaving, OptionalDouble limitPerSecond) {
+public record UpstreamNotice(
+    boolean leaving,
+    OptionalDouble limitPerSecond,
+    OptionalLong coldMillis,
+    Optional<String> coldDefect) {
   /** The notice of an upstream that neither leaves nor names a limit. */
   public static final UpstreamNotice NONE = new UpstreamNotice(false, OptionalDouble.empty());
 
+  /** Creates a notice that does not say whether the upstream is cold. */
+  public UpstreamNotice(boolean leaving, OptionalDouble limitPerSecond) {
+    this(leaving, limitPerSecond, OptionalLong.empty(), Optional.empty());
+  }
+
   /** Validates the components. */
   public UpstreamNotice {
     checkNotNull(limitPerSecond, "limitPerSecond");
@@ -25,5 +39,9 @@
                 limit >= 0 && Double.isFinite(limit),
                 "limitPerSecond is %s, expected a finite number >= 0",
                 limit));
+    checkNotNull(coldMillis, "coldMillis");
+    coldMillis.ifPresent(
+        millis -> checkArgument(millis >= 0, "coldMillis is %s, expected >= 0", millis));
+    checkNotNull(coldDefect, "coldDefect");
   }
 }
--- a/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/UpstreamBalancerTest.java
@@ -213,12 +213,12 @@
 
   @Test
   void requestIntervalIsThatOfAllUpstreamsTogether() {
-    assertThat(balancer.requestIntervalMillis("orders", 0)).isEmpty();
+    assertThat(balancer.retryAfterMillis("orders", 0)).isEmpty();
     balancer.onLimit(entry("a", false, 1), OptionalDouble.of(1), 0);
-    assertThat(balancer.requestIntervalMillis("orders", 0)).isEmpty();
+    assertThat(balancer.retryAfterMillis("orders", 0)).isEmpty();
     balancer.onLimit(entry("b", false, 1), OptionalDouble.of(3), 0);
-    assertThat(balancer.requestIntervalMillis("orders", 0)).hasValue(250);
-    assertThat(balancer.requestIntervalMillis("other", 0)).isEmpty();
+    assertThat(balancer.retryAfterMillis("orders", 0)).hasValue(250);
+    assertThat(balancer.retryAfterMillis("other", 0)).isEmpty();
   }
 
   @Test
--- a/node/src/main/java/io/briarward/node/fleet/FleetDecoder.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetDecoder.java
@@ -34,8 +34,18 @@
   /** Decodes an announcement; empty if the row does not hold one. */
   Optional<Announcement> announcement(String key, JsonNode value);
 
+  /** Returns the data centre that a row of the operators' table evacuates; empty if none. */
+  Optional<String> evacuatedDataCentre(String key);
+
+  /**
+   * Returns why the time for which an upstream stays cold, in its registration, is not used; empty
+   * if it is valid.
+   */
+  Optional<String> coldDefect(JsonNode value);
+
   /**
-   * Decodes the registration of an upstream.
+   * Decodes the registration of an upstream. An invalid time for which it stays cold counts as 0,
+   * see {@link #coldDefect}.
    *
    * @throws IllegalArgumentException if it is malformed, so that it names no upstream
    */
--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -41,6 +41,7 @@
   private final Scheduler scheduler;
   private final EventLog log;
   private final UpstreamBalancer balancer;
+  private final FleetWarmup warmup;
   private final OriginHistory origins = OriginHistory.create();
   private final Map<String, Long> announced = new HashMap<>();
   private final Map<String, Disposable> pendingRemovals = new HashMap<>();
@@ -59,6 +60,7 @@
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.balancer = UpstreamBalancer.create(localDataCentre, shares);
+    this.warmup = new FleetWarmup(balancer, scheduler, log);
   }
 
   /**
@@ -80,6 +82,11 @@
     return configuration;
   }
 
+  /** Returns what this node knows of cold upstreams and evacuated data centres. */
+  public FleetWarmup warmup() {
+    return warmup;
+  }
+
   /** Returns the balancer of the registered upstreams. */
   public UpstreamBalancer balancer() {
     return balancer;
@@ -137,6 +144,7 @@
     if (notice.leaving()) {
       onLeaving(upstream, requestId);
     }
+    warmup.onNotice(upstream, notice);
     int sentWithinLimit = balancer.sentWithinLimit(upstream);
     if (balancer.onLimit(upstream, notice.limitPerSecond(), nowMillis())) {
       log.info(
@@ -191,11 +199,21 @@
       @Override
       public void onSnapshot(ImmutableList<Row> rows) {
         rows.forEach(row -> onOperatorRow(row));
+        warmup.retainEvacuated(
+            rows.stream()
+                .flatMap(row -> decoder.evacuatedDataCentre(row.key()).stream())
+                .collect(ImmutableSet.toImmutableSet()));
       }
 
       @Override
       public void onChanges(ImmutableList<Change> changes) {
-        changes.forEach(change -> change.row().ifPresent(row -> onOperatorRow(row)));
+        for (Change change : changes) {
+          change
+              .row()
+              .ifPresentOrElse(
+                  FleetState.this::onOperatorRow,
+                  () -> decoder.evacuatedDataCentre(change.key()).ifPresent(warmup::onReleased));
+        }
       }
     };
   }
@@ -236,6 +254,11 @@
   }
 
   private void onOperatorRow(Row row) {
+    Optional<String> evacuated = decoder.evacuatedDataCentre(row.key());
+    if (evacuated.isPresent()) {
+      warmup.onEvacuated(evacuated.get(), upstreamsKnown);
+      return;
+    }
     try {
       if (row.key().equals(decoder.configurationKey())) {
         install(decoder.configuration(row.value()));
@@ -257,6 +280,7 @@
       origins.onGap(nowMillis()); // Streams of a route may have begun at any of its services.
     }
     configuration = Optional.of(candidate);
+    warmup.onServices(candidate.services());
     log.info(
         "configuration",
         "version",
@@ -279,6 +303,7 @@
   private void onUpstreamRow(Row row) {
     try {
       onUpstream(decoder.upstream(row.key(), row.value()), row.version());
+      decoder.coldDefect(row.value()).ifPresent(cause -> warmup.onDefect(row.key(), cause));
       rejectedUpstreams.remove(row.key());
     } catch (RuntimeException e) {
       reject(row, RejectedRows.cause(e));
@@ -304,10 +329,14 @@
     pendingRemovals.getOrDefault(decoded.id(), Disposable.disposed()).dispose();
     Optional<UpstreamEntry> previous = balancer.entry(decoded.id());
     UpstreamEntry entry = balancer.put(decoded);
+    warmup.onRow(entry);
     previous
         .filter(replaced -> !StreamOrigin.of(replaced).equals(StreamOrigin.of(entry)))
         .ifPresent(replaced -> origins.onReplaced(replaced, nowMillis()));
-    if (!previous.equals(Optional.of(entry))) {
+    // The remaining time for which an upstream is cold differs in each of its rows.
+    if (!previous
+        .map(each -> each.withColdMillis(0))
+        .equals(Optional.of(entry.withColdMillis(0)))) {
       log.info(
           "upstream",
           "upstream",
--- a/node/src/main/java/io/briarward/node/fleet/LimitExchange.java
+++ b/node/src/main/java/io/briarward/node/fleet/LimitExchange.java
@@ -19,22 +19,37 @@
 
   private final NodeRegistry nodes;
   private final LimitShares shares;
+  private final Runnable onUpdate;
   private final Disposable timer;
 
-  private LimitExchange(NodeRegistry nodes, LimitShares shares, Scheduler scheduler) {
+  private LimitExchange(
+      NodeRegistry nodes, LimitShares shares, Scheduler scheduler, Runnable onUpdate) {
     this.nodes = checkNotNull(nodes, "nodes");
     this.shares = checkNotNull(shares, "shares");
+    this.onUpdate = checkNotNull(onUpdate, "onUpdate");
     this.timer = Timers.every(scheduler, UPDATE_INTERVAL_MILLIS, this::update);
   }
 
   /** Starts to update {@code shares} from the rows that {@code nodes} follows. */
   public static LimitExchange start(NodeRegistry nodes, LimitShares shares, Scheduler scheduler) {
-    return new LimitExchange(nodes, shares, scheduler);
+    return start(nodes, shares, scheduler, () -> {});
+  }
+
+  /**
+   * Starts to update {@code shares} from the rows that {@code nodes} follows.
+   *
+   * @param onUpdate is run after each update
+   */
+  public static LimitExchange start(
+      NodeRegistry nodes, LimitShares shares, Scheduler scheduler, Runnable onUpdate) {
+    return new LimitExchange(nodes, shares, scheduler, onUpdate);
   }
 
   private void update() {
     nodes.publishChanges();
     shares.update(nodes.demands(), nodes.reliable());
+    shares.setSenders(nodes.senders());
+    onUpdate.run();
   }
 
   @Override
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -9,6 +9,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.fleet.NodeDemand;
 import io.briarward.core.fleet.RelayOffer;
+import io.briarward.core.fleet.SenderView;
 import io.briarward.core.lease.DutyCandidates;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.RowKey;
@@ -68,6 +69,7 @@
   private final String incarnation;
   private final Supplier<NodeDemand> demand;
   private final Map<String, Peer> peers = new HashMap<>();
+  private final SenderView senders;
   private TableWatch watch;
   private Disposable heartbeatTimer = Disposable.disposed();
   private long heartbeatCount;
@@ -92,17 +94,12 @@
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.key = RowKey.of(TABLE, name);
+    this.senders = SenderView.create(name);
     this.incarnation = checkNotNull(incarnation, "incarnation");
     this.demand = checkNotNull(demand, "demand");
   }
 
-  /**
-   * Starts to renew this process's row and to follow the rows of others.
-   *
-   * @param name the name of the VM; a new process on the same VM replaces its row
-   * @param incarnation the incarnation of this process, unique among all processes
-   * @param demand returns the demand of this process, which is published in its row
-   */
+  /** Starts a registry whose steady clock is that of the scheduler. */
   public static NodeRegistry start(
       TableService tables,
       ChangeFeed feed,
@@ -202,6 +199,13 @@
         .collect(ImmutableMap.toImmutableMap(Map.Entry::getKey, peer -> peer.getValue().demand()));
   }
 
+  /** Returns the nodes among which the rates of cold upstreams are divided, as of now. */
+  SenderView senders() {
+    long rowsAtMillis = nowMillis() - watch.ageMillis();
+    senders.onContact(Math.min(rowsAtMillis, lastHeartbeatMillis), reliable(), nowMillis());
+    return senders;
+  }
+
   /** Sets what this process offers to run for others, which its row contains from now on. */
   public void offerRelay(Supplier<RelayOffer> offer) {
     relayOffer = checkNotNull(offer, "offer");
@@ -295,6 +299,7 @@
 
   /** Removes this process's row, so that other processes take over its work at once. */
   public Completable leave() {
+    senders.onLeave();
     heartbeatTimer.dispose();
     return tables
         .commit(Transaction.builder().delete(key).build())
@@ -334,6 +339,7 @@
             NodeDemandCodec.read(row.value()),
             RelayOfferCodec.read(row.value()),
             nowMillis()));
+    SenderCodec.read(row, senders, incarnation, nowMillis());
   }
 
   /**
@@ -357,6 +363,7 @@
             .objectNode()
             .put("incarnation", incarnation)
             .put("beats", heartbeatCount);
+    SenderCodec.write(senders, row);
     publishedDemand = demand.get();
     NodeDemandCodec.write(publishedDemand, row);
     publishedOffer = relayOffer.get();
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -218,7 +218,8 @@
    */
   private void probeSilentUpstream(Attempt attempt) {
     boolean responded = countedAttempt.equals(Optional.of(attempt));
-    if (isCurrent(attempt) && !responded) {
+    boolean evacuated = context.balancer().evacuated().contains(attempt.upstream());
+    if (isCurrent(attempt) && !responded && !evacuated) {
       context
           .connections()
           .probe(attempt.upstream())
@@ -453,8 +454,8 @@
       return;
     }
     long retryAfterMillis =
-        context.balancer().requestIntervalMillis(service, context.nowMillis()).stream()
-            .map(intervalMillis -> Math.max(RETRY_AFTER_MILLIS, intervalMillis))
+        context.balancer().retryAfterMillis(service, context.nowMillis()).stream()
+            .map(waitMillis -> Math.max(RETRY_AFTER_MILLIS, waitMillis))
             .findFirst()
             .orElse(RETRY_AFTER_MILLIS);
     fail(
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -4,6 +4,7 @@
 
 import com.google.common.net.HostAndPort;
 import io.briarward.core.fleet.FeedPause;
+import io.briarward.core.fleet.FleetBounds;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.RelayOffer;
 import io.briarward.core.forwarding.StopSchedule;
@@ -69,6 +70,8 @@
    * @param usageWindowMillis the length of a usage window, in milliseconds
    * @param stopMillis the time-out of {@link #stop}, in milliseconds
    * @param retentionMillis how long an ended batch is kept, in milliseconds after its acceptance
+   * @param bounds bounds on what all nodes together send to cold upstreams and evacuated data
+   *     centres
    */
   public record Settings(
       String nodeName,
@@ -78,13 +81,15 @@
       long reacquireDelayMillis,
       long usageWindowMillis,
       long stopMillis,
-      long retentionMillis) {
+      long retentionMillis,
+      FleetBounds bounds) {
     /** Validates the components. */
     public Settings {
       checkNotNull(nodeName, "nodeName");
       checkNotNull(address, "address");
       checkNotNull(relayAddress, "relayAddress");
       checkNotNull(dataCentre, "dataCentre");
+      checkNotNull(bounds, "bounds");
     }
   }
 
@@ -100,6 +105,7 @@
     LimitShares shares = LimitShares.create(settings.nodeName());
     this.fleet =
         FleetState.create(dependencies.decoder(), scheduler, log, settings.dataCentre(), shares);
+    fleet.warmup().setBounds(settings.bounds());
     parts.push(
         TableWatch.start(
             dependencies.feed(),
@@ -135,7 +141,7 @@
                 settings.relayAddress().map(HostAndPort::toString),
                 fleet.balancer().cutOffServices()));
     parts.push(UpstreamProber.start(fleet.balancer(), nodes, connections, scheduler, log));
-    parts.push(LimitExchange.start(nodes, shares, scheduler));
+    parts.push(LimitExchange.start(nodes, shares, scheduler, () -> fleet.warmup().report(metrics)));
     this.batches =
         BatchService.start(
             new BatchService.Settings(incarnation, settings.retentionMillis()),
--- a/node/src/main/java/io/briarward/node/gateway/LoadOrderSender.java
+++ b/node/src/main/java/io/briarward/node/gateway/LoadOrderSender.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.briarward.core.fleet.FleetRoute;
+import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.lease.LeaseGuard;
 import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.core.weights.VersionOrders;
@@ -62,7 +64,7 @@
   /** Sends all orders that are due. */
   void step() {
     for (VersionOrders.Order order :
-        orders.next(fleet.balancer().entries(), fleet.announced(), demands.get(), nowMillis())) {
+        orders.next(samplersToOrder(), fleet.announced(), demands.get(), nowMillis())) {
       pending++;
       var unused =
           permission
@@ -75,6 +77,13 @@
     }
   }
 
+  /** Returns the upstreams, without those of evacuated data centres, which get no requests. */
+  private ImmutableList<UpstreamEntry> samplersToOrder() {
+    return fleet.balancer().entries().stream()
+        .filter(entry -> !fleet.balancer().evacuated().contains(entry))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   private Single<Boolean> send(VersionOrders.Order order, SamplerOrders.Status status) {
     if (status.modelVersions().getOrDefault(order.model(), 0L) >= order.version()) {
       return Single.just(true);
--- a/node/src/main/java/io/briarward/node/telemetry/Metrics.java
+++ b/node/src/main/java/io/briarward/node/telemetry/Metrics.java
@@ -57,6 +57,16 @@
           .labelNames("service")
           .register(registry);
 
+  private final Gauge coldUpstreams =
+      Gauge.builder()
+          .name("briarward_cold_upstreams")
+          .help("Upstreams that this node knows to be cold and paces its requests to.")
+          .register(registry);
+  private final Gauge evacuatedDataCentres =
+      Gauge.builder()
+          .name("briarward_evacuated_data_centres")
+          .help("Data centres whose upstreams get no requests, by the operator's rows.")
+          .register(registry);
   private final Counter rewardCalls =
       Counter.builder()
           .name("briarward_reward_calls_total")
@@ -118,6 +128,16 @@
     usageUnprotected.set((double) count);
   }
 
+  /** Sets the number of upstreams that are cold. */
+  public void coldUpstreams(int count) {
+    coldUpstreams.set(count);
+  }
+
+  /** Sets the number of evacuated data centres. */
+  public void evacuatedDataCentres(int count) {
+    evacuatedDataCentres.set(count);
+  }
+
   /** Counts a finished reward call and records its duration. */
   public void rewardCallFinished(String service, String outcome, double durationSeconds) {
     rewardCalls.labelValues(service, outcome).inc();
--- a/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
+++ b/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
@@ -26,6 +26,9 @@
   /** The id of another service that scores texts. */
   public static final String OTHER_SCORERS = "other-scorers";
 
+  /** The prefix of the keys of rows that evacuate a data centre. */
+  public static final String EVACUATION_PREFIX = "evacuate/";
+
   /** The host of the routes. */
   public static final String HOST = "mill.example";
 
@@ -143,6 +146,20 @@
     return Optional.of(new Announcement(key, value.path("version").asLong()));
   }
 
+  @Override
+  public Optional<String> evacuatedDataCentre(String key) {
+    return key.startsWith(EVACUATION_PREFIX)
+        ? Optional.of(key.substring(EVACUATION_PREFIX.length()))
+        : Optional.empty();
+  }
+
+  @Override
+  public Optional<String> coldDefect(JsonNode value) {
+    return value.path("coldMillis").asLong() < 0
+        ? Optional.of("coldMillis is negative")
+        : Optional.empty();
+  }
+
   @Override
   public UpstreamEntry upstream(String id, JsonNode value) {
     checkArgument(value.has("version"), "version is missing");
@@ -152,7 +169,7 @@
     return new UpstreamEntry(
         id,
         value.path("service").asText(SAMPLERS),
-        "nadi",
+        value.path("dataCentre").asText("nadi"),
         "10.0.0.1",
         80,
         1,
@@ -160,6 +177,7 @@
         value.path("leaving").asBoolean(),
         false,
         value.path("software").asText("1"),
-        ImmutableMap.of("m", value.path("version").asLong()));
+        ImmutableMap.of("m", value.path("version").asLong()),
+        Math.max(0, value.path("coldMillis").asLong()));
   }
 }
