--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -4,6 +4,7 @@
 
 import com.google.common.net.HostAndPort;
 import io.briarward.core.fleet.FeedPause;
+import io.briarward.core.fleet.FleetBounds;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.RelayOffer;
 import io.briarward.core.forwarding.StopSchedule;
@@ -71,6 +72,8 @@
    * @param stopMillis the time-out of {@link #stop}, in milliseconds
    * @param retentionMillis how long an ended batch is kept, in milliseconds after its acceptance
    * @param processorCores the processor capacity of the VM in cores, empty if unknown
+   * @param bounds bounds on what all nodes together send to cold upstreams and evacuated data
+   *     centres
    */
   public record Settings(
       String nodeName,
@@ -81,7 +84,8 @@
       long usageWindowMillis,
       long stopMillis,
       long retentionMillis,
-      OptionalDouble processorCores) {
+      OptionalDouble processorCores,
+      FleetBounds bounds) {
     /** Validates the components. */
     public Settings {
       checkNotNull(nodeName, "nodeName");
@@ -89,6 +93,7 @@
       checkNotNull(relayAddress, "relayAddress");
       checkNotNull(dataCentre, "dataCentre");
       checkNotNull(processorCores, "processorCores");
+      checkNotNull(bounds, "bounds");
     }
   }
 
@@ -104,6 +109,7 @@
     LimitShares shares = LimitShares.create(settings.nodeName());
     this.fleet =
         FleetState.create(dependencies.decoder(), scheduler, log, settings.dataCentre(), shares);
+    fleet.warmup().setBounds(settings.bounds());
     parts.push(
         TableWatch.start(
             dependencies.feed(),
@@ -140,7 +146,7 @@
                 settings.relayAddress().map(HostAndPort::toString),
                 fleet.balancer().cutOffServices()));
     parts.push(UpstreamProber.start(fleet.balancer(), nodes, connections, scheduler, log));
-    parts.push(LimitExchange.start(nodes, shares, scheduler));
+    parts.push(LimitExchange.start(nodes, shares, scheduler, () -> fleet.warmup().report(metrics)));
     this.batches =
         BatchService.start(
             new BatchService.Settings(incarnation, settings.retentionMillis()),
