Responses' load headers are decoded and passed on

Upstreams of some services report running and waiting requests, slots and slowness in Briarward-Server-Load. Nothing read it. UpstreamNotice now carries the load as UpstreamLoad; a header with a missing, negative, huge or non-numeric part is ignored, with one line 'upstream-load-invalid' per upstream and 10 s, and the upstream continues to be served.

--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -45,6 +45,7 @@
   private final Map<String, Long> announced = new HashMap<>();
   private final Map<String, Disposable> pendingRemovals = new HashMap<>();
   private final RejectedRows rejectedUpstreams = new RejectedRows();
+  private final PaceLog paceLog;
   private Optional<FleetConfiguration> configuration = Optional.empty();
   private long recoveredAtMillis = Long.MIN_VALUE / 2;
   private boolean upstreamsKnown;
@@ -59,6 +60,7 @@
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.balancer = UpstreamBalancer.create(localDataCentre, shares);
+    this.paceLog = new PaceLog(log);
   }
 
   /**
@@ -137,6 +139,9 @@
     if (notice.leaving()) {
       onLeaving(upstream, requestId);
     }
+    if (notice.loadInvalid()) {
+      paceLog.onInvalidLoad(upstream, requestId, nowMillis());
+    }
     int sentWithinLimit = balancer.sentWithinLimit(upstream);
     if (balancer.onLimit(upstream, notice.limitPerSecond(), nowMillis())) {
       log.info(
