Requests to upstreams that report their load are paced and placed by it

Every VM sent to an upstream that had not responded yet without a bound, and avoided one that rejected for 50 ms, then sent one probe at a time. With 77 VMs neither is pacing.

For services whose upstreams report running, waiting, slots and slowness, LoadView keeps the exact own count and the aged figures, UpstreamChoice compares the predicted completion, with two random ones of those whose figures are stale, and InFlightWindow bounds the requests in flight in the one admission gate. PacedBacklog lets a request that none admits wait or rejects it with a Retry-After spread by the request id. RunPlacement takes the load and the slowness into account. The present ejection moves to UpstreamEjections unchanged and holds for all other upstreams.

--- a/core/src/main/java/io/briarward/core/batch/RunPlacement.java
+++ b/core/src/main/java/io/briarward/core/batch/RunPlacement.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.collect.ImmutableList;
+import io.briarward.core.fleet.ServiceLoad;
 import io.briarward.core.fleet.UpstreamEntry;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import java.util.function.ToIntFunction;
 
 /**
@@ -107,13 +109,34 @@
       ToIntFunction<UpstreamEntry> inFlight,
       long expectedTokens,
       long tokenCapacity) {
+    return choose(
+        available,
+        new ServiceLoad(inFlight::applyAsInt, sampler -> 1),
+        expectedTokens,
+        tokenCapacity);
+  }
+
+  /**
+   * Returns the sampler on which a run is expected to end soonest, or empty if none is available.
+   *
+   * @param available the samplers that accept runs
+   * @param load the load of the samplers, which counts the runs of other nodes where it is known
+   * @param expectedTokens the expected number of generated tokens of the run
+   * @param tokenCapacity the number of tokens that a sampler's memory holds, 0 if unknown
+   */
+  public Optional<UpstreamEntry> choose(
+      ImmutableList<UpstreamEntry> available,
+      ServiceLoad load,
+      long expectedTokens,
+      long tokenCapacity) {
     double defaultGapMillis = meanEventGapMillis(available);
     return available.stream()
         .min(
             Comparator.comparingDouble(
                 sampler ->
                     eventGapMillis(sampler).orElse(defaultGapMillis)
-                        * loadSlowdown(sampler, inFlight)
+                        * loadSlowdown(sampler, load.occupancy().applyAsDouble(sampler))
+                        * load.slowness().applyAsDouble(sampler)
                         * memoryPenalty(sampler, expectedTokens, tokenCapacity)));
   }
 
@@ -121,13 +144,13 @@
   public boolean worthMoving(
       UpstreamEntry from,
       ImmutableList<UpstreamEntry> available,
-      ToIntFunction<UpstreamEntry> inFlight,
+      ToDoubleFunction<UpstreamEntry> occupancy,
       long expectedTokens,
       long tokenCapacity) {
     OptionalDouble current = eventGapMillis(from);
     return current.isPresent()
         && available.stream()
-            .filter(sampler -> inFlight.applyAsInt(sampler) < sampler.slots() * MOVE_MAX_LOAD)
+            .filter(sampler -> occupancy.applyAsDouble(sampler) < sampler.slots() * MOVE_MAX_LOAD)
             .filter(sampler -> memoryPenalty(sampler, expectedTokens, tokenCapacity) == 1)
             .anyMatch(
                 sampler ->
@@ -149,8 +172,11 @@
         .orElse(1);
   }
 
-  private static double loadSlowdown(UpstreamEntry sampler, ToIntFunction<UpstreamEntry> inFlight) {
-    return 1 + FULL_LOAD_SLOWDOWN * inFlight.applyAsInt(sampler) / sampler.slots();
+  /** Returns the factor on a run's time by the runs before it, which share the slots or wait. */
+  private static double loadSlowdown(UpstreamEntry sampler, double occupancy) {
+    double waiting = Math.max(0, occupancy + 1 - sampler.slots());
+    double running = Math.min(occupancy, sampler.slots());
+    return 1 + (FULL_LOAD_SLOWDOWN * running + waiting) / sampler.slots();
   }
 
   /** Returns 1 if the output fits into the sampler's memory, and a growing factor otherwise. */
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -7,15 +7,15 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
 /**
@@ -23,41 +23,28 @@
  *
  * <p>The expected wait is the upstream's recent request duration times one plus this node's number
  * of requests in flight per slot, and is increased for an upstream in another data centre. An
- * upstream that fails is ejected for a time that doubles with each consecutive failure. An upstream
- * that rejects a request is ejected for a given time, then receives a single probe request, and
- * more requests once it accepts that one. An upstream that names a limit gets this node's share of
- * it. Not thread-safe.
+ * upstream that fails or rejects a request is ejected for a time. If an upstream reports its load
+ * with its slowness, {@link LoadView} predicts the completion instead, and {@link InFlightWindow}
+ * takes the place of ejection. An upstream that names a limit gets this node's share of it. Not
+ * thread-safe.
  */
 public final class UpstreamBalancer {
-  /** The ejection time after the first failure; about the restart time of a crashed process. */
-  private static final long FIRST_EJECTION_MILLIS = 500;
-
-  /**
-   * The maximum ejection time after consecutive failures; on the order of an upstream's longest
-   * outage.
-   */
-  private static final long MAX_EJECTION_MILLIS = 4_000;
-
-  /** The weight of the newest duration in the moving average. */
-  private static final double DURATION_WEIGHT = 0.2;
-
-  /** The factor on the expected wait of an upstream in another data centre. */
-  private static final double REMOTE_FACTOR = 1.15;
-
-  /** The assumed request duration of an upstream that has not answered yet. */
-  private static final double UNKNOWN_DURATION_MILLIS = 20;
-
-  private final String localDataCentre;
   private final Map<String, UpstreamEntry> entries = new LinkedHashMap<>();
-  private final Map<String, UpstreamState> states = new HashMap<>();
+  private final LoadView view = new LoadView();
+  private final UpstreamEjections ejections = new UpstreamEjections();
+  private final UpstreamPacing pacing;
+  private final UpstreamChoice choice;
+  private final PacedBacklog backlog;
   private final LeavingUpstreams leavingUpstreams = new LeavingUpstreams();
   private final ServiceContacts contacts = new ServiceContacts();
   private final RequestLimits limits;
   private final RequestMeter arrivals = new RequestMeter();
   private ToDoubleFunction<UpstreamEntry> batchNeed = upstream -> 0;
 
-  private UpstreamBalancer(String localDataCentre, LimitShares shares) {
-    this.localDataCentre = checkNotNull(localDataCentre, "localDataCentre");
+  private UpstreamBalancer(String localDataCentre, LimitShares shares, RandomGenerator random) {
+    this.pacing = new UpstreamPacing(view, random);
+    this.backlog = new PacedBacklog(pacing, this::service);
+    this.choice = new UpstreamChoice(localDataCentre, view, pacing, random);
     this.limits = new RequestLimits(checkNotNull(shares, "shares"));
   }
 
@@ -67,7 +54,18 @@
    * @param shares the node's shares of the limits that upstreams name
    */
   public static UpstreamBalancer create(String localDataCentre, LimitShares shares) {
-    return new UpstreamBalancer(localDataCentre, shares);
+    return create(localDataCentre, shares, new SplittableRandom());
+  }
+
+  /**
+   * Creates a balancer without upstreams for a node in the given data centre.
+   *
+   * @param shares the node's shares of the limits that upstreams name
+   * @param random selects among upstreams of which the node knows too little to compare them
+   */
+  public static UpstreamBalancer create(
+      String localDataCentre, LimitShares shares, RandomGenerator random) {
+    return new UpstreamBalancer(localDataCentre, shares, random);
   }
 
   /**
@@ -80,7 +78,7 @@
     UpstreamEntry entry = leavingUpstreams.apply(registered);
     UpstreamEntry before = entries.put(entry.id(), entry);
     if (before != null && before.startedAtMillis() != entry.startedAtMillis()) {
-      states.remove(entry.id());
+      discardHistory(entry.id());
     }
     return entry;
   }
@@ -112,6 +110,23 @@
     return limits.onNotice(upstream, limitPerSecond, nowMillis);
   }
 
+  /**
+   * Handles the load in an upstream's response, which is empty if the response reports none.
+   *
+   * @param upstream the entry to which the request was sent
+   */
+  public void onLoad(UpstreamEntry upstream, Optional<UpstreamLoad> load, long nowMillis) {
+    boolean current =
+        entry(upstream.id())
+            .filter(entry -> entry.startedAtMillis() == upstream.startedAtMillis())
+            .isPresent();
+    if (current) {
+      load.ifPresentOrElse(
+          reported -> pacing.onReport(upstream, reported, nowMillis),
+          () -> pacing.onNoReport(upstream));
+    }
+  }
+
   /** Returns the number of requests sent to an upstream since it first named a limit. */
   public int sentWithinLimit(UpstreamEntry upstream) {
     return limits.sent(upstream);
@@ -171,7 +186,13 @@
   public void remove(String id) {
     entry(id).ifPresent(entry -> contacts.onRemoved(entry.service(), id));
     entries.remove(id);
-    states.remove(id);
+    discardHistory(id);
+  }
+
+  private void discardHistory(String id) {
+    view.remove(id);
+    ejections.remove(id);
+    pacing.remove(id);
   }
 
   /** Returns the upstream with the given id, or empty if it is not registered. */
@@ -184,10 +205,14 @@
     return ImmutableList.copyOf(entries.values());
   }
 
+  /** Returns what this node knows of the load of upstreams, and how it paces its requests. */
+  public UpstreamPacing pacing() {
+    return pacing;
+  }
+
   /** Returns the number of requests that this node has in flight at an upstream. */
   public int inFlight(String id) {
-    UpstreamState state = states.get(id);
-    return state == null ? 0 : state.inFlight;
+    return view.inFlight(id);
   }
 
   /**
@@ -202,7 +227,8 @@
       ImmutableSet<String> excluded,
       Predicate<UpstreamEntry> allowed,
       long nowMillis) {
-    return shortestWait(available(service, excluded, allowed, nowMillis));
+    return choice.choose(
+        available(service, excluded, allowed, nowMillis), service(service), nowMillis);
   }
 
   /**
@@ -217,14 +243,14 @@
       Predicate<UpstreamEntry> allowed,
       long nowMillis) {
     return notDraining(service, excluded)
-        .filter(entry -> !isEjected(entry.id(), nowMillis) && !hasProbeInFlight(entry.id()))
+        .filter(entry -> pacing.inForce(entry) || ejections.permits(entry.id(), nowMillis))
         .filter(allowed)
-        .filter(entry -> limits.permits(entry, nowMillis))
+        .filter(entry -> admits(entry, false, nowMillis))
         .collect(ImmutableList.toImmutableList());
   }
 
   /**
-   * Chooses an upstream of a service, including ejected ones.
+   * Chooses an upstream of a service, including ejected ones; windows and limits apply.
    *
    * @param excluded the ids that must not be chosen
    * @param allowed a further condition on the upstream
@@ -234,11 +260,28 @@
       ImmutableSet<String> excluded,
       Predicate<UpstreamEntry> allowed,
       long nowMillis) {
-    return shortestWait(
+    return choice.choose(
         notDraining(service, excluded)
             .filter(allowed)
-            .filter(entry -> limits.permits(entry, nowMillis))
-            .collect(ImmutableList.toImmutableList()));
+            .filter(entry -> admits(entry, true, nowMillis))
+            .collect(ImmutableList.toImmutableList()),
+        service(service),
+        nowMillis);
+  }
+
+  /** Returns the requests of this node that wait for a paced upstream. */
+  public PacedBacklog backlog() {
+    return backlog;
+  }
+
+  private ImmutableList<UpstreamEntry> service(String service) {
+    return notDraining(service).collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns whether the window and the limit of an upstream permit a request now. */
+  private boolean admits(UpstreamEntry entry, boolean ignoringProbePause, long nowMillis) {
+    return (!pacing.inForce(entry) || pacing.permits(entry, ignoringProbePause, nowMillis))
+        && limits.permits(entry, nowMillis);
   }
 
   /** Returns the upstreams of a service that are not draining. */
@@ -251,15 +294,11 @@
     return notDraining(service).filter(entry -> !excluded.contains(entry.id()));
   }
 
-  private Optional<UpstreamEntry> shortestWait(ImmutableList<UpstreamEntry> candidates) {
-    return candidates.stream().min(Comparator.comparingDouble(this::expectedWaitMillis));
-  }
-
   /** Handles a request that was sent to an upstream and is now in flight. */
   public void onSent(String id) {
-    UpstreamState state = state(id);
-    state.inFlight++;
-    state.probeInFlight = state.rejected;
+    view.onSent(id);
+    ejections.onSent(id);
+    pacing.onSent(id);
     entry(id).ifPresent(limits::onSent);
   }
 
@@ -300,90 +339,57 @@
 
   /** Handles a request that an upstream accepted and started to run. */
   public void onAccepted(String id) {
-    state(id).rejected = false;
+    ejections.onAccepted(id);
+    entry(id).ifPresent(pacing::onAccepted);
   }
 
   /** Handles the end of a request that the upstream answered. */
   public void onAnswered(String id, long durationMillis) {
+    entry(id)
+        .ifPresent(
+            entry -> {
+              view.onNormalDuration(entry, durationMillis);
+              pacing.onAnswered(entry, durationMillis);
+            });
+    view.onDuration(id, durationMillis);
     onCompleted(id);
-    UpstreamState state = state(id);
-    state.durationMillis =
-        state.durationMillis == 0
-            ? durationMillis
-            : state.durationMillis * (1 - DURATION_WEIGHT) + durationMillis * DURATION_WEIGHT;
   }
 
   /** Handles the end of a request whose duration is not used, since requests differ in size. */
   public void onCompleted(String id) {
-    UpstreamState state = state(id);
-    state.removeInFlight();
-    state.failures = 0;
-    state.rejected = false;
-    state.ejectedUntilMillis = Long.MIN_VALUE;
+    pacing.onHeard(id);
+    view.onEnded(id);
+    ejections.onCompleted(id);
   }
 
   /** Handles the end of a request for a reason unrelated to the upstream's health. */
   public void onReleased(String id) {
-    UpstreamState state = state(id);
-    state.removeInFlight();
-    state.probeInFlight = false;
+    pacing.onReleased(id);
+    view.onEnded(id);
+    ejections.onReleased(id);
   }
 
   /** Handles the end of a request that the upstream rejected without running it. */
   public void onRejected(String id, long nowMillis, long ejectionMillis) {
-    UpstreamState state = state(id);
-    state.removeInFlight();
-    state.rejected = true;
-    state.probeInFlight = false;
-    state.ejectedUntilMillis = Math.max(state.ejectedUntilMillis, nowMillis + ejectionMillis);
+    entry(id).ifPresent(entry -> pacing.onRejected(entry, nowMillis));
+    view.onEnded(id);
+    ejections.onRejected(id, nowMillis, ejectionMillis);
   }
 
   /** Handles the end of a request that the upstream interrupted or did not answer. */
   public void onFailed(String id, long nowMillis) {
-    UpstreamState state = state(id);
-    state.removeInFlight();
-    long ejectionMillis =
-        Math.min(MAX_EJECTION_MILLIS, FIRST_EJECTION_MILLIS << Math.min(state.failures, 10));
-    state.failures++;
-    state.rejected = false;
-    state.ejectedUntilMillis = nowMillis + ejectionMillis;
-  }
-
-  /** Returns whether an upstream that rejected a request has a probe request in flight. */
-  private boolean hasProbeInFlight(String id) {
-    UpstreamState state = states.get(id);
-    return state != null && state.rejected && state.probeInFlight;
-  }
-
-  /** Returns whether an upstream is currently ejected. */
-  public boolean isEjected(String id, long nowMillis) {
-    UpstreamState state = states.get(id);
-    return state != null && nowMillis < state.ejectedUntilMillis;
-  }
-
-  private double expectedWaitMillis(UpstreamEntry entry) {
-    UpstreamState state = states.get(entry.id());
-    double durationMillis =
-        state == null || state.durationMillis == 0 ? UNKNOWN_DURATION_MILLIS : state.durationMillis;
-    int inFlight = state == null ? 0 : state.inFlight;
-    double factor = entry.dataCentre().equals(localDataCentre) ? 1 : REMOTE_FACTOR;
-    return (1 + (double) inFlight / entry.slots()) * durationMillis * factor;
-  }
-
-  private UpstreamState state(String id) {
-    return states.computeIfAbsent(id, unused -> new UpstreamState());
-  }
-
-  private static final class UpstreamState {
-    int inFlight;
-    int failures;
-    boolean rejected;
-    boolean probeInFlight;
-    long ejectedUntilMillis = Long.MIN_VALUE;
-    double durationMillis;
-
-    void removeInFlight() {
-      inFlight = Math.max(0, inFlight - 1);
+    entry(id).ifPresent(entry -> pacing.onSilent(entry, nowMillis));
+    view.onEnded(id);
+    ejections.onFailed(id, nowMillis);
+  }
+
+  /** Handles the end of a request that the upstream answered with an error of its own. */
+  public void onErrorResponse(String id, long nowMillis) {
+    if (entry(id).filter(pacing::inForce).isPresent()) {
+      pacing.onHeard(id);
+      onReleased(id);
+    } else {
+      onFailed(id, nowMillis);
     }
   }
 }
