--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -46,6 +46,7 @@
   private final Map<String, Long> announced = new HashMap<>();
   private final Map<String, Disposable> pendingRemovals = new HashMap<>();
   private final RejectedRows rejectedUpstreams = new RejectedRows();
+  private final PaceLog paceLog;
   private Optional<FleetConfiguration> configuration = Optional.empty();
   private long recoveredAtMillis = Long.MIN_VALUE / 2;
   private boolean upstreamsKnown;
@@ -61,6 +62,7 @@
     this.log = checkNotNull(log, "log");
     this.balancer = UpstreamBalancer.create(localDataCentre, shares);
     this.warmup = new FleetWarmup(balancer, scheduler, log);
+    this.paceLog = new PaceLog(log);
   }
 
   /**
@@ -145,6 +147,9 @@
       onLeaving(upstream, requestId);
     }
     warmup.onNotice(upstream, notice);
+    if (notice.loadInvalid()) {
+      paceLog.onInvalidLoad(upstream, requestId, nowMillis());
+    }
     int sentWithinLimit = balancer.sentWithinLimit(upstream);
     if (balancer.onLimit(upstream, notice.limitPerSecond(), nowMillis())) {
       log.info(
