Search response heads for a protocol name before the pattern

Each response, also each one of the store, had a regular expression evaluated over all its header values through a stream, although none of them usually contains the protocol name that the pattern starts with.

JoinedHeadsTest passes unchanged.

--- a/core/src/main/java/io/briarward/core/forwarding/JoinedHeads.java
+++ b/core/src/main/java/io/briarward/core/forwarding/JoinedHeads.java
@@ -1,9 +1,7 @@
 package io.briarward.core.forwarding;
 
-import com.google.common.collect.Streams;
 import java.util.Map;
 import java.util.regex.Pattern;
-import java.util.stream.Stream;
 
 /**
  * Recognises response heads that were joined from two responses.
@@ -13,7 +11,8 @@
  * thread-safe.
  */
 public final class JoinedHeads {
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+  private static final String PROTOCOL = "HTTP/";
+  private static final Pattern STATUS_LINE = Pattern.compile(PROTOCOL + "\\d\\.\\d \\d{3}");
 
   private JoinedHeads() {}
 
@@ -24,8 +23,19 @@
    * @param headers the names and values of the headers
    */
   public static boolean isJoined(String reasonPhrase, Iterable<Map.Entry<String, String>> headers) {
-    return Stream.concat(
-            Stream.of(reasonPhrase), Streams.stream(headers).map(header -> header.getValue()))
-        .anyMatch(text -> STATUS_LINE.matcher(text).find());
+    if (containsStatusLine(reasonPhrase)) {
+      return true;
+    }
+    for (Map.Entry<String, String> header : headers) {
+      if (containsStatusLine(header.getValue())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Evaluates the pattern only for the few texts that may match it; each response is checked. */
+  private static boolean containsStatusLine(String text) {
+    return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
   }
 }
