batches: one large VM runs all batches of a caller

Each batch ran on the VM that happened to accept it, of which half have a quarter of a core, and that VM opened connections to all samplers and compiled the code anew. Where the VMs' capacities differ, a submission now goes on to a VM with at least half of the largest capacity, the same for each caller and model as long as it lives, and runs at the accepting VM if that one does not accept it in time.

--- a/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamBalancer.java
@@ -25,9 +25,8 @@
  * of requests in flight per slot, and is increased for an upstream in another data centre. An
  * upstream that fails or rejects a request is ejected for a time. If an upstream reports its load
  * with its slowness, {@link LoadView} predicts the completion instead, and {@link InFlightWindow}
- * takes the place of ejection. An upstream that names a limit gets this node's share of it, one that
- * is cold its share of a lower rate, one in an evacuated data centre nothing. Not
- * thread-safe.
+ * takes the place of ejection. An upstream that names a limit gets this node's share of it, one
+ * that is cold its share of a lower rate, one in an evacuated data centre nothing. Not thread-safe.
  */
 public final class UpstreamBalancer {
   private final Map<String, UpstreamEntry> entries = new LinkedHashMap<>();
--- a/core/src/main/java/io/briarward/core/fleet/UpstreamNotice.java
+++ b/core/src/main/java/io/briarward/core/fleet/UpstreamNotice.java
@@ -48,7 +48,6 @@
 
   /** Creates a notice that says neither whether the upstream is cold nor what its load is. */
   public UpstreamNotice(boolean leaving, OptionalDouble limitPerSecond) {
-    this(
-        leaving, limitPerSecond, OptionalLong.empty(), Optional.empty(), Optional.empty(), false);
+    this(leaving, limitPerSecond, OptionalLong.empty(), Optional.empty(), Optional.empty(), false);
   }
 }
--- a/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
+++ b/node/src/main/java/io/briarward/node/fleet/NodeRegistry.java
@@ -28,6 +28,7 @@
 import io.reactivex.rxjava3.subjects.PublishSubject;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -267,6 +268,17 @@
         .collect(ImmutableList.toImmutableList());
   }
 
+  /**
+   * Returns the address at which a live process accepts requests of nodes for a service; empty if
+   * it is this process, offers none or is cut off from the service.
+   */
+  public Optional<String> relayAddress(String otherIncarnation, String service) {
+    return others()
+        .filter(peer -> peer.incarnation().equals(otherIncarnation))
+        .flatMap(peer -> peer.relayOffer().addressFor(service).stream())
+        .findFirst();
+  }
+
   /**
    * Returns the capacities of the processes that are best placed to use a service, by incarnation.
    *
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -3,6 +3,9 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.net.HostAndPort;
+import io.briarward.core.batch.BatchSpec;
+import io.briarward.core.batch.BatchTerms;
+import io.briarward.core.batch.SubmissionPlacement;
 import io.briarward.core.fleet.FeedPause;
 import io.briarward.core.fleet.FleetBounds;
 import io.briarward.core.fleet.LimitShares;
@@ -23,6 +26,9 @@
 import io.briarward.node.timing.UptimeScheduler;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Scheduler;
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -48,6 +54,7 @@
   private static final long MAX_HELD_ANSWER_BYTES = 8 << 20;
 
   private final Settings settings;
+  private final PeerRelays relays;
   private final Scheduler scheduler;
   private final EventLog log;
   private final Metrics metrics = Metrics.create();
@@ -104,6 +111,7 @@
       PeerRelays relays,
       UptimeScheduler scheduler) {
     this.settings = checkNotNull(settings, "settings");
+    this.relays = checkNotNull(relays, "relays");
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = EventLog.create(scheduler);
     LimitShares shares = LimitShares.create(settings.nodeName());
@@ -231,6 +239,23 @@
     return batches;
   }
 
+  /**
+   * Returns the address of the node that is to run a batch; empty if this one is.
+   *
+   * <p>It accepts submissions at {@link #openToNode} as callers send them, and may fail to.
+   */
+  public Optional<HostAndPort> preferredBatchNode(BatchTerms terms, BatchSpec spec) {
+    String caller = terms.host() + '/' + terms.route() + '/' + spec.model().orElse("");
+    return SubmissionPlacement.choose(caller, nodes.bestPlaced(terms.service()))
+        .flatMap(owner -> nodes.relayAddress(owner, terms.service()))
+        .map(HostAndPort::fromString);
+  }
+
+  /** Connects to another node and returns a request that has not been sent. */
+  public Future<HttpClientRequest> openToNode(HostAndPort node, HttpMethod method, String uri) {
+    return relays.open(node, method, uri);
+  }
+
   /** Returns the forwarder of live requests. */
   public LiveForwarder forwarder() {
     return forwarder;
--- a/node/src/test/java/io/briarward/node/batch/BatchDirectoryTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchDirectoryTest.java
@@ -27,7 +27,8 @@
 
   private final TestScheduler scheduler = new TestScheduler();
   private final MemoryStore store = MemoryStore.create(scheduler);
-  private final BatchStore batches = new BatchStore(scheduler, store, store, BatchDirectoryTest::rejectSubmission);
+  private final BatchStore batches =
+      new BatchStore(scheduler, store, store, BatchDirectoryTest::rejectSubmission);
   private BatchDirectory directory;
   private StoredHead head;
   private int reads;
