--- a/node/src/test/java/io/briarward/node/fleet/LimitExchangeTest.java
+++ b/node/src/test/java/io/briarward/node/fleet/LimitExchangeTest.java
@@ -2,23 +2,45 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.briarward.core.fleet.FleetService;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.NodeDemand;
+import io.briarward.core.fleet.UpstreamBalancer;
+import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.node.telemetry.EventLog;
 import io.briarward.node.testing.MemoryStore;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class LimitExchangeTest {
   private static final String UPSTREAM = "u/1";
 
+  private static final UpstreamEntry COLD_UPSTREAM =
+      new UpstreamEntry(
+          "u",
+          "orders",
+          "nadi",
+          "10.0.0.1",
+          80,
+          1,
+          4,
+          false,
+          false,
+          "1",
+          ImmutableMap.of(),
+          600_000);
+
   private final TestScheduler scheduler = new TestScheduler();
   private final MemoryStore store = MemoryStore.create(scheduler);
 
   private final class Node {
     final NodeRegistry nodes;
+    final UpstreamBalancer balancer;
     NodeDemand demand = NodeDemand.NONE;
 
     Node(String name) {
@@ -31,7 +53,40 @@
               name,
               Incarnations.create(name, "10.0.0.1"),
               () -> demand);
-      LimitExchange.start(nodes, LimitShares.create(name), scheduler);
+      LimitShares shares = LimitShares.create(name);
+      LimitExchange.start(nodes, shares, scheduler);
+      balancer = UpstreamBalancer.create("nadi", shares);
+      balancer
+          .cold()
+          .setServices(
+              ImmutableMap.of(
+                  "orders",
+                  new FleetService(
+                      "orders",
+                      10,
+                      0,
+                      ImmutableList.of(),
+                      Optional.empty(),
+                      Optional.of(new FleetService.Warmup(600_000, 8)),
+                      ImmutableList.of())));
+      balancer.put(COLD_UPSTREAM);
+      balancer.cold().onRow(COLD_UPSTREAM, scheduler.now(TimeUnit.MILLISECONDS));
+    }
+
+    /** Returns the number of requests in the given time if it sends whenever it may. */
+    int send(long millis) {
+      int sent = 0;
+      for (long passed = 0; passed < millis; passed += 10) {
+        advance(10);
+        while (!balancer
+            .available(
+                "orders", ImmutableSet.of(), entry -> true, scheduler.now(TimeUnit.MILLISECONDS))
+            .isEmpty()) {
+          balancer.onSent("u");
+          sent++;
+        }
+      }
+      return sent;
     }
 
     void need(double perSecond) {
@@ -86,4 +141,40 @@
     assertThat(b.nodes.reliable()).isTrue();
     assertThat(b.nodes.demands()).doesNotContainKey("a");
   }
+
+  /** A node whose rows others lack would send beside those that they choose in its place. */
+  @Test
+  void newNodeSendsToColdUpstreamsOnceAllOthersCountIt() {
+    Node a = new Node("a");
+    assertThat(a.send(17_000)).isEqualTo(0);
+    advance(3_000);
+    assertThat(a.send(2_000)).isWithin(1).of(16);
+    Node b = new Node("b");
+    assertThat(b.send(10_000)).isEqualTo(0);
+    assertThat(a.send(2_000)).isWithin(1).of(8);
+  }
+
+  @Test
+  void nextProcessOnTheVmContinuesToSendToColdUpstreams() {
+    Node a = new Node("a");
+    advance(25_000);
+    a.nodes.close();
+    advance(5_000);
+    Node next = new Node("a");
+    advance(1_000);
+    assertThat(next.send(2_000)).isWithin(1).of(8);
+    advance(5_000);
+    assertThat(next.send(2_000)).isWithin(1).of(16);
+  }
+
+  @Test
+  void nodeWithoutStoreSendsHalfOfItsShareToColdUpstreamsForATime() {
+    Node a = new Node("a");
+    advance(25_000);
+    store.setDown(true);
+    advance(5_000);
+    assertThat(a.send(2_000)).isWithin(1).of(8);
+    advance(10_000);
+    assertThat(a.send(2_000)).isEqualTo(0);
+  }
 }
