Items carry an urgency class, and competing batches start by standing

Cause: several trainers compete for too few sampler slots. Batches of a VM got slots in the order of acceptance, so the longest groups of an older batch, which its caller does not wait for, held the slots of a newer one; samplers could not tell the items of different owners apart.

Change, in force where a service runs models and the configuration has several (CompetingBatches.competeOn): GroupRanking ranks the groups of a batch (needed and on time, late, surplus), CompetingBatches gives the batches of a VM turns by standing, due time and work left, and UrgencyClass derives the class of each started item from its slack, sent as Briarward-Urgency-Class. RunPace learns how long runs take for their estimates, by the steady clock. Elsewhere the order and the requests are as before.

A test found that a time of day set ahead during a run made the pace a hundred times too slow and all groups late; the pace is now measured by the store's steady clock.

--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -5,14 +5,19 @@
 
 import com.google.common.collect.HashMultiset;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Multiset;
+import com.google.common.collect.Sets;
 import java.util.ArrayDeque;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
@@ -46,6 +51,8 @@
   private final Map<String, ItemProgress> items = new LinkedHashMap<>();
   private final ArrayDeque<ItemResult> finished = new ArrayDeque<>();
   private final ToDoubleFunction<BatchItem> expectedLength;
+  private final int totalGroups;
+  private final Set<String> groupsWithLoss = new HashSet<>();
   private int running;
 
   private BatchRun(
@@ -53,6 +60,7 @@
     this.spec = checkNotNull(spec, "spec");
     this.maxAttempts = terms.maxAttempts();
     this.expectedLength = lengthEstimator(spec.items());
+    this.totalGroups = (int) spec.items().stream().map(BatchItem::group).distinct().count();
     spec.items().stream()
         .filter(item -> !listed.contains(item.id()))
         .sorted(Comparator.comparingDouble(expectedLength).reversed())
@@ -106,6 +114,48 @@
     return Math.round(expectedLength.applyAsDouble(item));
   }
 
+  /**
+   * Returns the standing of each group with unfinished items; those that lost an item can never be
+   * complete, so they are not needed.
+   *
+   * @param leftMillis the time until the batch is due, negative if that time has passed
+   */
+  public ImmutableMap<String, GroupStanding> standings(long leftMillis, RunPace pace) {
+    Map<String, Double> remainingTokensByGroup = new LinkedHashMap<>();
+    Map<String, GroupStanding> standings = new HashMap<>();
+    for (ItemProgress progress : items.values()) {
+      String group = progress.item().group();
+      if (groupsWithLoss.contains(group)) {
+        standings.put(group, GroupStanding.SURPLUS);
+      } else {
+        remainingTokensByGroup.merge(group, remainingTokens(progress, pace), Math::max);
+      }
+    }
+    standings.putAll(
+        GroupRanking.rank(
+            ImmutableMap.copyOf(remainingTokensByGroup), neededGroups(), leftMillis, pace));
+    return ImmutableMap.copyOf(standings);
+  }
+
+  /** Returns the number of groups that the caller still waits for. */
+  public int neededGroups() {
+    int targetGroups = spec.targetGroups() == 0 ? totalGroups : spec.targetGroups();
+    int completeGroups =
+        totalGroups - Sets.union(unfinishedByGroup.elementSet(), groupsWithLoss).size();
+    return Math.max(0, targetGroups - completeGroups);
+  }
+
+  /** Returns the time that the rest of an item without a result needs, in milliseconds. */
+  public long neededMillis(String itemId, RunPace pace) {
+    return pace.neededMillis(remainingTokens(progress(itemId), pace));
+  }
+
+  private double remainingTokens(ItemProgress progress, RunPace pace) {
+    return progress.state() == ItemProgress.State.UNSCORED
+        ? 0
+        : pace.remainingTokens(expectedTokens(progress.item()), progress.eventCount());
+  }
+
   /** Returns the items that can start now, in the order in which to start them. */
   public ImmutableList<BatchItem> startable(long nowMillis) {
     return items.values().stream()
@@ -293,6 +343,7 @@
 
   private void fail(ItemProgress progress) {
     rewards.remove(progress.item().id());
+    groupsWithLoss.add(progress.item().group());
     addResult(progress, progress.fail());
   }
 
--- a/core/src/main/java/io/briarward/core/batch/ItemProgress.java
+++ b/core/src/main/java/io/briarward/core/batch/ItemProgress.java
@@ -53,6 +53,11 @@
     return failures;
   }
 
+  /** Returns the number of events of the output. */
+  int eventCount() {
+    return texts.size();
+  }
+
   OptionalLong lastEventId() {
     return lastEventId;
   }
--- a/node/src/main/java/io/briarward/node/batch/BatchContext.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchContext.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import io.briarward.core.batch.RunPace;
 import io.briarward.core.batch.RunPlacement;
 import io.briarward.core.batch.TextMemory;
 import io.briarward.core.fleet.FleetConfiguration;
@@ -38,6 +39,7 @@
   private final BatchDirectory directory;
   private final Runnable onStepRequested;
   private final RunPlacement placement = RunPlacement.create();
+  private final RunPace pace = RunPace.create();
   private final TextMemory texts;
   private long tokenCount;
 
@@ -108,6 +110,11 @@
     return placement;
   }
 
+  /** Returns how long the runs of all batches took of late. */
+  RunPace pace() {
+    return pace;
+  }
+
   /** Returns the memory of the unfinished texts of all batches. */
   TextMemory texts() {
     return texts;
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.batch.BatchSpec;
+import io.briarward.core.batch.CompetingBatches;
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.NodeRegistry;
@@ -16,9 +17,11 @@
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Runs the batches that this process owns, and takes over those without a live owner.
@@ -187,15 +190,22 @@
   private void step() {
     stepPending = false;
     context.placement().retain(fleet.balancer().entries());
+    Map<Boolean, List<BatchOwner>> byCompetition =
+        owners.values().stream().collect(Collectors.partitioningBy(BatchOwner::competes));
     // The batch accepted first is given sampler slots first.
-    for (BatchOwner owner :
-        ImmutableList.sortedCopyOf(
-            Comparator.comparingLong(BatchOwner::acceptedAtMillis), owners.values())) {
-      owner.step();
-      if (owner.stopped()) {
-        owners.remove(owner.spec().id());
-      }
-    }
+    byCompetition.get(false).stream()
+        .sorted(Comparator.comparingLong(BatchOwner::acceptedAtMillis))
+        .forEach(BatchOwner::step);
+    stepCompeting(byCompetition.get(true));
+    owners.values().removeIf(BatchOwner::stopped);
+  }
+
+  /** Steps batches that compete for samplers; {@link CompetingBatches} decides whose turn it is. */
+  private void stepCompeting(List<BatchOwner> competing) {
+    competing.forEach(BatchOwner::beginStep);
+    CompetingBatches.turns(competing.stream().map(BatchOwner::work).toList())
+        .forEach(turn -> owners.get(turn.batchId()).startItems(turn.standing()));
+    competing.forEach(BatchOwner::endStep);
   }
 
   /**
--- a/node/src/main/java/io/briarward/node/batch/SamplerClient.java
+++ b/node/src/main/java/io/briarward/node/batch/SamplerClient.java
@@ -1,11 +1,13 @@
 package io.briarward.node.batch;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import io.briarward.core.batch.BatchItem;
 import io.briarward.core.batch.SampleEvent;
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.fleet.UpstreamNotice;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /** Runs items on samplers. */
@@ -17,6 +19,7 @@
    * @param host the host name that callers address
    * @param resumeAfter the id of the last event received in an earlier attempt
    * @param leftMillis the time left to complete the item, in milliseconds
+   * @param urgency the urgency class, from 0, the most urgent, to 9; empty if none is sent
    */
   record ItemCall(
       BatchItem item,
@@ -24,7 +27,8 @@
       String host,
       UpstreamEntry sampler,
       OptionalLong resumeAfter,
-      long leftMillis) {
+      long leftMillis,
+      OptionalInt urgency) {
     /** Validates the components. */
     public ItemCall {
       checkNotNull(item, "item");
@@ -32,6 +36,10 @@
       checkNotNull(host, "host");
       checkNotNull(sampler, "sampler");
       checkNotNull(resumeAfter, "resumeAfter");
+      checkNotNull(urgency, "urgency");
+      urgency.ifPresent(
+          value ->
+              checkArgument(value >= 0 && value <= 9, "urgency is %s, expected 0 to 9", value));
     }
   }
 
--- a/node/src/main/java/io/briarward/node/telemetry/Metrics.java
+++ b/node/src/main/java/io/briarward/node/telemetry/Metrics.java
@@ -77,6 +77,13 @@
           .labelNames("reason")
           .register(registry);
 
+  private final Counter itemStarts =
+      Counter.builder()
+          .name("briarward_item_starts_total")
+          .help("Runs of items that were started with an urgency class, by class.")
+          .labelNames("urgency")
+          .register(registry);
+
   private Metrics() {}
 
   /** Returns the metrics of a new node, all at their initial values. */
@@ -136,6 +143,11 @@
     batchTakeovers.labelValues(reason).inc();
   }
 
+  /** Counts a run of an item that was started with an urgency class. */
+  public void itemStarted(int urgency) {
+    itemStarts.labelValues(Integer.toString(urgency)).inc();
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   public String scrape() {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -192,6 +192,15 @@
     }
   }
 
+  /** Installs a configuration in which two models run on the samplers, so that batches compete. */
+  void addSecondModel() {
+    FakeFleetDecoder fleet = new FakeFleetDecoder();
+    store.put(
+        fleet.operatorTable(),
+        fleet.configurationKey(),
+        FakeFleetDecoder.configurationRowOfTwoModels(2));
+  }
+
   /** Announces a weight version. */
   void announce(long version) {
     store.put(
--- a/node/src/test/java/io/briarward/node/batch/BatchProperties.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchProperties.java
@@ -8,4 +8,10 @@
   void acceptedBatchesCompleteAndRecordedResultsNeverChange(@ForAll long seed) {
     new BatchSimulation(seed).run();
   }
+
+  /** Guards against items that never start, or start twice, where batches compete. */
+  @Property(seed = "902", tries = 30)
+  void acceptedBatchesCompleteWhereBatchesCompete(@ForAll long seed) {
+    new BatchSimulation(seed).compete().run();
+  }
 }
--- a/node/src/test/java/io/briarward/node/batch/BatchSimulation.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchSimulation.java
@@ -48,6 +48,12 @@
     random = new Random(seed);
   }
 
+  /** Lets two models run on the samplers, so that batches compete. */
+  BatchSimulation compete() {
+    cluster.addSecondModel();
+    return this;
+  }
+
   /** Runs random actions, then a phase without faults, and checks the results of all batches. */
   void run() {
     cluster.samplers.setOutcomes(
