Bound what clients can make a process keep, on both interfaces

A guard in front of the HTTP decoder (node.http.ConnectionGuard) counts the bytes and lines of heads and trailers, limits empty lines and the time for a head, and passes on one request at a time. Whom to close and what fits is decided by core.memory.ClientBudget: the connection that has waited longest with an unfinished request is closed first, never one whose request is complete or whose response has begun. Each port has a budget of its own, so readiness, other nodes and operators keep their reserve. ClientLimits derives the limits from the maximum heap size and the descriptor limit; a heap that cannot hold one head of the maximum size is an error at the start. AcceptLimiter stops to accept connections above 85 % of the descriptors, since one thread accepts and another counts. Bodies of platform-node are bounded by parts of the heap.

A response with "Connection: close" before the end of its request did not close the connection while the body was paused; the guard now drops the rest for one second and closes. HTTP/2 without TLS is off. The port for peers bounds its connections and its incomplete messages. Failed writes to callers that left are logged at a bounded rate.

--- a/node/src/main/java/io/briarward/node/Node.java
+++ b/node/src/main/java/io/briarward/node/Node.java
@@ -52,11 +52,7 @@
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
-import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
-import io.vertx.core.http.HttpServerRequest;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -76,8 +72,6 @@
  * }</pre>
  */
 public final class Node {
-  private static final int IDLE_CONNECTION_SECONDS = 120;
-  private static final int SHUTDOWN_TIMEOUT_SECONDS = 30;
   private static final long MEMBERS_INTERVAL_MILLIS = 500;
   private static final long SEAL_TIMEOUT_MILLIS = 10_000;
   private static final double WEIGHT_FETCHES_PER_SECOND = 2;
@@ -90,8 +84,7 @@
   private final UsageMeter usage;
   private final Duties duties;
   private final Deque<AutoCloseable> components = new ArrayDeque<>();
-  private HttpServer callerServer;
-  private HttpServer operatorServer;
+  private NodeServers servers;
   private boolean stopping;
 
   private Node(NodeContext context) {
@@ -229,24 +222,26 @@
     Context eventLoop = vertx.getOrCreateContext();
     Scheduler scheduler =
         UptimeScheduler.over(Schedulers.from(task -> eventLoop.runOnContext(unused -> task.run())));
-    return Single.<Node>create(
-            emitter ->
-                eventLoop.runOnContext(
-                    unused -> {
-                      Node node = new Node(createContext(vertx, settings, scheduler));
-                      node.listen().onSuccess(emitter::onSuccess).onFailure(emitter::onError);
-                    }))
+    return Completable.fromAction(() -> NodeServers.checkLimits(settings))
+        .andThen(
+            Single.<Node>create(
+                emitter ->
+                    eventLoop.runOnContext(
+                        unused -> {
+                          Node node = new Node(createContext(vertx, settings, scheduler));
+                          node.listen().onSuccess(emitter::onSuccess).onFailure(emitter::onError);
+                        })))
         .doOnSuccess(Node::logStarted);
   }
 
   /** Returns the port for callers and trainers. */
   public int httpPort() {
-    return callerServer.actualPort();
+    return servers.httpPort();
   }
 
   /** Returns the port for operators. */
   public int operatorPort() {
-    return operatorServer.actualPort();
+    return servers.operatorPort();
   }
 
   /**
@@ -343,25 +338,11 @@
         new CallerServer(
             live, rollouts.api(context), context.metrics(), this::isReady, this::isAccepting);
     OperatorApi operators = OperatorApi.create(context, this::status);
-    NodeSettings settings = context.settings();
-    return listen(settings.httpPort(), callers::handle)
-        .onSuccess(server -> callerServer = server)
-        .compose(unused -> listen(settings.operatorPort(), operators::handle))
-        .onSuccess(server -> operatorServer = server)
+    return NodeServers.listen(context, callers::handle, operators::handle)
+        .onSuccess(listening -> servers = listening)
         .map(this);
   }
 
-  private Future<HttpServer> listen(int port, Handler<HttpServerRequest> handler) {
-    HttpServerOptions options =
-        new HttpServerOptions()
-            .setHost(context.settings().host())
-            .setPort(port)
-            .setMaxHeaderSize(context.settings().maxHeaderBytes())
-            .setHandle100ContinueAutomatically(true)
-            .setIdleTimeout(IDLE_CONNECTION_SECONDS);
-    return context.vertx().createHttpServer(options).requestHandler(handler).listen();
-  }
-
   private boolean isReady() {
     return !stopping && isAccepting();
   }
@@ -392,17 +373,10 @@
 
   private Completable close() {
     return Completable.create(
-            emitter ->
-                Future.all(shutdown(callerServer), shutdown(operatorServer))
-                    .onComplete(unused -> emitter.onComplete()))
+            emitter -> servers.shutdown().onComplete(unused -> emitter.onComplete()))
         .andThen(Completable.fromAction(this::closeComponents));
   }
 
-  /** Stops a server after waiting for requests that {@link ActiveRequests} does not track. */
-  private static Future<Void> shutdown(HttpServer server) {
-    return server.shutdown(SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-  }
-
   private void closeComponents() {
     while (!components.isEmpty()) {
       AutoCloseable component = components.pop();
--- a/node/src/main/java/io/briarward/node/NodeContext.java
+++ b/node/src/main/java/io/briarward/node/NodeContext.java
@@ -48,13 +48,23 @@
   private static final int MAX_SHORT_BODY_BYTES = 64 << 10;
   private static final long SHORT_BODIES_BYTES = 4 << 20;
 
+  /** Returns the memory that bodies take at most, in bytes. */
+  static long maxBodiesBytes(NodeSettings settings) {
+    return SHORT_BODIES_BYTES + longBodiesBytes(settings);
+  }
+
+  /** One body as received and as one buffer. */
+  private static long longBodiesBytes(NodeSettings settings) {
+    return 2 * settings.maxBodyBytes();
+  }
+
   /**
    * Returns a reader of request bodies with the configured time-out, whose bodies share a budget
    * that lets one of the largest size be read.
    */
   public BodyReader bodies() {
     BodyBudget budget =
-        BodyBudget.of(MAX_SHORT_BODY_BYTES, SHORT_BODIES_BYTES, 2 * settings.maxBodyBytes());
+        BodyBudget.of(MAX_SHORT_BODY_BYTES, SHORT_BODIES_BYTES, longBodiesBytes(settings));
     return new BodyReader(scheduler, settings.bodyTimeoutMillis(), budget);
   }
 
--- a/node/src/main/java/io/briarward/node/http/CallerResponse.java
+++ b/node/src/main/java/io/briarward/node/http/CallerResponse.java
@@ -6,6 +6,7 @@
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import io.briarward.core.forwarding.ResponseHead;
 import io.briarward.core.forwarding.ResponseWriter;
+import io.briarward.node.telemetry.RepeatedErrors;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
@@ -16,6 +17,7 @@
 import io.vertx.core.http.impl.HttpServerConnection;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.tinylog.Logger;
 
@@ -26,6 +28,9 @@
  * to the event loop.
  */
 public final class CallerResponse {
+  /** Any number of callers may leave in the middle of a response, and each write fails then. */
+  private static final RepeatedErrors FAILED_WRITES = RepeatedErrors.withInterval(10_000);
+
   private final HttpServerRequest request;
   private final HttpServerResponse response;
   private final ResponseWriter<Buffer> writer;
@@ -126,6 +131,17 @@
     }
   }
 
+  private static void logFailedWrite(Throwable cause) {
+    FAILED_WRITES
+        .onError(cause.getClass().getName(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime()))
+        .ifPresent(
+            count ->
+                Logger.warn(
+                    "closing a connection on which a write failed, {} times, last with {}",
+                    count,
+                    cause.toString()));
+  }
+
   private final class Connection implements ResponseWriter.Sink<Buffer> {
     @Override
     public void sendHead(ResponseHead head) {
@@ -156,7 +172,7 @@
     private Future<Void> closeOnFailure(Future<Void> write) {
       return write.onFailure(
           cause -> {
-            Logger.warn("closing a connection on which a write failed: {}", cause.toString());
+            logFailedWrite(cause);
             close();
           });
     }
--- a/node/src/main/java/io/briarward/node/peer/NettyPeerNetwork.java
+++ b/node/src/main/java/io/briarward/node/peer/NettyPeerNetwork.java
@@ -7,11 +7,13 @@
 import io.briarward.core.errors.ErrorKind;
 import io.briarward.core.errors.Failure;
 import io.briarward.core.errors.FailureException;
+import io.briarward.core.memory.ClientBudget;
 import io.briarward.node.telemetry.RepeatedErrors;
 import io.briarward.wire.proto.PeerMessage;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -57,11 +59,13 @@
   private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
   private volatile ImmutableMap<String, InetSocketAddress> addresses = ImmutableMap.of();
   private final RepeatedErrors errors = RepeatedErrors.withInterval(ERROR_LOG_INTERVAL_MILLIS);
+  private final ClientBudget accepted;
   private final Channel server;
 
   private NettyPeerNetwork(PeerSettings settings, Scheduler scheduler) {
     this.settings = settings;
     this.scheduler = scheduler;
+    this.accepted = ClientBudget.of(settings.maxAccepted(), settings.maxIncompleteBytes());
     this.server = listen();
   }
 
@@ -194,7 +198,16 @@
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
-        .childHandler(pipeline())
+        .childHandler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new PeerConnectionGuard(accepted, NettyPeerNetwork.this::onRefused))
+                    .addLast(pipeline());
+              }
+            })
         .bind(settings.listenAddress())
         .syncUninterruptibly()
         .channel();
@@ -234,6 +247,10 @@
     logError("reading from a peer, whose connection is closed", error);
   }
 
+  private void onRefused(String reason) {
+    logError("keeping a connection of a peer", new IllegalStateException(reason));
+  }
+
   /** Logs an error, once a kind and interval, since a faulty peer may cause any number of them. */
   private void logError(String action, Throwable error) {
     errors
