Nodes use the load of upstreams: waiting, items, metrics, log lines

The decisions on the load were not connected. FleetState passes the load of a notice to the balancer. A live request that no paced upstream admits waits if it can be served in time and is rejected with the backlog's Retry-After otherwise; with a named limit it is rejected as before. An error response of a paced upstream is not taken for silence. Items choose among the compared samplers by the load of all nodes, and a step follows an acceptance, since the window may have grown. Gauges show window, load and backlog, a counter the rejections; lines say when a window shrinks or is full, one per upstream and 10 s.

--- a/core/src/test/java/io/briarward/core/fleet/InFlightWindowTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/InFlightWindowTest.java
@@ -33,7 +33,7 @@
   }
 
   @Test
-  void healthyUpstreamIsFullyUsedAfterAFewRoundTrips() {
+  void healthyUpstreamIsFullyUsedAfterFewRoundTrips() {
     grow();
     assertThat(window.isFull(SLOTS)).isTrue();
     assertThat(window.permits(SLOTS - 1, false, 0)).isTrue();
@@ -64,7 +64,7 @@
 
   /** Guards against an upstream that is idle again and gets nothing. */
   @Test
-  void rejectionsHoldRequestsBackForAMomentOnly() {
+  void rejectionsHoldRequestsBackOnlyBriefly() {
     for (int i = 0; i < 20; i++) {
       window.onRejected(1, SLOTS, 5_000, SLOTS, 0);
     }
--- a/core/src/test/java/io/briarward/core/fleet/LoadViewTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/LoadViewTest.java
@@ -66,7 +66,7 @@
 
   /** Guards against an upstream that is avoided for seconds after it was slow for 100 ms. */
   @Test
-  void reportedSlownessAgesInWellUnderASecond() {
+  void reportedSlownessAgesInLessThanOneSecond() {
     report(A, 0, 900, 0);
     report(B, 0, 100, 0);
     assertThat(slowness(A, 0)).isWithin(1e-9).of(9);
--- a/core/src/test/java/io/briarward/core/fleet/PaceModelTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/PaceModelTest.java
@@ -89,7 +89,7 @@
   /** Guards against an upstream that gets too little for seconds after it was slow for 100 ms. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
-  void upstreamSlowForAMomentGetsItsShareAfterwards(long seed) {
+  void brieflySlowUpstreamGetsItsShareAfterwards(long seed) {
     PaceModel paced = slowFor100Millis(true, seed);
     PaceModel today = slowFor100Millis(false, seed);
     double evenShare = 1_500 / 8.0;
--- a/core/src/test/java/io/briarward/core/fleet/UpstreamPacingTest.java
+++ b/core/src/test/java/io/briarward/core/fleet/UpstreamPacingTest.java
@@ -59,7 +59,7 @@
   }
 
   @Test
-  void upstreamOfAPacedServiceThatReportsNothingKeepsEjection() {
+  void upstreamOfPacedServiceThatReportsNothingKeepsEjection() {
     addPaced("a");
     UpstreamEntry plain = balancer.put(entry("b", 1));
     assertThat(balancer.pacing().inForce(plain)).isTrue();
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -302,6 +302,9 @@
         started.progressAtMillis = context.nowMillis();
         context.balancer().onContact(started.sampler.service(), context.nowMillis());
         context.balancer().onAccepted(started.sampler.id());
+        if (started.events == 0 && context.balancer().pacing().inForce(started.sampler)) {
+          context.requestStep(); // The window may have grown.
+        }
         return run.onVersion(itemId, version);
       }
 
@@ -339,6 +342,10 @@
     switch (outcome) {
       case COMPLETE -> {
         context.balancer().onCompleted(samplerId);
+        context
+            .balancer()
+            .pacing()
+            .onItemCompleted(ended.sampler.service(), nowMillis - ended.startedAtMillis);
         run.onComplete(itemId);
       }
       case MOVED -> {
--- a/node/src/main/java/io/briarward/node/batch/SamplerChooser.java
+++ b/node/src/main/java/io/briarward/node/batch/SamplerChooser.java
@@ -10,6 +10,7 @@
 import io.briarward.core.batch.BatchTerms;
 import io.briarward.core.fleet.FleetRoute;
 import io.briarward.core.fleet.FleetService;
+import io.briarward.core.fleet.ServiceLoad;
 import io.briarward.core.fleet.UpstreamEntry;
 import java.util.Optional;
 
@@ -38,21 +39,35 @@
     ImmutableList<UpstreamEntry> available = available(service, nowMillis);
     Optional<String> softwareVersion = run.resumableAt(item.id());
     if (softwareVersion.isEmpty()) {
-      return choose(item, service, available);
+      return choose(item, service, available, nowMillis);
     }
     Optional<UpstreamEntry> resuming =
-        choose(item, service, withSoftware(available, softwareVersion.get()));
+        choose(item, service, withSoftware(available, softwareVersion.get()), nowMillis);
     boolean waits =
         !run.hasWaitedToResume(item.id(), nowMillis)
             && existsWithSoftware(service, softwareVersion.get());
-    return resuming.isPresent() || waits ? resuming : choose(item, service, available);
+    return resuming.isPresent() || waits ? resuming : choose(item, service, available, nowMillis);
   }
 
   private Optional<UpstreamEntry> choose(
-      BatchItem item, String service, ImmutableList<UpstreamEntry> available) {
+      BatchItem item, String service, ImmutableList<UpstreamEntry> available, long nowMillis) {
     return context
         .placement()
-        .choose(available, this::inFlight, run.expectedTokens(item), tokenCapacity(service));
+        .choose(
+            context.balancer().pacing().compared(available, nowMillis),
+            load(service, nowMillis),
+            run.expectedTokens(item),
+            tokenCapacity(service));
+  }
+
+  /** Returns the load of all samplers, so that owners on different nodes choose different ones. */
+  private ServiceLoad load(String service, long nowMillis) {
+    return context
+        .balancer()
+        .pacing()
+        .load(
+            context.balancer().notDraining(service).collect(ImmutableList.toImmutableList()),
+            nowMillis);
   }
 
   private static ImmutableList<UpstreamEntry> withSoftware(
@@ -81,7 +96,7 @@
         .worthMoving(
             from,
             withSoftware(available(service, nowMillis), from.softwareVersion()),
-            this::inFlight,
+            load(service, nowMillis).occupancy(),
             run.expectedTokens(item),
             tokenCapacity(service));
   }
--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -61,6 +61,9 @@
     this.log = checkNotNull(log, "log");
     this.balancer = UpstreamBalancer.create(localDataCentre, shares);
     this.paceLog = new PaceLog(log);
+    balancer
+        .pacing()
+        .setListener((upstream, full, size) -> paceLog.onWindow(upstream, full, size, nowMillis()));
   }
 
   /**
@@ -141,6 +144,8 @@
     }
     if (notice.loadInvalid()) {
       paceLog.onInvalidLoad(upstream, requestId, nowMillis());
+    } else {
+      balancer.onLoad(upstream, notice.load(), nowMillis());
     }
     int sentWithinLimit = balancer.sentWithinLimit(upstream);
     if (balancer.onLimit(upstream, notice.limitPerSecond(), nowMillis())) {
--- a/node/src/main/java/io/briarward/node/fleet/PaceLog.java
+++ b/node/src/main/java/io/briarward/node/fleet/PaceLog.java
@@ -17,6 +17,8 @@
 
   private final EventLog log;
   private final RepeatedErrors invalidLoads = RepeatedErrors.withInterval(INTERVAL_MILLIS);
+  private final RepeatedErrors shrunkWindows = RepeatedErrors.withInterval(INTERVAL_MILLIS);
+  private final RepeatedErrors fullWindows = RepeatedErrors.withInterval(INTERVAL_MILLIS);
 
   PaceLog(EventLog log) {
     this.log = checkNotNull(log, "log");
@@ -37,4 +39,23 @@
                     "count",
                     count));
   }
+
+  /** Handles a window that shrank, or that permits as many requests as the upstream has slots. */
+  void onWindow(UpstreamEntry upstream, boolean full, double size, long nowMillis) {
+    RepeatedErrors lines = full ? fullWindows : shrunkWindows;
+    lines
+        .onError(upstream.id(), nowMillis)
+        .ifPresent(
+            count ->
+                log.info(
+                    full ? "upstream-window-full" : "upstream-window-shrunk",
+                    "upstream",
+                    upstream.id(),
+                    "startedAtMillis",
+                    upstream.startedAtMillis(),
+                    "window",
+                    Math.round(size * 10) / 10.0,
+                    "count",
+                    count));
+  }
 }
--- a/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
+++ b/node/src/main/java/io/briarward/node/gateway/ForwardedExchange.java
@@ -75,6 +75,7 @@
   private final ExchangeLog log;
   private final ExchangeRelays relays;
   private final ExchangeOrigin origin;
+  private final ExchangeAdmission admission;
   private final Supplier<RequestFingerprint> fingerprint;
   private String service;
   private Optional<Attempt> currentAttempt = Optional.empty();
@@ -104,6 +105,7 @@
     this.log = new ExchangeLog(context, downstream, call);
     this.relays = new ExchangeRelays(context, downstream, call, response);
     this.origin = new ExchangeOrigin(context, call);
+    this.admission = new ExchangeAdmission(context, call);
     this.fingerprint = Suppliers.memoize(call::fingerprint);
     this.service = call.route().service(ThreadLocalRandom.current().nextDouble());
   }
@@ -169,6 +171,9 @@
       if (failedConnections > 0 && relay()) {
         return;
       }
+      if (waits()) {
+        return;
+      }
       giveUp(
           context.balancer().hasLimited(service, context.nowMillis())
               ? "no upstream of " + service + " accepts requests within its limit"
@@ -186,6 +191,25 @@
         .onFailure(cause -> onConnectFailed(upstream, openedAtMillis, cause));
   }
 
+  /**
+   * Begins to wait for an upstream if one is expected to complete the request in time. The wait for
+   * a share of a named limit cannot be predicted from the load.
+   */
+  private boolean waits() {
+    return origin.failureIfLost().isEmpty()
+        && !context.balancer().hasLimited(service, context.nowMillis())
+        && admission.tryWait(service, this::startAgain);
+  }
+
+  /** Starts an attempt after a wait, in which upstreams that rejected the request may be free. */
+  private void startAgain() {
+    if (!finished) {
+      triedUpstreams.clear();
+      rejections = 0;
+      startAttempt();
+    }
+  }
+
   private void send(UpstreamEntry upstream, HttpClientRequest request) {
     long nowMillis = context.nowMillis();
     if (finished || nowMillis >= call.deadlineMillis()) {
@@ -326,7 +350,7 @@
     logAttempt(attempt.upstream(), "not-run", "status " + status);
     if (rejections < MAX_REJECTIONS) {
       startAttempt();
-    } else {
+    } else if (!waits()) {
       giveUp("upstreams of " + service + " are full");
     }
   }
@@ -367,7 +391,7 @@
     if (response.isOpen() && answer.statusCode() >= 500 && canRetry()) {
       endAttempt(attempt);
       logAttempt(attempt.upstream(), "failed", "status " + answer.statusCode());
-      context.balancer().onFailed(attempt.upstream().id(), context.nowMillis());
+      context.balancer().onErrorResponse(attempt.upstream().id(), context.nowMillis());
       startAttempt();
       return;
     }
@@ -452,17 +476,20 @@
       fail(Failure.unknown(ErrorKind.UPSTREAM_FAILED, detail));
       return;
     }
-    long retryAfterMillis =
-        context.balancer().requestIntervalMillis(service, context.nowMillis()).stream()
-            .map(intervalMillis -> Math.max(RETRY_AFTER_MILLIS, intervalMillis))
-            .findFirst()
-            .orElse(RETRY_AFTER_MILLIS);
+    long retryAfterMillis = admission.retryAfterMillis().orElseGet(this::limitedRetryAfterMillis);
     fail(
         origin
             .failureIfLost()
             .orElseGet(() -> Failure.notRun(ErrorKind.NO_UPSTREAM, detail, retryAfterMillis)));
   }
 
+  private long limitedRetryAfterMillis() {
+    return context.balancer().requestIntervalMillis(service, context.nowMillis()).stream()
+        .map(intervalMillis -> Math.max(RETRY_AFTER_MILLIS, intervalMillis))
+        .findFirst()
+        .orElse(RETRY_AFTER_MILLIS);
+  }
+
   private void giveUpQuarantined() {
     String detail = "upstreams ended while they ran this request";
     if (mayHaveRun) {
@@ -518,6 +545,7 @@
     }
     finished = true;
     deadline.dispose();
+    admission.cancel();
     attemptTimeout.dispose();
     heldAnswer.ifPresent(HeldAnswer::close);
     sender.ifPresent(BodySender::cancelUnlessSent);
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import io.briarward.node.fleet.Incarnations;
 import io.briarward.node.fleet.LimitExchange;
 import io.briarward.node.fleet.NodeRegistry;
+import io.briarward.node.fleet.PaceMetrics;
 import io.briarward.node.fleet.TableWatch;
 import io.briarward.node.quarantine.CrashRegistry;
 import io.briarward.node.streams.StreamOrigins;
@@ -136,6 +137,8 @@
                 fleet.balancer().cutOffServices()));
     parts.push(UpstreamProber.start(fleet.balancer(), nodes, connections, scheduler, log));
     parts.push(LimitExchange.start(nodes, shares, scheduler));
+    PaceMetrics.register(
+        metrics.registry(), fleet.balancer(), () -> scheduler.now(TimeUnit.MILLISECONDS));
     this.batches =
         BatchService.start(
             new BatchService.Settings(incarnation, settings.retentionMillis()),
