--- a/node/src/main/java/io/briarward/node/batch/ItemRuns.java
+++ b/node/src/main/java/io/briarward/node/batch/ItemRuns.java
@@ -212,6 +212,9 @@
         started.progressAtMillis = context.nowMillis();
         context.balancer().onContact(started.sampler.service(), context.nowMillis());
         context.balancer().onAccepted(started.sampler.id());
+        if (started.events == 0 && context.balancer().pacing().inForce(started.sampler)) {
+          context.requestStep(); // The window may have grown.
+        }
         return run.onVersion(itemId, version);
       }
 
@@ -249,6 +252,10 @@
     switch (outcome) {
       case COMPLETE -> {
         context.balancer().onCompleted(samplerId);
+        context
+            .balancer()
+            .pacing()
+            .onItemCompleted(ended.sampler.service(), nowMillis - ended.startedAtMillis);
         if (ended.resumeAfter.isEmpty()) {
           // By the steady clock: a time of day that is set ahead would make all groups late.
           context
--- a/node/src/main/java/io/briarward/node/fleet/FleetState.java
+++ b/node/src/main/java/io/briarward/node/fleet/FleetState.java
@@ -63,6 +63,9 @@
     this.balancer = UpstreamBalancer.create(localDataCentre, shares);
     this.warmup = new FleetWarmup(balancer, scheduler, log);
     this.paceLog = new PaceLog(log);
+    balancer
+        .pacing()
+        .setListener((upstream, full, size) -> paceLog.onWindow(upstream, full, size, nowMillis()));
   }
 
   /**
@@ -149,6 +152,8 @@
     warmup.onNotice(upstream, notice);
     if (notice.loadInvalid()) {
       paceLog.onInvalidLoad(upstream, requestId, nowMillis());
+    } else {
+      balancer.onLoad(upstream, notice.load(), nowMillis());
     }
     int sentWithinLimit = balancer.sentWithinLimit(upstream);
     if (balancer.onLimit(upstream, notice.limitPerSecond(), nowMillis())) {
