Orders: no filtered copy of the upstreams while nothing is evacuated

Cause: the holder of the lease takes a step every 50 ms; it copied the list of upstreams through a stream in each.

Change: the list is filtered only while a data centre is evacuated.

--- a/core/src/main/java/io/briarward/core/fleet/EvacuatedDataCentres.java
+++ b/core/src/main/java/io/briarward/core/fleet/EvacuatedDataCentres.java
@@ -35,6 +35,11 @@
     return !names.isEmpty() && names.contains(upstream.dataCentre());
   }
 
+  /** Returns whether no data centre is evacuated. */
+  public boolean isEmpty() {
+    return names.isEmpty();
+  }
+
   /** Returns the names of the evacuated data centres. */
   public ImmutableSet<String> names() {
     return ImmutableSet.copyOf(names);
--- a/node/src/main/java/io/briarward/node/gateway/LoadOrderSender.java
+++ b/node/src/main/java/io/briarward/node/gateway/LoadOrderSender.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import io.briarward.core.fleet.EvacuatedDataCentres;
 import io.briarward.core.fleet.FleetRoute;
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.lease.LeaseGuard;
@@ -84,9 +86,13 @@
   }
 
   /** Returns the upstreams, without those of evacuated data centres, which get no requests. */
-  private ImmutableList<UpstreamEntry> samplersToOrder() {
+  private ImmutableCollection<UpstreamEntry> samplersToOrder() {
+    EvacuatedDataCentres evacuated = fleet.balancer().evacuated();
+    if (evacuated.isEmpty()) {
+      return fleet.balancer().entries();
+    }
     return fleet.balancer().entries().stream()
-        .filter(entry -> !fleet.balancer().evacuated().contains(entry))
+        .filter(entry -> !evacuated.contains(entry))
         .collect(ImmutableList.toImmutableList());
   }
 
