Format log lines with less work

Each live request writes a log line, which took 46 of 306 samples of a node under 100 requests a second (a trial): 18 of these formatted the date, since a pattern with milliseconds is formatted as a whole for each line, and values were searched with a matcher composed of two. The lines are the same.

EventLogTest passes.

--- a/node/src/main/java/io/briarward/node/telemetry/EventLog.java
+++ b/node/src/main/java/io/briarward/node/telemetry/EventLog.java
@@ -4,7 +4,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.base.Ascii;
-import com.google.common.base.CharMatcher;
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
@@ -27,9 +26,8 @@
   /** Other writers choose some of the values. */
   private static final int MAX_VALUE_CHARS = 2_000;
 
-  /** Control characters, and the separators that some readers take for the end of a line. */
-  private static final CharMatcher LINE_BREAKING =
-      CharMatcher.javaIsoControl().or(CharMatcher.anyOf("\u2028\u2029"));
+  /** The length of most lines. */
+  private static final int INITIAL_LINE_CHARS = 400;
 
   private final Scheduler scheduler;
   private double tokens = MAX_BURST_LINES;
@@ -84,14 +82,37 @@
 
   static String format(String event, Object... fields) {
     checkArgument(fields.length % 2 == 0, "fields has %s entries, expected pairs", fields.length);
-    StringBuilder line = new StringBuilder("event=").append(event);
+    StringBuilder line = new StringBuilder(INITIAL_LINE_CHARS).append("event=").append(event);
     for (int i = 0; i < fields.length; i += 2) {
       line.append(' ').append(fields[i]).append('=');
-      String value =
-          LINE_BREAKING.replaceFrom(
-              Ascii.truncate(String.valueOf(fields[i + 1]), MAX_VALUE_CHARS, "..."), '?');
-      line.append(value.indexOf(' ') < 0 ? value : '"' + value.replace('"', '\'') + '"');
+      appendValue(line, Ascii.truncate(String.valueOf(fields[i + 1]), MAX_VALUE_CHARS, "..."));
     }
     return line.toString();
   }
+
+  private static void appendValue(StringBuilder line, String value) {
+    boolean quoted = value.indexOf(' ') >= 0;
+    if (quoted) {
+      line.append('"');
+    }
+    for (int i = 0; i < value.length(); i++) {
+      char c = value.charAt(i);
+      if (breaksLine(c)) {
+        line.append('?');
+      } else {
+        line.append(quoted && c == '"' ? '\'' : c);
+      }
+    }
+    if (quoted) {
+      line.append('"');
+    }
+  }
+
+  /**
+   * Returns whether a character is a control character, or a separator that some readers take for
+   * the end of a line.
+   */
+  private static boolean breaksLine(char c) {
+    return c < ' ' || (c >= 0x7f && c <= 0x9f) || c == '\u2028' || c == '\u2029';
+  }
 }
--- a/node/src/test/java/io/briarward/node/telemetry/EventLogTest.java
+++ b/node/src/test/java/io/briarward/node/telemetry/EventLogTest.java
@@ -22,4 +22,20 @@
   void longValueIsShortened() {
     assertThat(EventLog.format("e", "key", "x".repeat(70_000)).length()).isLessThan(2_100);
   }
+
+  @Test
+  void quotesWithinQuotedValueAreReplaced() {
+    assertThat(EventLog.format("e", "key", "a \"b\"", "other", "\"c\""))
+        .isEqualTo("event=e key=\"a 'b'\" other=\"c\"");
+  }
+
+  /** A control character that is not replaced may forge a line or command a terminal. */
+  @Test
+  void allControlCharactersAreReplaced() {
+    for (int c = 0; c <= Character.MAX_VALUE; c++) {
+      boolean replaced = Character.isISOControl(c) || c == 0x2028 || c == 0x2029;
+      assertThat(EventLog.format("e", "key", "x" + (char) c).endsWith("x?"))
+          .isEqualTo(replaced || c == '?');
+    }
+  }
 }
