--- a/node/src/main/java/io/briarward/node/settings/SettingsParser.java
+++ b/node/src/main/java/io/briarward/node/settings/SettingsParser.java
@@ -2,12 +2,15 @@
 
 import com.google.common.base.Ascii;
 import java.io.StringWriter;
+import java.lang.reflect.AccessibleObject;
 import java.lang.reflect.Field;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
+import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
@@ -29,6 +32,9 @@
    * @throws SettingsException if a flag or variable is missing, unknown or invalid
    */
   public static <T> T parse(T bean, Map<String, String> environment, String... arguments) {
+    if (arguments.length == 0 && !hasOptions(bean.getClass())) {
+      return bean; // The parser would read and implement the annotations of its own options.
+    }
     List<String> all = environmentArguments(bean.getClass(), environment, arguments);
     all.addAll(Arrays.asList(arguments));
     try {
@@ -65,6 +71,20 @@
     return result;
   }
 
+  private static boolean hasOptions(Class<?> type) {
+    for (Class<?> each = type; each != null; each = each.getSuperclass()) {
+      if (Stream.<AccessibleObject[]>of(each.getDeclaredFields(), each.getDeclaredMethods())
+          .flatMap(Arrays::stream)
+          .anyMatch(
+              member ->
+                  member.isAnnotationPresent(Option.class)
+                      || member.isAnnotationPresent(Argument.class))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private static List<Option> optionsOf(Class<?> type) {
     List<Option> options = new ArrayList<>();
     for (Class<?> each = type; each != null; each = each.getSuperclass()) {
--- a/node/src/test/java/io/briarward/node/settings/NodeSettingsTest.java
+++ b/node/src/test/java/io/briarward/node/settings/NodeSettingsTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ObjectArrays;
 import org.junit.jupiter.api.Test;
+import org.kohsuke.args4j.Argument;
 
 class NodeSettingsTest {
   private static final String[] REQUIRED = {
@@ -55,4 +56,28 @@
     return SettingsParser.parse(
         new NodeSettings(), environment, ObjectArrays.concat(REQUIRED, more, String.class));
   }
+
+  private static final class WithoutOptions {}
+
+  private static final class WithArgument {
+    @Argument(required = true)
+    private String name;
+  }
+
+  @Test
+  void beanWithoutOptionsAcceptsNoArgument() {
+    WithoutOptions bean = new WithoutOptions();
+    assertThat(SettingsParser.parse(bean, ImmutableMap.of())).isSameInstanceAs(bean);
+    assertThrows(
+        SettingsException.class, () -> SettingsParser.parse(bean, ImmutableMap.of(), "--none"));
+  }
+
+  /** Beans without options are not parsed; one with an argument must be. */
+  @Test
+  void missingArgumentIsRejected() {
+    assertThrows(
+        SettingsException.class, () -> SettingsParser.parse(new WithArgument(), ImmutableMap.of()));
+    WithArgument bean = SettingsParser.parse(new WithArgument(), ImmutableMap.of(), "a");
+    assertThat(bean.name).isEqualTo("a");
+  }
 }
