--- a/cli/src/main/java/io/briarward/cli/Main.java
+++ b/cli/src/main/java/io/briarward/cli/Main.java
@@ -34,6 +34,8 @@
     // Makes RxJava's clock monotonic, so that jumps of the wall clock do not shift deadlines.
     System.setProperty("rx3.scheduler.use-nanotime", "true");
     System.setProperty("slf4j.internal.verbosity", "WARN");
+    // Netty would otherwise initialise the JDK's flight recorder for the events of its allocator.
+    System.setProperty("io.netty.jfr.enabled", "false");
     int exitCode = run(arguments);
     System.out.flush();
     System.exit(exitCode);
--- a/cli/src/main/java/io/briarward/cli/StartTrialCommand.java
+++ b/cli/src/main/java/io/briarward/cli/StartTrialCommand.java
@@ -13,7 +13,9 @@
 
   @Override
   public int run() throws Exception {
-    StartTrial.run(Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)));
+    var unused =
+        StartTrial.run(
+            Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)));
     return ExitCodes.OK;
   }
 }
