--- a/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
+++ b/node/src/main/java/io/briarward/node/gateway/ControlDuty.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -67,10 +68,13 @@
   private final long reacquireDelayMillis;
   private final BooleanSupplier isCandidate;
   private final long startedAtMillis;
+  private final LongSupplier timeOfDayMillis;
   private final SuspensionDetector suspension = SuspensionDetector.create();
   private Disposable stepTimer = Disposable.disposed();
   private Disposable usageWriteTimer = Disposable.disposed();
   private long candidateFromMillis;
+  private long candidacyReadMillis = Long.MIN_VALUE / 2;
+  private boolean wasCandidate;
   private boolean leaseHeld;
   private boolean stopping;
 
@@ -101,7 +105,8 @@
       SamplerOrders samplers,
       UsageReports reports,
       Supplier<ImmutableMap<String, FreshnessDemand>> demands,
-      BooleanSupplier isCandidate) {
+      BooleanSupplier isCandidate,
+      LongSupplier timeOfDayMillis) {
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.log = checkNotNull(log, "log");
     this.lease =
@@ -113,6 +118,7 @@
             settings.incarnation(),
             other -> Incarnations.sameVm(other, settings.incarnation()));
     this.isCandidate = checkNotNull(isCandidate, "isCandidate");
+    this.timeOfDayMillis = checkNotNull(timeOfDayMillis, "timeOfDayMillis");
     this.startedAtMillis = nowMillis();
     this.reacquireDelayMillis = settings.reacquireDelayMillis();
     this.candidateFromMillis = nowMillis() + reacquireDelayMillis;
@@ -128,6 +134,7 @@
    *
    * @param demands returns the current staleness bound of each model's weights
    * @param isCandidate returns whether this process is one of those that compete for the lease
+   * @param timeOfDayMillis the clock that a suspension of the VM does not stop, in milliseconds
    */
   public static ControlDuty start(
       Settings settings,
@@ -138,10 +145,20 @@
       SamplerOrders samplers,
       UsageReports reports,
       Supplier<ImmutableMap<String, FreshnessDemand>> demands,
-      BooleanSupplier isCandidate) {
+      BooleanSupplier isCandidate,
+      LongSupplier timeOfDayMillis) {
     ControlDuty duty =
         new ControlDuty(
-            settings, tables, scheduler, log, fleet, samplers, reports, demands, isCandidate);
+            settings,
+            tables,
+            scheduler,
+            log,
+            fleet,
+            samplers,
+            reports,
+            demands,
+            isCandidate,
+            timeOfDayMillis);
     duty.stepTimer = Timers.repeatedly(scheduler, duty::stepIntervalMillis, duty::step);
     duty.usageWriteTimer =
         Timers.every(scheduler, USAGE_WRITE_INTERVAL_MILLIS, duty.usage::storeCounts);
@@ -203,7 +220,7 @@
 
   private void step() {
     boolean competes =
-        leaseHeld || nowMillis() < startedAtMillis + START_MILLIS || isCandidate.getAsBoolean();
+        leaseHeld || nowMillis() < startedAtMillis + START_MILLIS || wasCandidateLately();
     lease.setWatching(competes);
     // A VM that lost the lease to another VM may take it back only after reacquireDelayMillis. A
     // restarted VM waits as well, since its previous process may have sent an order just before the
@@ -231,9 +248,21 @@
     }
   }
 
+  /**
+   * Returns whether this process was a candidate when that was last determined, which is done as
+   * often as the lease is read; it hashes the incarnations of all processes.
+   */
+  private boolean wasCandidateLately() {
+    if (nowMillis() - candidacyReadMillis >= LEASE_WATCH_INTERVAL_MILLIS) {
+      candidacyReadMillis = nowMillis();
+      wasCandidate = isCandidate.getAsBoolean();
+    }
+    return wasCandidate;
+  }
+
   /** Returns the guard of the lease, or empty if no send may start now. */
   private Optional<LeaseGuard> guard() {
-    if (suspension.detectSuspension(nowMillis(), wallMillis())) {
+    if (suspension.detectSuspension(nowMillis(), timeOfDayMillis.getAsLong())) {
       log.warn("suspended", "duty", DUTY);
       lease.onStaleFencingNumber();
     }
@@ -256,8 +285,4 @@
   private long nowMillis() {
     return scheduler.now(TimeUnit.MILLISECONDS);
   }
-
-  private static long wallMillis() {
-    return System.currentTimeMillis();
-  }
 }
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -188,7 +188,8 @@
             dependencies.orders(),
             dependencies.reports(),
             batches::freshnessDemands,
-            () -> nodes.isDutyCandidate(ControlDuty.DUTY));
+            () -> nodes.isDutyCandidate(ControlDuty.DUTY),
+            System::currentTimeMillis);
     parts.push(control);
     CrashRegistry crashes =
         CrashRegistry.start(
--- a/node/src/test/java/io/briarward/node/fleet/FleetStateTest.java
+++ b/node/src/test/java/io/briarward/node/fleet/FleetStateTest.java
@@ -174,12 +174,23 @@
     assertThat(chosen()).containsExactly("a", "c");
     fleet.onNotice(
         fleet.balancer().entry("a").orElseThrow(),
-        new UpstreamNotice(false, OptionalDouble.empty(), OptionalLong.of(500), Optional.empty()),
+        new UpstreamNotice(
+            false,
+            OptionalDouble.empty(),
+            OptionalLong.of(500),
+            Optional.empty(),
+            Optional.empty(),
+            false),
         "r");
     fleet.onNotice(
         fleet.balancer().entry("c").orElseThrow(),
         new UpstreamNotice(
-            false, OptionalDouble.empty(), OptionalLong.empty(), Optional.of("not a number")),
+            false,
+            OptionalDouble.empty(),
+            OptionalLong.empty(),
+            Optional.of("not a number"),
+            Optional.empty(),
+            false),
         "r");
     assertThat(chosen()).containsExactly("c");
     Metrics metrics = Metrics.create();
--- a/node/src/test/java/io/briarward/node/fleet/PaceLogTest.java
+++ b/node/src/test/java/io/briarward/node/fleet/PaceLogTest.java
@@ -14,6 +14,7 @@
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
@@ -46,7 +47,15 @@
 
   private void notice(Optional<UpstreamLoad> load, boolean invalid) {
     fleet.onNotice(
-        upstream(), new UpstreamNotice(false, OptionalDouble.empty(), load, invalid), "r");
+        upstream(),
+        new UpstreamNotice(
+            false,
+            OptionalDouble.empty(),
+            OptionalLong.empty(),
+            Optional.empty(),
+            load,
+            invalid),
+        "r");
   }
 
   /** Guards against a faulty header after which an upstream is not served, or no longer paced. */
