--- a/node/src/test/java/io/briarward/node/fleet/PaceLogTest.java
+++ b/node/src/test/java/io/briarward/node/fleet/PaceLogTest.java
@@ -14,8 +14,8 @@
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -49,12 +49,7 @@
     fleet.onNotice(
         upstream(),
         new UpstreamNotice(
-            false,
-            OptionalDouble.empty(),
-            OptionalLong.empty(),
-            Optional.empty(),
-            load,
-            invalid),
+            false, OptionalDouble.empty(), OptionalLong.empty(), Optional.empty(), load, invalid),
         "r");
   }
 
