--- a/node/src/main/java/io/briarward/node/NodeServers.java
+++ b/node/src/main/java/io/briarward/node/NodeServers.java
@@ -86,7 +86,7 @@
             .setPort(port)
             .setIdleTimeout(IDLE_CONNECTION_SECONDS);
     ClientLimits limits = GuardedServers.limits(share, settings.maxHeaderBytes());
-    return servers.create(name, options, limits).requestHandler(handler).listen();
+    return servers.newServer(name, options, limits).requestHandler(handler).listen();
   }
 
   /** Returns the port for callers and trainers. */
--- a/node/src/main/java/io/briarward/node/http/GuardedServers.java
+++ b/node/src/main/java/io/briarward/node/http/GuardedServers.java
@@ -100,7 +100,7 @@
    * @param port the name of the port in metrics and log lines
    * @param options the address and the idle time-out; the limits are set here
    */
-  public HttpServer create(String port, HttpServerOptions options, ClientLimits limits) {
+  public HttpServer newServer(String port, HttpServerOptions options, ClientLimits limits) {
     ClientBudget budget = ClientBudget.of(limits.maxConnections(), limits.maxHeldBytes());
     budgets.put(port, budget);
     HttpServerOptions limited =
--- a/node/src/main/java/io/briarward/node/http/RequestFraming.java
+++ b/node/src/main/java/io/briarward/node/http/RequestFraming.java
@@ -160,9 +160,9 @@
         emptyLines++;
         return false;
       }
-      boolean ends = lineEmpty;
       headBytes++;
       headLines++;
+      boolean ends = lineEmpty;
       lineEmpty = true;
       return ends;
     }
--- a/node/src/test/java/io/briarward/node/http/ConnectionGuardTest.java
+++ b/node/src/test/java/io/briarward/node/http/ConnectionGuardTest.java
@@ -123,7 +123,7 @@
 
   /** Guards against connections that stay open after the rejection of a body that never ends. */
   @Test
-  void connectionIsClosedAfterALastResponseThatPrecedesTheEndOfTheRequest() {
+  void connectionIsClosedAfterTheLastResponseIfItPrecedesTheEndOfTheRequest() {
     EmbeddedChannel channel = connect();
     channel.freezeTime();
     receive(channel, "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nab");
@@ -178,7 +178,7 @@
   }
 
   @Test
-  void connectionWithTheOldestUnfinishedRequestIsClosedForANewOne() {
+  void connectionWithTheOldestUnfinishedRequestIsClosedForNewOne() {
     EmbeddedChannel first = connect();
     EmbeddedChannel second = connect();
     receive(first, "GET / HT");
--- a/standins/src/main/java/io/briarward/standins/input/ClientScripts.java
+++ b/standins/src/main/java/io/briarward/standins/input/ClientScripts.java
@@ -18,7 +18,7 @@
   private static final int HEADER_LINES = 3_500;
   private static final int FILLER_BYTES = 16 << 10;
   private static final String[] ODD_LINES = {
-    "a:\r\n", ":\r\n", "b\r\n", " folded\r\n", "c:\t\r\n", "\u00e9: \u00ff\r\n", "d:\n", "e :1\r\n"
+    "a:\r\n", ":\r\n", "b\r\n", " folded\r\n", "c:\t\r\n", "é: ÿ\r\n", "d:\n", "e :1\r\n"
   };
 
   private ClientScripts() {}
