Reject JSON bytes in an unknown encoding

JsonTrees passed an I/O error of the parser on as an unchecked one for bytes that look like UTF-32, so that a batch submission with such bytes was not rejected as malformed. DecodersProperties found it (bytesLikeOtherEncodingsAreDecodedOrRejected). JsonTreesTest passes, with a test for such bytes.

--- a/core/src/main/java/io/briarward/core/json/JsonTrees.java
+++ b/core/src/main/java/io/briarward/core/json/JsonTrees.java
@@ -84,7 +84,7 @@
     } catch (JsonProcessingException e) {
       throw e;
     } catch (IOException e) {
-      throw new UncheckedIOException(e); // The text is in memory.
+      throw new JsonParseException(null, "the text is in no known encoding", e);
     }
   }
 
@@ -134,12 +134,7 @@
   private static JsonNode readScalar(JsonParser parser) throws IOException {
     return switch (parser.currentToken()) {
       case VALUE_STRING -> NODES.textNode(parser.getText());
-      case VALUE_NUMBER_INT ->
-          switch (parser.getNumberType()) {
-            case INT -> NODES.numberNode(parser.getIntValue());
-            case LONG -> NODES.numberNode(parser.getLongValue());
-            default -> NODES.numberNode(parser.getBigIntegerValue());
-          };
+      case VALUE_NUMBER_INT -> readInteger(parser);
       case VALUE_NUMBER_FLOAT -> NODES.numberNode(parser.getDoubleValue());
       case VALUE_TRUE -> NODES.booleanNode(true);
       case VALUE_FALSE -> NODES.booleanNode(false);
@@ -148,6 +143,14 @@
     };
   }
 
+  private static JsonNode readInteger(JsonParser parser) throws IOException {
+    return switch (parser.getNumberType()) {
+      case INT -> NODES.numberNode(parser.getIntValue());
+      case LONG -> NODES.numberNode(parser.getLongValue());
+      default -> NODES.numberNode(parser.getBigIntegerValue());
+    };
+  }
+
   /** Returns the text of a tree. */
   public static String write(JsonNode tree) {
     StringWriter text = new StringWriter();
--- a/core/src/test/java/io/briarward/core/json/JsonTreesTest.java
+++ b/core/src/test/java/io/briarward/core/json/JsonTreesTest.java
@@ -99,4 +99,11 @@
     String deep = "[".repeat(100_000);
     assertThrows(JsonProcessingException.class, () -> JsonTrees.lenient().read(deep));
   }
+
+  /** The bytes look like UTF-32; the parser fails with an error that is not one of JSON. */
+  @Test
+  void textInUnknownEncodingIsRejected() {
+    byte[] bytes = {0, 0, 0, '[', 0x7f, 0, 0, 0};
+    assertThrows(JsonProcessingException.class, () -> JsonTrees.lenient().read(bytes));
+  }
 }
