Bound the memory of submissions in their parsed form

Cause: a submission was admitted by its length. A trace on a larger heap gave 84.8 MB for its JSON tree, 29.5 MB for the parsed items and 52.5 MB for the progress of items that had not started, in a heap of 96 MB.

Change: the tree of one item at a time is built, and what is kept of each item is reserved from half of the heap, for as long as the node keeps the batch. What does not fit is rejected at once, with 413 if it never does. On related paths: open submissions share that bound; readers of item bodies share one reading of a submission, which is not decoded; a page of results reads no more objects than a response holds; a submission above the store's largest object is rejected before it is read.

Why it works: all memory that grows with a submission is reserved before it is taken, and given back when the batch is no longer run here.

Evidence: LargeSubmissionsTest (four tests with a process of its own) failed before: three because the process had ended with "Java heap space" or refused connections, one with another status than 413.

--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -48,7 +48,15 @@
   private final RewardQueue rewards = new RewardQueue();
   private final Multiset<String> unfinishedByGroup = HashMultiset.create();
   private final int maxAttempts;
-  private final Map<String, ItemProgress> items = new LinkedHashMap<>();
+  private final boolean singleVersion;
+  private final TextMemory memory;
+
+  /** The items without a result, in the order in which they start. */
+  private final Map<String, BatchItem> items = new LinkedHashMap<>();
+
+  /** The progress of those items that have started; most items of a large batch have not. */
+  private final Map<String, ItemProgress> started = new HashMap<>();
+
   private final ArrayDeque<ItemResult> finished = new ArrayDeque<>();
   private final ToDoubleFunction<BatchItem> expectedLength;
   private final int totalGroups;
@@ -59,14 +67,15 @@
       BatchSpec spec, BatchTerms terms, ImmutableSet<String> listed, TextMemory memory) {
     this.spec = checkNotNull(spec, "spec");
     this.maxAttempts = terms.maxAttempts();
+    this.singleVersion = terms.singleVersion();
+    this.memory = checkNotNull(memory, "memory");
     this.expectedLength = lengthEstimator(spec.items());
     this.totalGroups = (int) spec.items().stream().map(BatchItem::group).distinct().count();
     spec.items().stream()
         .filter(item -> !listed.contains(item.id()))
         .sorted(Comparator.comparingDouble(expectedLength).reversed())
-        .forEach(
-            item -> items.put(item.id(), new ItemProgress(item, terms.singleVersion(), memory)));
-    items.values().forEach(progress -> unfinishedByGroup.add(progress.item().group()));
+        .forEach(item -> items.put(item.id(), item));
+    items.values().forEach(item -> unfinishedByGroup.add(item.group()));
   }
 
   /** Returns a function that estimates an item's tokens, by the mean estimate if it has none. */
@@ -123,12 +132,12 @@
   public ImmutableMap<String, GroupStanding> standings(long leftMillis, RunPace pace) {
     Map<String, Double> remainingTokensByGroup = new LinkedHashMap<>();
     Map<String, GroupStanding> standings = new HashMap<>();
-    for (ItemProgress progress : items.values()) {
-      String group = progress.item().group();
+    for (BatchItem item : items.values()) {
+      String group = item.group();
       if (groupsWithLoss.contains(group)) {
         standings.put(group, GroupStanding.SURPLUS);
       } else {
-        remainingTokensByGroup.merge(group, remainingTokens(progress, pace), Math::max);
+        remainingTokensByGroup.merge(group, remainingTokens(item, pace), Math::max);
       }
     }
     standings.putAll(
@@ -147,29 +156,37 @@
 
   /** Returns the time that the rest of an item without a result needs, in milliseconds. */
   public long neededMillis(String itemId, RunPace pace) {
-    return pace.neededMillis(remainingTokens(progress(itemId), pace));
+    return pace.neededMillis(remainingTokens(item(itemId), pace));
   }
 
-  private double remainingTokens(ItemProgress progress, RunPace pace) {
-    return progress.state() == ItemProgress.State.UNSCORED
+  private double remainingTokens(BatchItem item, RunPace pace) {
+    Optional<ItemProgress> progress = progress(item.id());
+    boolean unscored =
+        progress.map(each -> each.state() == ItemProgress.State.UNSCORED).orElse(false);
+    return unscored
         ? 0
-        : pace.remainingTokens(expectedTokens(progress.item()), progress.eventCount());
+        : pace.remainingTokens(
+            expectedTokens(item), progress.map(ItemProgress::eventCount).orElse(0));
   }
 
   /** Returns the items that can start now, in the order in which to start them. */
   public ImmutableList<BatchItem> startable(long nowMillis) {
     return items.values().stream()
-        .filter(progress -> progress.canStart(nowMillis))
-        .map(ItemProgress::item)
+        .filter(item -> canStart(item, nowMillis))
         .collect(ImmutableList.toImmutableList());
   }
 
+  private boolean canStart(BatchItem item, long nowMillis) {
+    ItemProgress progress = started.get(item.id());
+    return progress == null || progress.canStart(nowMillis);
+  }
+
   /**
    * Returns the software version at which an item's text can be resumed; empty if it begins anew
    * anywhere.
    */
   public Optional<String> resumableAt(String itemId) {
-    return progress(itemId).softwareVersion();
+    return progress(itemId).flatMap(ItemProgress::softwareVersion);
   }
 
   /**
@@ -177,7 +194,9 @@
    * version, so that it begins anew if another sampler has room.
    */
   public boolean hasWaitedToResume(String itemId, long nowMillis) {
-    return nowMillis >= progress(itemId).notBeforeMillis() + MAX_RESUME_WAIT_MILLIS;
+    return progress(itemId)
+        .map(each -> nowMillis >= each.notBeforeMillis() + MAX_RESUME_WAIT_MILLIS)
+        .orElse(true);
   }
 
   /**
@@ -186,11 +205,13 @@
    * @param softwareVersion the software version of the sampler
    */
   public Dispatch start(String itemId, String softwareVersion) {
-    ItemProgress progress = progress(itemId);
+    final BatchItem item = item(itemId);
+    ItemProgress progress =
+        started.computeIfAbsent(itemId, unused -> new ItemProgress(itemId, singleVersion, memory));
     checkArgument(progress.state() == ItemProgress.State.WAITING, "item %s is not waiting", itemId);
     progress.start(softwareVersion);
     running++;
-    return new Dispatch(progress.item(), progress.lastEventId());
+    return new Dispatch(item, progress.lastEventId());
   }
 
   /**
@@ -200,7 +221,7 @@
    *     #onInterrupted}
    */
   public boolean onVersion(String itemId, long version) {
-    return progress(itemId).onVersion(version, spec.minVersion());
+    return startedItem(itemId).onVersion(version, spec.minVersion());
   }
 
   /**
@@ -210,7 +231,7 @@
    *     #onInterrupted}
    */
   public boolean onEvent(String itemId, SampleEvent event) {
-    return progress(itemId).onEvent(event);
+    return startedItem(itemId).onEvent(event);
   }
 
   /**
@@ -219,14 +240,15 @@
    */
   public void onComplete(String itemId) {
     running--;
-    ItemProgress progress = progress(itemId);
+    ItemProgress progress = startedItem(itemId);
+    BatchItem item = item(itemId);
     if (progress.textDropped()) {
       progress.waitUntil(progress.notBeforeMillis());
-    } else if (progress.item().rewardCall().isPresent()) {
+    } else if (item.rewardCall().isPresent()) {
       progress.onTextComplete();
-      rewards.add(progress.item());
+      rewards.add(item);
     } else {
-      addResult(progress, progress.finish());
+      addResult(item, progress.finish());
     }
   }
 
@@ -251,9 +273,8 @@
 
   /** Handles the score of an item's text; the item succeeds. */
   public void onScored(String itemId, String score) {
-    ItemProgress progress = progress(itemId);
     rewards.remove(itemId);
-    addResult(progress, progress.finish().withScore(score));
+    addResult(item(itemId), startedItem(itemId).finish().withScore(score));
   }
 
   /** Handles a reward call that did not run or whose response was lost; it is repeated. */
@@ -268,23 +289,23 @@
    */
   public void onRewardFailed(String itemId, int maxFailures, long nowMillis) {
     if (rewards.onFailed(itemId, nowMillis) >= maxFailures) {
-      fail(progress(itemId));
+      fail(item(itemId));
     }
   }
 
   /** Handles an interrupted or rejected run, which does not count as a failure of the item. */
   public void onInterrupted(String itemId, long nowMillis) {
     running--;
-    progress(itemId).waitUntil(nowMillis + RETRY_DELAY_MILLIS);
+    startedItem(itemId).waitUntil(nowMillis + RETRY_DELAY_MILLIS);
   }
 
   /** Handles a failed run. The item fails once {@code maxAttempts} of its runs have failed. */
   public void onFailed(String itemId, long nowMillis) {
     running--;
-    ItemProgress progress = progress(itemId);
+    ItemProgress progress = startedItem(itemId);
     progress.onFailure();
     if (progress.failures() >= maxAttempts) {
-      fail(progress);
+      fail(item(itemId));
     } else {
       progress.waitUntil(nowMillis + RETRY_DELAY_MILLIS);
     }
@@ -293,7 +314,7 @@
   /** Handles an item that can never succeed; it fails at once. */
   public void onImpossible(String itemId) {
     running--;
-    fail(progress(itemId));
+    fail(item(itemId));
   }
 
   /**
@@ -303,9 +324,11 @@
   public void failWaiting() {
     ImmutableList.copyOf(items.values()).stream()
         .filter(
-            progress ->
-                progress.state() == ItemProgress.State.WAITING
-                    || rewards.isWaiting(progress.item().id()))
+            item ->
+                progress(item.id())
+                        .map(each -> each.state() == ItemProgress.State.WAITING)
+                        .orElse(true)
+                    || rewards.isWaiting(item.id()))
         .forEach(this::fail);
   }
 
@@ -338,24 +361,36 @@
 
   /** Discards all unfinished texts, since the process no longer runs the batch. */
   public void discardTexts() {
-    items.values().forEach(ItemProgress::discardOutput);
+    started.values().forEach(ItemProgress::discardOutput);
   }
 
-  private void fail(ItemProgress progress) {
-    rewards.remove(progress.item().id());
-    groupsWithLoss.add(progress.item().group());
-    addResult(progress, progress.fail());
+  private void fail(BatchItem item) {
+    rewards.remove(item.id());
+    groupsWithLoss.add(item.group());
+    addResult(item, progress(item.id()).map(ItemProgress::fail).orElse(ItemResult.lost(item.id())));
   }
 
-  private void addResult(ItemProgress progress, ItemResult result) {
+  private void addResult(BatchItem item, ItemResult result) {
     finished.add(result);
-    items.remove(progress.item().id());
-    unfinishedByGroup.remove(progress.item().group());
+    items.remove(item.id());
+    started.remove(item.id());
+    unfinishedByGroup.remove(item.group());
+  }
+
+  private BatchItem item(String itemId) {
+    BatchItem item = items.get(itemId);
+    checkArgument(item != null, "item %s is unknown or already has a result", itemId);
+    return item;
+  }
+
+  /** Returns the progress of an item; empty if it has not started. */
+  private Optional<ItemProgress> progress(String itemId) {
+    return Optional.ofNullable(started.get(itemId));
   }
 
-  private ItemProgress progress(String itemId) {
-    ItemProgress progress = items.get(itemId);
-    checkArgument(progress != null, "item %s is unknown or already has a result", itemId);
+  private ItemProgress startedItem(String itemId) {
+    ItemProgress progress = started.get(itemId);
+    checkArgument(progress != null, "item %s has not started or already has a result", itemId);
     return progress;
   }
 }
--- a/core/src/main/java/io/briarward/core/batch/ItemProgress.java
+++ b/core/src/main/java/io/briarward/core/batch/ItemProgress.java
@@ -10,7 +10,7 @@
 import java.util.OptionalLong;
 import java.util.TreeSet;
 
-/** The state and the output of one item that is not listed yet. Not thread-safe. */
+/** The state and the output of one item that has started and is not listed yet. Not thread-safe. */
 final class ItemProgress {
   enum State {
     WAITING,
@@ -22,7 +22,7 @@
   /** What an event takes beside its characters. */
   private static final int EVENT_OVERHEAD_BYTES = 64;
 
-  private final BatchItem item;
+  private final String itemId;
   private final boolean singleVersion;
   private final TextMemory.Text memory;
   private final List<String> texts = new ArrayList<>();
@@ -35,16 +35,12 @@
   private long notBeforeMillis = Long.MIN_VALUE;
   private boolean textDropped;
 
-  ItemProgress(BatchItem item, boolean singleVersion, TextMemory memory) {
-    this.item = checkNotNull(item, "item");
+  ItemProgress(String itemId, boolean singleVersion, TextMemory memory) {
+    this.itemId = checkNotNull(itemId, "itemId");
     this.singleVersion = singleVersion;
     this.memory = memory.open(this::onTextDropped);
   }
 
-  BatchItem item() {
-    return item;
-  }
-
   State state() {
     return state;
   }
@@ -143,14 +139,13 @@
   ItemResult finish() {
     state = State.FINISHED;
     memory.close();
-    return new ItemResult(
-        item.id(), true, String.join("\n", texts), ImmutableList.copyOf(versions));
+    return new ItemResult(itemId, true, String.join("\n", texts), ImmutableList.copyOf(versions));
   }
 
   ItemResult fail() {
     state = State.FINISHED;
     discardOutput();
-    return ItemResult.lost(item.id());
+    return ItemResult.lost(itemId);
   }
 
   private void onTextDropped() {
--- a/core/src/main/java/io/briarward/core/json/JsonTrees.java
+++ b/core/src/main/java/io/briarward/core/json/JsonTrees.java
@@ -16,6 +16,7 @@
 import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.util.ArrayDeque;
@@ -34,6 +35,17 @@
   private static final JsonTrees LENIENT =
       new JsonTrees(StreamReadConstraints.defaults(), /* allowsTrailing= */ true);
 
+  private static final Meter NO_METER = bytes -> {};
+
+  /** An object or an array with its map or list. */
+  private static final long CONTAINER_BYTES = 160;
+
+  /** The entry of a field in the map of its object, and the text of its name. */
+  private static final long FIELD_BYTES = 112;
+
+  /** A value with its text, and its place in an array. */
+  private static final long SCALAR_BYTES = 72;
+
   private final JsonFactory factory;
   private final boolean allowsTrailing;
 
@@ -52,6 +64,31 @@
     return new JsonTrees(checkNotNull(constraints, "constraints"), /* allowsTrailing= */ false);
   }
 
+  /**
+   * Returns a parser of a text in UTF-8, UTF-16 or UTF-32, which need not be in memory as a whole.
+   *
+   * <p>The caller reads the parts that it wants with {@link #readNext}.
+   */
+  public JsonParser parser(InputStream text) throws IOException {
+    return factory.createParser(text);
+  }
+
+  /** Is told how much memory the parts of a tree take, while they are read. */
+  @FunctionalInterface
+  public interface Meter {
+    /** Called before each part is kept; an exception that it throws ends the reading. */
+    void onPart(long bytes);
+  }
+
+  /**
+   * Reads the value that begins at the current token of a parser.
+   *
+   * @param meter is told the memory of the tree part by part, so that it can be bounded
+   */
+  public static JsonNode readNext(JsonParser parser, Meter meter) throws IOException {
+    return readValue(parser, meter);
+  }
+
   /**
    * Parses a text; an empty one is a missing node.
    *
@@ -76,7 +113,8 @@
 
   private JsonNode read(ParserSupplier supplier) throws JsonProcessingException {
     try (JsonParser parser = supplier.get()) {
-      JsonNode value = parser.nextToken() == null ? MissingNode.getInstance() : readValue(parser);
+      JsonNode value =
+          parser.nextToken() == null ? MissingNode.getInstance() : readValue(parser, NO_METER);
       if (!allowsTrailing && parser.nextToken() != null) {
         throw new JsonParseException(parser, "the text has several values");
       }
@@ -89,10 +127,11 @@
   }
 
   /** Reads the value that begins at the current token; does not recurse, however deep it is. */
-  private static JsonNode readValue(JsonParser parser) throws IOException {
+  private static JsonNode readValue(JsonParser parser, Meter meter) throws IOException {
     if (!parser.currentToken().isStructStart()) {
-      return readScalar(parser);
+      return readScalar(parser, meter);
     }
+    meter.onPart(CONTAINER_BYTES);
     Deque<ContainerNode<?>> open = new ArrayDeque<>();
     open.push(container(parser.currentToken()));
     while (true) {
@@ -101,6 +140,7 @@
         throw new JsonParseException(parser, "the text ends within a value");
       }
       if (token == JsonToken.FIELD_NAME) {
+        meter.onPart(FIELD_BYTES + parser.getTextLength());
         continue;
       }
       if (token.isStructEnd()) {
@@ -109,11 +149,12 @@
           return ended;
         }
       } else if (token.isStructStart()) {
+        meter.onPart(CONTAINER_BYTES);
         ContainerNode<?> child = container(token);
         attach(open.getFirst(), parser, child);
         open.push(child);
       } else {
-        attach(open.getFirst(), parser, readScalar(parser));
+        attach(open.getFirst(), parser, readScalar(parser, meter));
       }
     }
   }
@@ -131,7 +172,8 @@
     }
   }
 
-  private static JsonNode readScalar(JsonParser parser) throws IOException {
+  private static JsonNode readScalar(JsonParser parser, Meter meter) throws IOException {
+    meter.onPart(SCALAR_BYTES + parser.getTextLength());
     return switch (parser.currentToken()) {
       case VALUE_STRING -> NODES.textNode(parser.getText());
       case VALUE_NUMBER_INT -> readInteger(parser);
--- a/core/src/main/java/io/briarward/core/memory/BodyBudget.java
+++ b/core/src/main/java/io/briarward/core/memory/BodyBudget.java
@@ -29,8 +29,19 @@
    * @param longBytes the size of all longer bodies together
    */
   public static BodyBudget of(int maxShortBytes, long shortBytes, long longBytes) {
+    return of(maxShortBytes, shortBytes, ByteBudget.of(longBytes));
+  }
+
+  /**
+   * Returns a budget of which nothing is held.
+   *
+   * @param maxShortBytes the size of the longest body that counts as short
+   * @param shortBytes the size of all short bodies together
+   * @param longBodies the budget of all longer bodies
+   */
+  public static BodyBudget of(int maxShortBytes, long shortBytes, ByteBudget longBodies) {
     checkArgument(maxShortBytes > 0, "maxShortBytes is %s, expected > 0", maxShortBytes);
-    return new BodyBudget(maxShortBytes, ByteBudget.of(shortBytes), ByteBudget.of(longBytes));
+    return new BodyBudget(maxShortBytes, ByteBudget.of(shortBytes), longBodies);
   }
 
   /** Returns the size of all bodies that are kept, in bytes. */
--- a/core/src/main/java/io/briarward/core/memory/ByteBudget.java
+++ b/core/src/main/java/io/briarward/core/memory/ByteBudget.java
@@ -4,6 +4,7 @@
 import static com.google.common.base.Preconditions.checkState;
 
 import com.google.errorprone.annotations.concurrent.GuardedBy;
+import java.util.Optional;
 
 /**
  * A number of bytes that concurrent users share, in the order in which they ask.
@@ -14,18 +15,34 @@
  */
 public final class ByteBudget {
   private final long maxBytes;
+  private final Optional<ByteBudget> parent;
 
   @GuardedBy("this")
   private long heldBytes;
 
-  private ByteBudget(long maxBytes) {
+  private ByteBudget(long maxBytes, Optional<ByteBudget> parent) {
     this.maxBytes = maxBytes;
+    this.parent = parent;
   }
 
   /** Returns a budget of which nothing is held. */
   public static ByteBudget of(long maxBytes) {
     checkArgument(maxBytes > 0, "maxBytes is %s, expected > 0", maxBytes);
-    return new ByteBudget(maxBytes);
+    return new ByteBudget(maxBytes, Optional.empty());
+  }
+
+  /**
+   * Returns a budget of which nothing is held and whose bytes also count in this one, so that
+   * several uses have bounds of their own and one in common.
+   */
+  public ByteBudget part(long partMaxBytes) {
+    checkArgument(partMaxBytes > 0, "partMaxBytes is %s, expected > 0", partMaxBytes);
+    return new ByteBudget(partMaxBytes, Optional.of(this));
+  }
+
+  /** Returns the number of bytes that one user can hold if there is no other. */
+  public long maxBytes() {
+    return Math.min(maxBytes, parent.map(ByteBudget::maxBytes).orElse(Long.MAX_VALUE));
   }
 
   /** Returns the number of bytes that all users hold together. */
@@ -53,14 +70,9 @@
     public boolean resize(long bytes) {
       checkArgument(bytes >= 0, "bytes is %s, expected >= 0", bytes);
       checkState(!closed, "the share is closed");
-      synchronized (ByteBudget.this) {
-        if (bytes - shareBytes > maxBytes - heldBytes) {
-          return false;
-        }
-        heldBytes += bytes - shareBytes;
-      }
-      shareBytes = bytes;
-      return true;
+      boolean fits = add(bytes - shareBytes);
+      shareBytes = fits ? bytes : shareBytes;
+      return fits;
     }
 
     /** Returns the number of bytes that the user holds. */
@@ -71,11 +83,23 @@
     /** Gives all bytes back; does nothing if the share is closed. */
     @Override
     public void close() {
-      synchronized (ByteBudget.this) {
-        heldBytes -= shareBytes;
-      }
+      remove(shareBytes);
       shareBytes = 0;
       closed = true;
     }
   }
+
+  /** Holds more bytes, or fewer if negative; returns whether they fit. */
+  private synchronized boolean add(long bytes) {
+    if (bytes > maxBytes - heldBytes || !parent.map(each -> each.add(bytes)).orElse(true)) {
+      return false;
+    }
+    heldBytes += bytes;
+    return true;
+  }
+
+  private synchronized void remove(long bytes) {
+    parent.ifPresent(each -> each.remove(bytes));
+    heldBytes -= bytes;
+  }
 }
--- a/core/src/test/java/io/briarward/core/memory/ByteBudgetTest.java
+++ b/core/src/test/java/io/briarward/core/memory/ByteBudgetTest.java
@@ -44,6 +44,23 @@
     assertThat(budget.open().resize(Long.MAX_VALUE)).isFalse();
   }
 
+  /** Guards against uses that each stay within a bound of their own and together fill the heap. */
+  @Test
+  void partsStayWithinTheBoundThatTheyHaveInCommon() {
+    ByteBudget one = budget.part(70);
+    ByteBudget.Share first = one.open();
+    ByteBudget.Share second = budget.part(70).open();
+    assertThat(first.resize(71)).isFalse();
+    assertThat(first.resize(70)).isTrue();
+    assertThat(second.resize(31)).isFalse();
+    assertThat(second.resize(30)).isTrue();
+    assertThat(budget.heldBytes()).isEqualTo(MAX_BYTES);
+    first.close();
+    assertThat(one.heldBytes()).isEqualTo(0);
+    assertThat(budget.heldBytes()).isEqualTo(30);
+    assertThat(budget.part(2 * MAX_BYTES).maxBytes()).isEqualTo(MAX_BYTES);
+  }
+
   @Property(seed = "3101", tries = 2_000)
   void sharesTogetherStayWithinTheBudget(@ForAll long seed) {
     Random random = new Random(seed);
--- a/node/src/main/java/io/briarward/node/batch/BatchDirectory.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchDirectory.java
@@ -2,13 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.cache.Cache;
-import com.google.common.cache.CacheBuilder;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
 import io.briarward.core.batch.BatchHead;
-import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.platform.Row;
 import io.briarward.core.weights.FreshnessDemand;
 import io.briarward.node.batch.BatchStore.StoredHead;
@@ -46,16 +43,12 @@
    */
   private static final int LAG_BATCHES = 3;
 
-  private static final int MAX_CACHED_SPECS = 4; // Each takes a few hundred KB.
-
   private final Scheduler scheduler;
   private final EventLog log;
   private final BatchStore store;
   private final TableWatch watch;
   private final Map<String, StoredHead> heads = new HashMap<>();
   private final PublishSubject<StoredHead> changes = PublishSubject.create();
-  private final Cache<String, BatchSpec> specs =
-      CacheBuilder.newBuilder().maximumSize(MAX_CACHED_SPECS).build();
   private int waitingCallers;
 
   private BatchDirectory(
@@ -200,17 +193,6 @@
     return read(id).map(Optional::orElseThrow).map(StoredHead::head);
   }
 
-  /** Returns the submission of a batch, cached since callers read its items one after another. */
-  Single<Optional<BatchSpec>> spec(BatchHead head) {
-    BatchSpec cached = specs.getIfPresent(head.id());
-    if (cached != null) {
-      return Single.just(Optional.of(cached));
-    }
-    return store
-        .submission(head)
-        .doOnSuccess(found -> found.ifPresent(spec -> specs.put(head.id(), spec)));
-  }
-
   @Override
   public void close() {
     watch.close();
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -48,6 +48,7 @@
   private static final long MIN_LEFT_MILLIS = 1_000;
 
   private final BatchContext context;
+  private final LoadedBatch batch;
   private final BatchSpec spec;
   private final BatchRun run;
   private final SamplerChooser samplers;
@@ -60,9 +61,10 @@
   private long nextCommitMillis = Long.MIN_VALUE;
 
   BatchOwner(
-      BatchContext context, BatchSpec spec, StoredHead head, ImmutableSet<String> recordedIds) {
+      BatchContext context, LoadedBatch batch, StoredHead head, ImmutableSet<String> recordedIds) {
     this.context = checkNotNull(context, "context");
-    this.spec = checkNotNull(spec, "spec");
+    this.batch = checkNotNull(batch, "batch");
+    this.spec = batch.spec();
     this.head = checkNotNull(head, "head");
     this.run = BatchRun.create(spec, head.head().terms(), recordedIds, context.texts());
     this.samplers = new SamplerChooser(context, spec, head.head().terms(), run);
@@ -70,6 +72,10 @@
     this.rewards = new RewardRunner(context, spec.id(), head.head().terms(), run);
   }
 
+  LoadedBatch batch() {
+    return batch;
+  }
+
   BatchSpec spec() {
     return spec;
   }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.batch.CompetingBatches;
+import io.briarward.core.memory.ByteBudget;
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.fleet.FleetState;
 import io.briarward.node.fleet.NodeRegistry;
@@ -15,6 +16,7 @@
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.vertx.core.buffer.Buffer;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -41,6 +43,8 @@
   private final EventLog log;
   private final BatchDirectory directory;
   private final BatchContext context;
+  private final BatchDecoder decoder;
+  private final ByteBudget submissionMemory;
   private final Map<String, BatchOwner> owners = new HashMap<>();
   private final Map<String, Long> lostSinceMillis = new HashMap<>();
   private final CompositeDisposable timers = new CompositeDisposable();
@@ -61,6 +65,8 @@
     this.nodes = checkNotNull(nodes, "nodes");
     this.log = checkNotNull(log, "log");
     this.directory = checkNotNull(directory, "directory");
+    this.decoder = dependencies.decoder();
+    this.submissionMemory = dependencies.submissionMemory();
     this.context =
         new BatchContext(
             scheduler,
@@ -120,6 +126,25 @@
     return Optional.ofNullable(owners.get(id)).map(BatchOwner::spec);
   }
 
+  /**
+   * Decodes a submission; {@link #release} must follow.
+   *
+   * @throws IllegalArgumentException if {@code bytes} is malformed
+   * @throws io.briarward.core.errors.FailureException if it does not fit beside the batches that
+   *     this process keeps
+   */
+  LoadedBatch load(String id, Buffer bytes) {
+    return LoadedBatch.decode(id, bytes, decoder, submissionMemory);
+  }
+
+  /** Gives the memory of a submission back unless this process runs its batch. */
+  void release(LoadedBatch batch) {
+    BatchOwner owner = owners.get(batch.spec().id());
+    if (owner == null || owner.batch() != batch) {
+      batch.close();
+    }
+  }
+
   /**
    * Runs a batch whose head names this process as the owner, unless it runs already.
    *
@@ -128,9 +153,10 @@
    *
    * @param recordedIds the ids of the items whose results are recorded already
    */
-  void run(BatchSpec spec, StoredHead head, ImmutableSet<String> recordedIds) {
+  void run(LoadedBatch batch, StoredHead head, ImmutableSet<String> recordedIds) {
     directory.update(head);
-    owners.computeIfAbsent(spec.id(), id -> new BatchOwner(context, spec, head, recordedIds));
+    owners.computeIfAbsent(
+        batch.spec().id(), id -> new BatchOwner(context, batch, head, recordedIds));
     requestStep();
   }
 
@@ -197,6 +223,14 @@
         .sorted(Comparator.comparingLong(BatchOwner::acceptedAtMillis))
         .forEach(BatchOwner::step);
     stepCompeting(byCompetition.get(true));
+    removeStopped();
+  }
+
+  private void removeStopped() {
+    owners.values().stream()
+        .filter(BatchOwner::stopped)
+        .map(BatchOwner::batch)
+        .forEach(LoadedBatch::close);
     owners.values().removeIf(BatchOwner::stopped);
   }
 
@@ -259,8 +293,18 @@
     }
 
     @Override
-    public void run(BatchSpec spec, StoredHead head, ImmutableSet<String> recordedIds) {
-      BatchOwnership.this.run(spec, head, recordedIds);
+    public LoadedBatch load(String id, Buffer bytes) {
+      return BatchOwnership.this.load(id, bytes);
+    }
+
+    @Override
+    public void release(LoadedBatch batch) {
+      BatchOwnership.this.release(batch);
+    }
+
+    @Override
+    public void run(LoadedBatch batch, StoredHead head, ImmutableSet<String> recordedIds) {
+      BatchOwnership.this.run(batch, head, recordedIds);
     }
   }
 
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -12,6 +12,7 @@
 import io.briarward.core.batch.BatchVersions;
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.fleet.FeedPause;
+import io.briarward.core.memory.ByteBudget;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.weights.FreshnessDemand;
@@ -48,16 +49,22 @@
   private final EventLog log;
   private final String incarnation;
   private final BatchStore store;
+  private final SubmissionReader submissions;
   private final BatchDirectory directory;
   private final BatchOwnership ownership;
   private final BatchRetention retention;
 
-  /** The interfaces to the platform and to samplers that a service needs. */
+  /**
+   * What a service needs of the platform, of samplers and of its process.
+   *
+   * @param submissionMemory the memory of all submissions that the process keeps
+   */
   public record Dependencies(
       TableService tables,
       ObjectStore objects,
       ChangeFeed feed,
       BatchDecoder decoder,
+      ByteBudget submissionMemory,
       SamplerClient samplers,
       RewardClient rewards,
       Metrics metrics) {
@@ -67,6 +74,7 @@
       checkNotNull(objects, "objects");
       checkNotNull(feed, "feed");
       checkNotNull(decoder, "decoder");
+      checkNotNull(submissionMemory, "submissionMemory");
       checkNotNull(samplers, "samplers");
       checkNotNull(rewards, "rewards");
       checkNotNull(metrics, "metrics");
@@ -97,9 +105,8 @@
     this.nodes = checkNotNull(nodes, "nodes");
     this.log = checkNotNull(log, "log");
     this.incarnation = settings.incarnation();
-    this.store =
-        new BatchStore(
-            scheduler, dependencies.tables(), dependencies.objects(), dependencies.decoder());
+    this.store = new BatchStore(scheduler, dependencies.tables(), dependencies.objects());
+    this.submissions = new SubmissionReader(store, dependencies.decoder());
     this.directory =
         BatchDirectory.start(
             dependencies.feed(),
@@ -144,6 +151,22 @@
    */
   public record ResultPage(int total, int next, ImmutableList<ItemResult> results) {}
 
+  /**
+   * Decodes a submission, for {@link #submit}; call {@link #release} after that.
+   *
+   * @throws IllegalArgumentException if {@code bytes} is malformed
+   * @throws io.briarward.core.errors.FailureException if it does not fit beside the batches that
+   *     this process keeps
+   */
+  public LoadedBatch load(String id, Buffer bytes) {
+    return ownership.load(id, bytes);
+  }
+
+  /** Gives the memory of a submission back unless this process runs its batch. */
+  public void release(LoadedBatch batch) {
+    ownership.release(batch);
+  }
+
   /**
    * Accepts a batch. Idempotent.
    *
@@ -151,7 +174,8 @@
    * @param terms the terms that the route grants
    */
   public Single<SubmitOutcome> submit(
-      BatchSpec spec, Buffer bytes, String organisation, BatchTerms terms) {
+      LoadedBatch batch, Buffer bytes, String organisation, BatchTerms terms) {
+    BatchSpec spec = batch.spec();
     Optional<StoredHead> known = directory.cachedHead(spec.id());
     if (known.isPresent()) {
       boolean same = known.get().head().organisation().equals(organisation);
@@ -164,7 +188,7 @@
             store.putSubmission(spec.id(), bytes),
             nodes.readStoreClock(),
             (name, storeMillis) -> newHead(spec, organisation, terms, name, storeMillis))
-        .flatMap(head -> insert(head, spec, MAX_INSERT_ATTEMPTS, false))
+        .flatMap(head -> insert(head, batch, MAX_INSERT_ATTEMPTS, false))
         .onErrorReturn(
             error -> {
               log.warn("batch-refused", "batch", spec.id(), "cause", error.toString());
@@ -226,16 +250,16 @@
    * @param mayTakeEffect whether an earlier attempt may still take effect
    */
   private Single<SubmitOutcome> insert(
-      BatchHead head, BatchSpec spec, int attemptsLeft, boolean mayTakeEffect) {
+      BatchHead head, LoadedBatch batch, int attemptsLeft, boolean mayTakeEffect) {
     return store
         .insert(head)
-        .map(result -> onInserted(head, spec, result))
+        .map(result -> onInserted(head, batch, result))
         .onErrorResumeNext(
             error -> {
               log.warn("batch-insert-failed", "batch", head.id(), "cause", error.toString());
               boolean stillMayTakeEffect = mayTakeEffect || !hadNoEffect(error);
               if (attemptsLeft > 1) {
-                return insert(head, spec, attemptsLeft - 1, stillMayTakeEffect);
+                return insert(head, batch, attemptsLeft - 1, stillMayTakeEffect);
               }
               return Single.just(
                   stillMayTakeEffect ? SubmitOutcome.UNKNOWN : SubmitOutcome.REFUSED);
@@ -247,9 +271,9 @@
         && platform.effect() == PlatformException.Effect.NONE;
   }
 
-  private SubmitOutcome onInserted(BatchHead head, BatchSpec spec, CommitResult result) {
+  private SubmitOutcome onInserted(BatchHead head, LoadedBatch batch, CommitResult result) {
     if (result instanceof CommitResult.Committed committed) {
-      ownership.run(spec, StoredHead.written(head, committed), ImmutableSet.of());
+      ownership.run(batch, StoredHead.written(head, committed), ImmutableSet.of());
       return SubmitOutcome.ACCEPTED;
     }
     Optional<Row> present =
@@ -314,10 +338,14 @@
         .find(id, organisation)
         .flatMap(
             found ->
-                found.isEmpty()
-                    ? Single.just(Optional.empty())
-                    : spec(found.get())
-                        .map(spec -> spec.flatMap(each -> each.item(itemId)).map(BatchItem::body)));
+                found.isEmpty() ? Single.just(Optional.empty()) : itemBody(found.get(), itemId));
+  }
+
+  private Single<Optional<byte[]>> itemBody(BatchHead head, String itemId) {
+    Optional<BatchSpec> running = ownership.spec(head.id());
+    return running.isPresent()
+        ? Single.just(running.get().item(itemId).map(BatchItem::body))
+        : submissions.itemBody(head, itemId);
   }
 
   /**
@@ -355,11 +383,6 @@
             });
   }
 
-  private Single<Optional<BatchSpec>> spec(BatchHead head) {
-    Optional<BatchSpec> running = ownership.spec(head.id());
-    return running.isPresent() ? Single.just(running) : directory.spec(head);
-  }
-
   /**
    * Starts no further items, and releases this process's batches once their runs have ended.
    *
--- a/node/src/main/java/io/briarward/node/batch/BatchStore.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchStore.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
 import io.briarward.core.batch.BatchHead;
-import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.json.JsonTrees;
 import io.briarward.core.platform.CommitResult;
@@ -42,6 +41,9 @@
   /** The largest number of rows read by one scan. */
   private static final int MAX_SCAN_ROWS = 60;
 
+  /** The size of the objects that are read for one page; a response is limited to 1 MB. */
+  private static final long MAX_PAGE_OBJECT_BYTES = 1_000_000;
+
   /** The number of object names that are tried for a submission. */
   private static final int MAX_SUBMISSION_NAMES = 3;
 
@@ -54,13 +56,11 @@
   private final Scheduler scheduler;
   private final TableService tables;
   private final ObjectStore objects;
-  private final BatchDecoder decoder;
 
-  BatchStore(Scheduler scheduler, TableService tables, ObjectStore objects, BatchDecoder decoder) {
+  BatchStore(Scheduler scheduler, TableService tables, ObjectStore objects) {
     this.scheduler = checkNotNull(scheduler, "scheduler");
     this.tables = checkNotNull(tables, "tables");
     this.objects = checkNotNull(objects, "objects");
-    this.decoder = checkNotNull(decoder, "decoder");
   }
 
   /** A head and the version of its row. */
@@ -97,12 +97,9 @@
         : written.onErrorResumeNext(unused -> putSubmission(id, bytes, attempt + 1));
   }
 
-  /** Returns the submission of a batch, or empty if it is missing. */
-  Single<Optional<BatchSpec>> submission(BatchHead head) {
-    return withTimeout(
-        objects
-            .get(head.submission())
-            .map(found -> found.map(bytes -> decoder.decode(head.id(), bytes))));
+  /** Returns the submission of a batch as its caller sent it, or empty if it is missing. */
+  Single<Optional<Buffer>> submissionBytes(BatchHead head) {
+    return withTimeout(objects.get(head.submission()));
   }
 
   Single<Optional<StoredHead>> head(String id) {
@@ -146,15 +143,32 @@
                     JsonNodeFactory.instance
                         .objectNode()
                         .put("itemId", result.itemId())
-                        .put("object", object)));
+                        .put("object", object)
+                        .put("bytes", bytes.length)));
   }
 
-  /** Returns results from a position on, at most {@link #MAX_SCAN_ROWS}. */
+  /**
+   * Returns results from a position on, at most {@link #MAX_SCAN_ROWS}, and of those in objects at
+   * most as many as fit into one response, but at least one.
+   */
   Single<ImmutableList<ItemResult>> results(String batchId, int from) {
     return withTimeout(
         tables
             .scan(RESULTS_TABLE, batchId + "/", resultKey(batchId, from - 1), MAX_SCAN_ROWS)
-            .flatMap(page -> toResult(page.rows())));
+            .flatMap(page -> toResult(firstRows(page.rows()))));
+  }
+
+  /** Returns the first rows; objects of which callers get nothing yet are not read. */
+  private static ImmutableList<Row> firstRows(ImmutableList<Row> rows) {
+    long objectBytes = 0;
+    for (int i = 0; i < rows.size(); i++) {
+      JsonNode value = rows.get(i).value();
+      objectBytes += value.has("object") ? value.path("bytes").asLong(MAX_ROW_BYTES) : 0;
+      if (i > 0 && objectBytes > MAX_PAGE_OBJECT_BYTES) {
+        return rows.subList(0, i);
+      }
+    }
+    return rows;
   }
 
   /** Returns the ids of all items whose results are recorded, however many pages they fill. */
--- a/node/src/main/java/io/briarward/node/batch/BatchTakeover.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchTakeover.java
@@ -6,7 +6,6 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.briarward.core.batch.BatchHead;
-import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.batch.TakeoverOrder;
 import io.briarward.core.lease.WeightedCandidates;
 import io.briarward.core.platform.CommitResult;
@@ -18,6 +17,7 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -69,8 +69,14 @@
     /** Prepares a scan for batches to take over. */
     void onScan();
 
+    /** Decodes a submission; {@link #release} must follow. */
+    LoadedBatch load(String id, Buffer bytes);
+
+    /** Gives the memory of a submission back unless this process runs its batch. */
+    void release(LoadedBatch batch);
+
     /** Runs a batch whose head names this process as the owner. */
-    void run(BatchSpec spec, StoredHead head, ImmutableSet<String> recordedIds);
+    void run(LoadedBatch batch, StoredHead head, ImmutableSet<String> recordedIds);
   }
 
   /** Why a batch is taken over. */
@@ -300,13 +306,13 @@
     loadingIds.add(id);
     var unused =
         Single.zip(
-                context.store().submission(stored.head()),
+                context.store().submissionBytes(stored.head()),
                 listedItemIds(id),
-                (spec, listedIds) -> {
-                  if (spec.isEmpty()) {
+                (bytes, listedIds) -> {
+                  if (bytes.isEmpty()) {
                     context.log().warn("submission-missing", "batch", id);
                   } else if (!batches.runs(id)) {
-                    runIfStillOwned(spec.get(), listedIds);
+                    loadAndRunIfStillOwned(id, bytes.get(), listedIds);
                   }
                   return id;
                 })
@@ -318,6 +324,15 @@
                 });
   }
 
+  private void loadAndRunIfStillOwned(String id, Buffer bytes, ImmutableList<String> listedIds) {
+    LoadedBatch batch = batches.load(id, bytes);
+    try {
+      runIfStillOwned(batch, listedIds);
+    } finally {
+      batches.release(batch);
+    }
+  }
+
   /** Reads the id of the item at each listed position, and then the head that lists them. */
   private Single<ImmutableList<String>> listedItemIds(String id) {
     return context
@@ -332,11 +347,12 @@
    *
    * @param listedIds the id of the item at each listed position
    */
-  private void runIfStillOwned(BatchSpec spec, ImmutableList<String> listedIds) {
+  private void runIfStillOwned(LoadedBatch batch, ImmutableList<String> listedIds) {
+    String id = batch.spec().id();
     ImmutableSet<String> recordedIds = ImmutableSet.copyOf(listedIds);
     Optional<StoredHead> newest =
         directory
-            .cachedHead(spec.id())
+            .cachedHead(id)
             .filter(head -> head.head().isOpen())
             .filter(head -> head.head().isOwnedBy(context.incarnation()))
             .filter(head -> head.head().listed() == listedIds.size());
@@ -349,22 +365,22 @@
                     .warn(
                         "items-listed-twice",
                         "batch",
-                        spec.id(),
+                        id,
                         "positions",
                         head.head().listed(),
                         "items",
                         recordedIds.size()));
-    newest.ifPresent(head -> batches.run(spec, head, recordedIds));
+    newest.ifPresent(head -> batches.run(batch, head, recordedIds));
     context
         .log()
         .info(
             newest.isPresent() ? "batch-adopted" : "batch-not-adopted",
             "batch",
-            spec.id(),
+            id,
             "rowVersion",
-            directory.cachedHead(spec.id()).map(StoredHead::rowVersion).orElse(0L),
+            directory.cachedHead(id).map(StoredHead::rowVersion).orElse(0L),
             "listed",
-            directory.cachedHead(spec.id()).map(stored -> stored.head().listed()).orElse(0),
+            directory.cachedHead(id).map(stored -> stored.head().listed()).orElse(0),
             "read",
             listedIds.size());
   }
--- a/node/src/main/java/io/briarward/node/gateway/Gateway.java
+++ b/node/src/main/java/io/briarward/node/gateway/Gateway.java
@@ -166,6 +166,7 @@
                 dependencies.objects(),
                 dependencies.feed(),
                 dependencies.batchDecoder(),
+                dependencies.submissionMemory(),
                 dependencies.samplers(),
                 dependencies.rewards(),
                 metrics),
--- a/node/src/main/java/io/briarward/node/gateway/GatewayDependencies.java
+++ b/node/src/main/java/io/briarward/node/gateway/GatewayDependencies.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import io.briarward.core.memory.ByteBudget;
 import io.briarward.node.batch.BatchDecoder;
 import io.briarward.node.batch.RewardClient;
 import io.briarward.node.batch.SamplerClient;
@@ -11,7 +12,11 @@
 import io.briarward.node.platform.TableService;
 import io.briarward.node.platform.UsageReports;
 
-/** The external services that a gateway uses and the protocols that it speaks. */
+/**
+ * The external services that a gateway uses and the protocols that it speaks.
+ *
+ * @param submissionMemory the memory of all submissions that the process keeps
+ */
 public record GatewayDependencies(
     TableService tables,
     ChangeFeed feed,
@@ -19,6 +24,7 @@
     UsageReports reports,
     FleetDecoder decoder,
     BatchDecoder batchDecoder,
+    ByteBudget submissionMemory,
     SamplerClient samplers,
     RewardClient rewards,
     SamplerOrders orders,
@@ -32,6 +38,7 @@
     checkNotNull(reports, "reports");
     checkNotNull(decoder, "decoder");
     checkNotNull(batchDecoder, "batchDecoder");
+    checkNotNull(submissionMemory, "submissionMemory");
     checkNotNull(samplers, "samplers");
     checkNotNull(rewards, "rewards");
     checkNotNull(orders, "orders");
--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -9,9 +9,11 @@
 import io.briarward.core.batch.BatchTerms;
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.batch.RewardCall;
+import io.briarward.core.batch.SubmissionMemory;
 import io.briarward.core.fleet.LimitShares;
 import io.briarward.core.fleet.RelayOffer;
 import io.briarward.core.fleet.UpstreamEntry;
+import io.briarward.core.memory.ByteBudget;
 import io.briarward.node.batch.BatchService.ResultPage;
 import io.briarward.node.batch.BatchService.SubmitOutcome;
 import io.briarward.node.fleet.FleetState;
@@ -46,6 +48,7 @@
   static final long RETENTION_MILLIS = 60_000;
   private static final long STEP_MILLIS = 10;
   private static final int MAX_STEPS = 2_000;
+  private static final long SUBMISSIONS_BYTES = 1 << 20;
 
   final TestScheduler scheduler = new TestScheduler();
   final MemoryStore store = MemoryStore.create(scheduler);
@@ -64,6 +67,7 @@
     final NodeRegistry nodes;
     final BatchService batches;
     final Metrics metrics = Metrics.create();
+    final ByteBudget submissionMemory = ByteBudget.of(SUBMISSIONS_BYTES);
     private final List<AutoCloseable> components = new ArrayList<>();
     private boolean cutOff;
     private boolean cutOffFromScorers;
@@ -94,7 +98,14 @@
           BatchService.start(
               new BatchService.Settings(incarnation, RETENTION_MILLIS),
               new BatchService.Dependencies(
-                  store, store, store, BatchCluster::decode, this::runItem, this::score, metrics),
+                  store,
+                  store,
+                  store,
+                  BatchCluster::decode,
+                  submissionMemory,
+                  this::runItem,
+                  this::score,
+                  metrics),
               processScheduler,
               fleet,
               nodes,
@@ -155,8 +166,16 @@
       }
     }
 
+    /** Returns a submission that is sent on subscription. */
+    Single<SubmitOutcome> submission(BatchSpec spec) {
+      return Single.using(
+          () -> new LoadedBatch(spec, SubmissionMemory.open(submissionMemory)),
+          batch -> batches.submit(batch, encode(spec), ORGANISATION, TERMS),
+          batches::release);
+    }
+
     SubmitOutcome submit(BatchSpec spec) {
-      return await(batches.submit(spec, encode(spec), ORGANISATION, TERMS));
+      return await(submission(spec));
     }
 
     Optional<ResultPage> results(String id, int after) {
@@ -294,7 +313,7 @@
     return Buffer.buffer(spec.items().size() + " " + prefixes);
   }
 
-  private static BatchSpec decode(String id, Buffer bytes) {
+  private static BatchSpec decode(String id, Buffer bytes, SubmissionMemory memory) {
     List<String> words = Splitter.on(' ').splitToList(bytes.toString());
     List<String> prefixes = words.subList(1, words.size());
     return spec(
--- a/node/src/test/java/io/briarward/node/batch/BatchDirectoryTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchDirectoryTest.java
@@ -4,7 +4,6 @@
 
 import com.google.common.collect.ImmutableList;
 import io.briarward.core.batch.BatchHead;
-import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.platform.CommitResult;
 import io.briarward.node.batch.BatchStore.StoredHead;
 import io.briarward.node.platform.ChangeFeed;
@@ -13,7 +12,6 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
-import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,8 +25,7 @@
 
   private final TestScheduler scheduler = new TestScheduler();
   private final MemoryStore store = MemoryStore.create(scheduler);
-  private final BatchStore batches =
-      new BatchStore(scheduler, store, store, BatchDirectoryTest::rejectSubmission);
+  private final BatchStore batches = new BatchStore(scheduler, store, store);
   private BatchDirectory directory;
   private StoredHead head;
   private int reads;
@@ -86,10 +83,6 @@
     return reads - before;
   }
 
-  private static BatchSpec rejectSubmission(String id, Buffer submission) {
-    throw new AssertionError("no submission is read in this test");
-  }
-
   private void advance(long millis) {
     scheduler.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
   }
--- a/node/src/test/java/io/briarward/node/batch/BatchSimulation.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchSimulation.java
@@ -106,16 +106,7 @@
       return;
     }
     SubmitOutcome outcome =
-        awaitResponse(
-                process
-                    .get()
-                    .batches
-                    .submit(
-                        spec,
-                        BatchCluster.encode(spec),
-                        BatchCluster.ORGANISATION,
-                        BatchCluster.TERMS))
-            .orElse(SubmitOutcome.UNKNOWN);
+        awaitResponse(process.get().submission(spec)).orElse(SubmitOutcome.UNKNOWN);
     outcomes.computeIfAbsent(spec.id(), unused -> new HashSet<>()).add(outcome);
   }
 
