Keep items that no sampler takes from starving other batches

Cause: a rejection counted as the sign of a full sampler, which then got one probe at a time; rejected items were repeated every 20 ms, and the batch accepted first had the first turn.

Why it works: the probes go to the work that was rejected least, and the rank grows with the logarithm of the rejections, so that batches which full samplers reject alike keep their order.

--- a/core/src/main/java/io/briarward/core/batch/BatchItem.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchItem.java
@@ -17,6 +17,7 @@
  * @param bodyBase64 the body of that request in Base64
  * @param expectedTokens the caller's estimate of the number of generated tokens, which is often
  *     inaccurate; 0 if unknown
+ * @param maxTokens the tokens of the prompt and of the longest output together; 0 if unknown
  * @param rewardCall the request that scores the item's text; empty if the text needs no score
  */
 public record BatchItem(
@@ -26,6 +27,7 @@
     ImmutableMap<String, String> headers,
     String bodyBase64,
     int expectedTokens,
+    long maxTokens,
     Optional<RewardCall> rewardCall) {
 
   /**
@@ -40,9 +42,22 @@
     checkNotNull(headers, "headers");
     checkArgument(BaseEncoding.base64().canDecode(bodyBase64), "body of %s is not Base64", id);
     checkArgument(expectedTokens >= 0, "expectedTokens is %s, expected >= 0", expectedTokens);
+    checkArgument(maxTokens >= 0, "maxTokens is %s, expected >= 0", maxTokens);
     checkNotNull(rewardCall, "rewardCall");
   }
 
+  /** Creates an item of which the number of tokens is unknown. */
+  public BatchItem(
+      String id,
+      String group,
+      String path,
+      ImmutableMap<String, String> headers,
+      String bodyBase64,
+      int expectedTokens,
+      Optional<RewardCall> rewardCall) {
+    this(id, group, path, headers, bodyBase64, expectedTokens, 0, rewardCall);
+  }
+
   /** Creates an item whose text needs no score. */
   public BatchItem(
       String id,
@@ -54,6 +69,15 @@
     this(id, group, path, headers, bodyBase64, expectedTokens, Optional.empty());
   }
 
+  /**
+   * Returns whether a sampler without other runs takes the item.
+   *
+   * @param tokenCapacity the number of tokens that a sampler's memory holds, 0 if unknown
+   */
+  public boolean fits(long tokenCapacity) {
+    return tokenCapacity == 0 || maxTokens <= tokenCapacity;
+  }
+
   /** Returns the decoded body. */
   public byte[] body() {
     return BaseEncoding.base64().decode(bodyBase64);
--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
 
 /**
  * Schedules the items of a batch and collects the output of each item until it is listed.
@@ -38,6 +39,9 @@
    */
   private static final long RETRY_DELAY_MILLIS = 20;
 
+  /** An item that samplers reject again and again is tried about once a second. */
+  private static final int MAX_REJECTION_DOUBLINGS = 6;
+
   /**
    * How long an interrupted text waits for a sampler of its software version to have room before it
    * begins anew on another one, in milliseconds; a few events are generated again sooner.
@@ -169,11 +173,21 @@
             expectedTokens(item), progress.map(ItemProgress::eventCount).orElse(0));
   }
 
-  /** Returns the items that can start now, in the order in which to start them. */
+  /**
+   * Returns the items that can start now, in the order in which to start them: an item that
+   * samplers rejected follows those that they rejected less often in a row.
+   */
   public ImmutableList<BatchItem> startable(long nowMillis) {
-    return items.values().stream()
-        .filter(item -> canStart(item, nowMillis))
-        .collect(ImmutableList.toImmutableList());
+    Stream<BatchItem> startable = items.values().stream().filter(item -> canStart(item, nowMillis));
+    boolean anyRejected = started.values().stream().anyMatch(each -> each.rejections() > 0);
+    Stream<BatchItem> ordered =
+        anyRejected ? startable.sorted(Comparator.comparingInt(this::rejections)) : startable;
+    return ordered.collect(ImmutableList.toImmutableList());
+  }
+
+  private int rejections(BatchItem item) {
+    ItemProgress progress = started.get(item.id());
+    return progress == null ? 0 : progress.rejections();
   }
 
   private boolean canStart(BatchItem item, long nowMillis) {
@@ -299,6 +313,18 @@
     startedItem(itemId).waitUntil(nowMillis + RETRY_DELAY_MILLIS);
   }
 
+  /**
+   * Handles a run that the sampler rejected, which does not count as a failure of the item. After
+   * several rejections in a row the item waits longer, and others of the batch start first.
+   */
+  public void onRejected(String itemId, long nowMillis) {
+    running--;
+    ItemProgress progress = startedItem(itemId);
+    int doublings = Math.min(progress.rejections(), MAX_REJECTION_DOUBLINGS);
+    progress.onRejection();
+    progress.waitUntil(nowMillis + (RETRY_DELAY_MILLIS << doublings));
+  }
+
   /** Handles a failed run. The item fails once {@code maxAttempts} of its runs have failed. */
   public void onFailed(String itemId, long nowMillis) {
     running--;
--- a/core/src/main/java/io/briarward/core/batch/CompetingBatches.java
+++ b/core/src/main/java/io/briarward/core/batch/CompetingBatches.java
@@ -1,8 +1,9 @@
 package io.briarward.core.batch;
 
-import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableListMultimap.toImmutableListMultimap;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
 import io.briarward.core.fleet.FleetConfiguration;
 import io.briarward.core.fleet.FleetService;
 import java.util.Collection;
@@ -27,8 +28,14 @@
    *
    * @param dueAtMillis when all results are due, in milliseconds on the store's clock
    * @param unfinishedItems the number of items without a result
+   * @param rejectionRank see {@link RejectionBackoff#rank}
    */
-  public record Work(String batchId, long dueAtMillis, int unfinishedItems) {}
+  public record Work(String batchId, long dueAtMillis, int unfinishedItems, int rejectionRank) {
+    /** Creates the work of a batch that samplers do not reject. */
+    public Work(String batchId, long dueAtMillis, int unfinishedItems) {
+      this(batchId, dueAtMillis, unfinishedItems, 0);
+    }
+  }
 
   /** One batch's turn to start the items of its groups with one standing. */
   public record Turn(String batchId, GroupStanding standing) {}
@@ -53,20 +60,23 @@
   }
 
   /**
-   * Returns the order in which batches start items: by the standing of the groups, by due time, and
-   * those with the least work left first.
+   * Returns the order in which batches start items: those that samplers reject last, then by the
+   * standing of the groups, by due time, and those with the least work left first.
    */
   public static ImmutableList<Turn> turns(Collection<Work> batches) {
-    ImmutableList<Work> ordered =
+    ImmutableListMultimap<Integer, Work> byRank =
         batches.stream()
             .sorted(
-                Comparator.comparingLong(Work::dueAtMillis)
+                Comparator.comparingInt(Work::rejectionRank)
+                    .thenComparingLong(Work::dueAtMillis)
                     .thenComparingInt(Work::unfinishedItems)
                     .thenComparing(Work::batchId))
-            .collect(toImmutableList());
+            .collect(toImmutableListMultimap(Work::rejectionRank, work -> work));
     ImmutableList.Builder<Turn> turns = ImmutableList.builder();
-    for (GroupStanding standing : GroupStanding.values()) {
-      ordered.forEach(work -> turns.add(new Turn(work.batchId(), standing)));
+    for (Collection<Work> ordered : byRank.asMap().values()) {
+      for (GroupStanding standing : GroupStanding.values()) {
+        ordered.forEach(work -> turns.add(new Turn(work.batchId(), standing)));
+      }
     }
     return turns.build();
   }
--- a/core/src/main/java/io/briarward/core/batch/ItemProgress.java
+++ b/core/src/main/java/io/briarward/core/batch/ItemProgress.java
@@ -32,6 +32,7 @@
   private Optional<String> softwareVersion = Optional.empty();
   private long currentVersion;
   private int failures;
+  private int rejections;
   private long notBeforeMillis = Long.MIN_VALUE;
   private boolean textDropped;
 
@@ -45,6 +46,15 @@
     return state;
   }
 
+  /** Returns how often in a row samplers rejected the item. */
+  int rejections() {
+    return rejections;
+  }
+
+  void onRejection() {
+    rejections++;
+  }
+
   int failures() {
     return failures;
   }
@@ -89,6 +99,7 @@
    */
   boolean onVersion(long version, long minVersion) {
     currentVersion = version;
+    rejections = 0;
     return version >= minVersion && acceptsVersion(version);
   }
 
--- a/core/src/main/java/io/briarward/core/errors/ErrorKind.java
+++ b/core/src/main/java/io/briarward/core/errors/ErrorKind.java
@@ -22,6 +22,8 @@
   BODY_TOO_LARGE("body-too-large", 413, false, "The body exceeds the size limit."),
   BODIES_TOO_LARGE(
       "bodies-too-large", 503, true, "The bodies of all requests exceed the node's memory."),
+  TOO_MANY_TOKENS(
+      "too-many-tokens", 413, false, "No upstream has memory for the tokens of the request."),
   HEADERS_TOO_LARGE("headers-too-large", 431, false, "The headers exceed the size limit."),
   LIMIT_EXCEEDED("limit-exceeded", 429, true, "The organisation is over its limit."),
   OVERLOADED("overloaded", 503, true, "The due time cannot be met at the present load."),
--- a/core/src/test/java/io/briarward/core/batch/CompetingBatchesTest.java
+++ b/core/src/test/java/io/briarward/core/batch/CompetingBatchesTest.java
@@ -63,4 +63,18 @@
         .inOrder();
     assertThat(CompetingBatches.turns(List.of())).isEmpty();
   }
+
+  /** Guards against a batch that samplers reject and that gets the turns before all others. */
+  @Test
+  void rejectedBatchFollowsAllTurnsOfTheOthers() {
+    ImmutableList<CompetingBatches.Turn> turns =
+        CompetingBatches.turns(
+            ImmutableList.of(
+                new CompetingBatches.Work("rejected", 0, 1, 1),
+                new CompetingBatches.Work("other", 10, 5)));
+    int others = GroupStanding.values().length;
+    assertThat(turns.stream().limit(others).map(CompetingBatches.Turn::batchId).distinct().toList())
+        .containsExactly("other");
+    assertThat(turns).hasSize(2 * others);
+  }
 }
--- a/node/src/main/java/io/briarward/node/batch/BatchOwner.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwner.java
@@ -89,7 +89,7 @@
       return 0;
     }
     long leftMillis = head.head().dueAtMillis() - context.storeTimeMillis();
-    return run.waiting() * 1_000.0 / Math.max(MIN_LEFT_MILLIS, leftMillis);
+    return samplers.waitingThatFit() * 1_000.0 / Math.max(MIN_LEFT_MILLIS, leftMillis);
   }
 
   /** Returns the service whose samplers run the batch. */
@@ -107,6 +107,11 @@
     return head.head().acceptedAtMillis();
   }
 
+  /** Returns the rank among batches whose items samplers reject. */
+  int rejectionRank() {
+    return items.rejectionRank();
+  }
+
   /** Returns whether this process no longer runs the batch. */
   boolean stopped() {
     return stopped;
@@ -208,7 +213,8 @@
 
   /** Returns the work that is left, by which batches that compete are ordered. */
   CompetingBatches.Work work() {
-    return new CompetingBatches.Work(spec.id(), head.head().dueAtMillis(), run.unfinished());
+    return new CompetingBatches.Work(
+        spec.id(), head.head().dueAtMillis(), run.unfinished(), items.rejectionRank());
   }
 
   /** Cancels all runs; no further results are recorded. */
--- a/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchOwnership.java
@@ -218,9 +218,11 @@
     context.placement().retain(fleet.balancer().entries());
     Map<Boolean, List<BatchOwner>> byCompetition =
         owners.values().stream().collect(Collectors.partitioningBy(BatchOwner::competes));
-    // The batch accepted first is given sampler slots first.
+    // The batch accepted first is given sampler slots first, unless samplers reject it.
     byCompetition.get(false).stream()
-        .sorted(Comparator.comparingLong(BatchOwner::acceptedAtMillis))
+        .sorted(
+            Comparator.comparingInt(BatchOwner::rejectionRank)
+                .thenComparingLong(BatchOwner::acceptedAtMillis))
         .forEach(BatchOwner::step);
     stepCompeting(byCompetition.get(true));
     removeStopped();
--- a/node/src/main/java/io/briarward/node/batch/ItemRuns.java
+++ b/node/src/main/java/io/briarward/node/batch/ItemRuns.java
@@ -8,6 +8,7 @@
 import io.briarward.core.batch.BatchRun;
 import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.batch.GroupStanding;
+import io.briarward.core.batch.RejectionBackoff;
 import io.briarward.core.batch.SampleEvent;
 import io.briarward.core.fleet.UpstreamEntry;
 import io.briarward.core.fleet.UpstreamNotice;
@@ -47,6 +48,7 @@
   private final BooleanSupplier stopped;
   private final BatchStandings standings;
   private final Map<String, ActiveRun> activeRuns = new HashMap<>();
+  private final RejectionBackoff backoff = RejectionBackoff.create();
   private boolean awaitingWeights;
 
   private static final class ActiveRun {
@@ -98,6 +100,11 @@
     this.standings = new BatchStandings(context, spec.id(), run, head);
   }
 
+  /** Returns the rank of the batch among those whose items samplers reject. */
+  int rejectionRank() {
+    return backoff.rank();
+  }
+
   /** Returns whether no run is in flight. */
   boolean isEmpty() {
     return activeRuns.isEmpty();
@@ -143,6 +150,12 @@
   private void start(ImmutableList<BatchItem> items, Function<BatchItem, OptionalInt> urgency) {
     long nowMillis = context.nowMillis();
     for (BatchItem next : items) {
+      if (!backoff.permits(nowMillis)) {
+        return;
+      }
+      if (!samplers.fits(next)) {
+        continue; // Every sampler would reject it.
+      }
       Optional<UpstreamEntry> sampler = samplers.choose(next, nowMillis);
       logWeightAvailability(sampler.isPresent() || samplers.existsWithRequiredVersion(next));
       if (sampler.isPresent()) {
@@ -182,6 +195,7 @@
     activeRuns.put(item.id(), started);
     context.placement().onStarted(sampler, run.expectedTokens(item));
     context.balancer().onSent(sampler.id());
+    backoff.onSent();
     urgency.ifPresent(context.metrics()::itemStarted);
     long leftMillis = Math.max(1, head.get().abandonAtMillis() - context.storeTimeMillis());
     started.run =
@@ -215,7 +229,11 @@
         if (started.events == 0 && context.balancer().pacing().inForce(started.sampler)) {
           context.requestStep(); // The window may have grown.
         }
-        return run.onVersion(itemId, version);
+        boolean continues = run.onVersion(itemId, version);
+        if (continues) {
+          backoff.onAccepted();
+        }
+        return continues;
       }
 
       @Override
@@ -249,6 +267,11 @@
     long nowMillis = context.nowMillis();
     String samplerId = ended.sampler.id();
     context.placement().onEnded(ended.sampler, run.expectedTokens(ended.item));
+    if (outcome == RunOutcome.NOT_RUN) {
+      backoff.onRejected(nowMillis);
+    } else {
+      backoff.onEnded();
+    }
     switch (outcome) {
       case COMPLETE -> {
         context.balancer().onCompleted(samplerId);
@@ -282,7 +305,7 @@
       }
       case NOT_RUN -> {
         context.balancer().onRejected(samplerId, nowMillis, REJECTION_BACKOFF_MILLIS);
-        run.onInterrupted(itemId, nowMillis);
+        run.onRejected(itemId, nowMillis);
       }
       case FAILED -> {
         context.balancer().onReleased(samplerId);
--- a/node/src/main/java/io/briarward/node/batch/SamplerChooser.java
+++ b/node/src/main/java/io/briarward/node/batch/SamplerChooser.java
@@ -20,6 +20,8 @@
   private final BatchSpec spec;
   private final BatchTerms terms;
   private final BatchRun run;
+  private long countedCapacity;
+  private int tooLarge;
 
   SamplerChooser(BatchContext context, BatchSpec spec, BatchTerms terms, BatchRun run) {
     this.context = checkNotNull(context, "context");
@@ -122,6 +124,21 @@
             nowMillis);
   }
 
+  /** Returns whether a sampler without other runs takes an item. */
+  boolean fits(BatchItem item) {
+    return item.fits(tokenCapacity(service(item)));
+  }
+
+  /** Returns the number of items that wait to start and that a sampler can take. */
+  int waitingThatFit() {
+    long tokenCapacity = tokenCapacity(terms.service());
+    if (tokenCapacity != countedCapacity) {
+      countedCapacity = tokenCapacity;
+      tooLarge = (int) spec.items().stream().filter(item -> !item.fits(tokenCapacity)).count();
+    }
+    return Math.max(0, run.waiting() - tooLarge);
+  }
+
   private int inFlight(UpstreamEntry sampler) {
     return context.balancer().inFlight(sampler.id());
   }
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -8,6 +8,8 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Range;
+import io.briarward.core.batch.BatchItem;
+import io.briarward.core.batch.BatchSpec;
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.Transaction;
@@ -24,6 +26,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.ToLongFunction;
 import org.junit.jupiter.api.Test;
 
 class BatchServiceTest {
@@ -608,4 +611,97 @@
     cluster.advance(DONE_MILLIS);
     assertComplete(BatchCluster.allResults(b, "x"), ITEMS);
   }
+
+  /** Guards against a batch that no sampler takes and that uses up the chances of other batches. */
+  @Test
+  void itemsThatSamplersRejectDoNotStarveAnotherBatch() {
+    cluster.samplers.setOutcomes(
+        call -> call.item().id().startsWith("rejected") ? RunOutcome.NOT_RUN : RunOutcome.COMPLETE);
+    BatchCluster.Process process = cluster.start("a");
+    process.submit(BatchCluster.spec("rejected", 184));
+    cluster.advance(1_000);
+    process.submit(BatchCluster.spec("x", ITEMS));
+    cluster.advance(4_000);
+    assertThat(BatchCluster.allResults(process, "x")).hasSize(ITEMS);
+  }
+
+  /** Guards against items that no sampler takes and that use up the chances of their own batch. */
+  @Test
+  void itemsThatSamplersRejectDoNotStarveTheOthersOfTheirBatch() {
+    cluster.samplers.setOutcomes(
+        call -> call.item().id().endsWith("1") ? RunOutcome.NOT_RUN : RunOutcome.COMPLETE);
+    BatchCluster.Process process = cluster.start("a");
+    process.submit(BatchCluster.spec("x", 100));
+    cluster.advance(6_000);
+    assertThat(BatchCluster.allResults(process, "x")).hasSize(90);
+  }
+
+  /** Guards against batches that compete and of which one is rejected by all samplers. */
+  @Test
+  void rejectedBatchDoesNotStarveOneThatCompetesWithIt() {
+    cluster.addSecondModel();
+    cluster.samplers.setOutcomes(
+        call -> call.item().id().startsWith("rejected") ? RunOutcome.NOT_RUN : RunOutcome.COMPLETE);
+    BatchCluster.Process process = cluster.start("a");
+    process.submit(BatchCluster.spec("rejected", 184));
+    cluster.advance(1_000);
+    process.submit(BatchCluster.spec("x", ITEMS));
+    cluster.advance(4_000);
+    assertThat(BatchCluster.allResults(process, "x")).hasSize(ITEMS);
+  }
+
+  /** Guards against a batch that is tried too rarely once samplers have room for it again. */
+  @Test
+  void batchThatWasRejectedForLongStartsSoonAfterSamplersHaveRoom() {
+    cluster.samplers.setOutcomes(call -> RunOutcome.NOT_RUN);
+    BatchCluster.Process process = cluster.start("a");
+    process.submit(BatchCluster.spec("x", ITEMS));
+    cluster.advance(5_000);
+    cluster.samplers.setOutcomes(call -> RunOutcome.COMPLETE);
+    cluster.advance(3_000);
+    assertThat(BatchCluster.allResults(process, "x")).hasSize(ITEMS);
+  }
+
+  /** Guards against items that are sent although every sampler rejects them. */
+  @Test
+  void itemsLargerThanTheMemoryOfSamplersAreNotSentAndEndWithTheirBatch() {
+    cluster.store.put(
+        new FakeFleetDecoder().operatorTable(),
+        new FakeFleetDecoder().configurationKey(),
+        FakeFleetDecoder.configurationRowWithCapacity(2, 1_000));
+    BatchCluster.Process process = cluster.start("a");
+    BatchSpec spec = BatchCluster.spec("x", 8);
+    process.submit(withTokens(spec, item -> item.id().endsWith("3") ? 1_001 : 1_000));
+    cluster.advance(10_000);
+    assertThat(BatchCluster.allResults(process, "x")).hasSize(7);
+    assertThat(cluster.samplers.calls().stream().anyMatch(call -> call.item().id().endsWith("3")))
+        .isFalse();
+    cluster.advance(BatchCluster.TERMS.maxWaitMillis());
+    assertThat(
+            BatchCluster.allResults(process, "x").stream()
+                .filter(result -> !result.succeeded())
+                .count())
+        .isEqualTo(1);
+  }
+
+  private static BatchSpec withTokens(BatchSpec spec, ToLongFunction<BatchItem> tokens) {
+    return new BatchSpec(
+        spec.id(),
+        spec.model(),
+        spec.minVersion(),
+        spec.targetGroups(),
+        spec.items().stream()
+            .map(
+                item ->
+                    new BatchItem(
+                        item.id(),
+                        item.group(),
+                        item.path(),
+                        item.headers(),
+                        item.bodyBase64(),
+                        item.expectedTokens(),
+                        tokens.applyAsLong(item),
+                        item.rewardCall()))
+            .collect(ImmutableList.toImmutableList()));
+  }
 }
--- a/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
+++ b/node/src/test/java/io/briarward/node/testing/FakeFleetDecoder.java
@@ -54,6 +54,14 @@
     return JsonNodeFactory.instance.objectNode().put("version", version).put("otherModel", "n");
   }
 
+  /** Returns a configuration row in which a sampler holds the given number of tokens. */
+  public static JsonNode configurationRowWithCapacity(long version, long tokenCapacity) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("version", version)
+        .put("tokenCapacity", tokenCapacity);
+  }
+
   /** Returns the row of a sampler that has a weight version of the model {@code m} loaded. */
   public static JsonNode samplerRow(long version, boolean leaving) {
     return JsonNodeFactory.instance.objectNode().put("version", version).put("leaving", leaving);
@@ -90,8 +98,17 @@
         false);
   }
 
-  private static FleetService samplerService(String otherModel) {
-    return new FleetService(SAMPLERS, 64, 0, ImmutableList.of("m", otherModel), Optional.empty());
+  private static ImmutableMap<String, FleetService> services(JsonNode configuration) {
+    if (!configuration.has("otherModel") && !configuration.has("tokenCapacity")) {
+      return ImmutableMap.of();
+    }
+    ImmutableList<String> models =
+        configuration.has("otherModel")
+            ? ImmutableList.of("m", configuration.path("otherModel").asText())
+            : ImmutableList.of("m");
+    long tokenCapacity = configuration.path("tokenCapacity").asLong();
+    return ImmutableMap.of(
+        SAMPLERS, new FleetService(SAMPLERS, 64, tokenCapacity, models, Optional.empty()));
   }
 
   @Override
@@ -145,9 +162,7 @@
                 false),
             rewardRoute("rewards", "/r/", SCORERS),
             rewardRoute("other-rewards", "/s/", OTHER_SCORERS)),
-        value.has("otherModel")
-            ? ImmutableMap.of(SAMPLERS, samplerService(value.path("otherModel").asText()))
-            : ImmutableMap.of(),
+        services(value),
         ImmutableMap.of("key", "nadi-mill"),
         true,
         new FleetConfiguration.CallerLimits(16_384, 1 << 20, 15_000));
