Never block on the log of a process

Cause: log lines were written to standard output by the event loop. Stack traces of the hung nodes show it in FileOutputStream.writeBytes, on a full pipe. The rate of lines was bounded, the time of a write was not.

Change: a thread of its own writes to standard output and standard error. Writers never wait; what exceeds 1 MiB is dropped, counted on the metrics address and named in the log once it is read again. System.out and System.err of long-running commands go the same way. At its end a process waits 0.3 s for a reader.

Why it works: the only thread that can block on the reader has no other task and does not keep the process from ending.

--- a/cli/src/main/java/io/briarward/cli/NodeCommand.java
+++ b/cli/src/main/java/io/briarward/cli/NodeCommand.java
@@ -2,6 +2,7 @@
 
 import io.briarward.node.Node;
 import io.briarward.node.settings.NodeSettings;
+import io.briarward.node.telemetry.ProcessOutput;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.util.concurrent.CountDownLatch;
@@ -25,6 +26,7 @@
 
   @Override
   public int run() throws Exception {
+    ProcessOutput.redirectSystemStreams();
     Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
     Node node = Node.start(vertx, settings.check()).blockingGet();
     CountDownLatch stopped = new CountDownLatch(1);
--- a/cli/src/main/java/io/briarward/cli/PlatformNodeCommand.java
+++ b/cli/src/main/java/io/briarward/cli/PlatformNodeCommand.java
@@ -1,5 +1,6 @@
 package io.briarward.cli;
 
+import io.briarward.node.telemetry.ProcessOutput;
 import io.briarward.platform.PlatformNode;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -26,6 +27,7 @@
           PlatformNode.SETTINGS_VARIABLE + " is not set, expected the path of a settings file");
       return ExitCodes.USAGE;
     }
+    ProcessOutput.redirectSystemStreams();
     CountDownLatch stopped = new CountDownLatch(1);
     AtomicReference<PlatformNode> running = new AtomicReference<>();
     // Registers the handlers before the node starts, since the default action of both signals ends
--- a/cli/src/main/java/io/briarward/cli/StandInCommand.java
+++ b/cli/src/main/java/io/briarward/cli/StandInCommand.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.primitives.Ints;
 import io.briarward.node.settings.SettingsException;
+import io.briarward.node.telemetry.ProcessOutput;
 import io.briarward.standins.StandIns;
 import io.briarward.standins.http.RunningStandIn;
 import io.vertx.core.Vertx;
@@ -41,6 +42,7 @@
       System.out.println(spec.name().label() + " " + host + ":" + running.port());
     }
     System.out.flush();
+    ProcessOutput.redirectSystemStreams();
     CountDownLatch stopped = new CountDownLatch(1);
     Signal.handle(new Signal("TERM"), unused -> stopped.countDown());
     Signal.handle(new Signal("INT"), unused -> stopped.countDown());
--- a/node/src/main/java/io/briarward/node/telemetry/Metrics.java
+++ b/node/src/main/java/io/briarward/node/telemetry/Metrics.java
@@ -1,6 +1,7 @@
 package io.briarward.node.telemetry;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -94,7 +95,13 @@
           .labelNames("urgency")
           .register(registry);
 
-  private Metrics() {}
+  private Metrics() {
+    CounterWithCallback.builder()
+        .name("briarward_log_writes_lost_total")
+        .help("Writes to standard output and error that were dropped since nobody read them.")
+        .callback(callback -> callback.call(ProcessOutput.lostWrites()))
+        .register(registry);
+  }
 
   /** Returns the metrics of a new node, all at their initial values. */
   public static Metrics create() {
--- a/standins/src/main/java/io/briarward/standins/input/ChildJvm.java
+++ b/standins/src/main/java/io/briarward/standins/input/ChildJvm.java
@@ -42,6 +42,32 @@
       Map<String, String> environment,
       List<String> arguments)
       throws IOException {
+    ProcessBuilder builder = builder(options, maxDescriptors, environment, arguments);
+    return new ChildJvm(builder.redirectOutput(output.toFile()).start(), output);
+  }
+
+  /**
+   * Starts a process whose standard output and error are a pipe that nobody reads.
+   *
+   * @param options the options of the virtual machine
+   * @param maxDescriptors the number of descriptors that the process may open
+   * @param arguments the main class and its arguments
+   */
+  public static ChildJvm startUnread(
+      List<String> options,
+      int maxDescriptors,
+      Map<String, String> environment,
+      List<String> arguments)
+      throws IOException {
+    ProcessBuilder builder = builder(options, maxDescriptors, environment, arguments);
+    return new ChildJvm(builder.start(), Path.of("output-is-not-read"));
+  }
+
+  private static ProcessBuilder builder(
+      List<String> options,
+      int maxDescriptors,
+      Map<String, String> environment,
+      List<String> arguments) {
     List<String> command = new ArrayList<>();
     // The virtual machine raises its soft limit to the hard one, so the shell lowers both.
     command.addAll(
@@ -50,10 +76,9 @@
     command.addAll(options);
     command.addAll(ImmutableList.of("-cp", classPath()));
     command.addAll(arguments);
-    ProcessBuilder builder =
-        new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output.toFile());
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().putAll(environment);
-    return new ChildJvm(builder.start(), output);
+    return builder;
   }
 
   /** Returns the class path of this process, also if it is in the manifest of a test runner. */
