Send no header of an item that changes the head of its request

Cause: all headers of an item were written into the head of its run as they were. Live requests pass HeaderRules, items passed no rule.

--- a/core/src/main/java/io/briarward/core/batch/BatchItem.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchItem.java
@@ -5,6 +5,8 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.io.BaseEncoding;
+import io.briarward.core.forwarding.HeadValues;
+import io.briarward.core.forwarding.HeaderRules;
 import java.util.Optional;
 
 /**
@@ -33,13 +35,21 @@
   /**
    * Validates the components.
    *
-   * @throws IllegalArgumentException if the body is not Base64
+   * @throws IllegalArgumentException if the body is not Base64, or if the id, the path or a header
+   *     cannot stand in the head of a request
    */
   public BatchItem {
-    checkArgument(!id.isEmpty(), "id is empty");
+    checkArgument(HeadValues.isId(id), "id of an item cannot be sent");
     checkNotNull(group, "group");
-    checkArgument(path.startsWith("/"), "path is %s, expected a leading slash", path);
-    checkNotNull(headers, "headers");
+    checkArgument(HeadValues.isTarget(path), "path of %s cannot be sent", id);
+    headers.forEach(
+        (name, value) ->
+            checkArgument(
+                HeaderRules.mayForward(name)
+                    && HeadValues.isFieldName(name)
+                    && HeadValues.isFieldValue(value),
+                "a header of %s cannot be sent",
+                id));
     checkArgument(BaseEncoding.base64().canDecode(bodyBase64), "body of %s is not Base64", id);
     checkArgument(expectedTokens >= 0, "expectedTokens is %s, expected >= 0", expectedTokens);
     checkArgument(maxTokens >= 0, "maxTokens is %s, expected >= 0", maxTokens);
--- a/core/src/main/java/io/briarward/core/batch/RewardCall.java
+++ b/core/src/main/java/io/briarward/core/batch/RewardCall.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.io.BaseEncoding;
+import io.briarward.core.forwarding.HeadValues;
 
 /**
  * The request that scores the complete text of an item.
@@ -16,12 +17,13 @@
   /**
    * Validates the components.
    *
-   * @throws IllegalArgumentException if the body is not Base64
+   * @throws IllegalArgumentException if the body is not Base64, or if the id, the host or the path
+   *     cannot stand in the head of a request
    */
   public RewardCall {
-    checkArgument(!id.isEmpty(), "id is empty");
-    checkArgument(!host.isEmpty(), "host of %s is empty", id);
-    checkArgument(path.startsWith("/"), "path is %s, expected a leading slash", path);
+    checkArgument(HeadValues.isId(id), "id of a reward call cannot be sent");
+    checkArgument(HeadValues.isHost(host), "host of %s cannot be sent", id);
+    checkArgument(HeadValues.isTarget(path), "path of %s cannot be sent", id);
     checkArgument(BaseEncoding.base64().canDecode(bodyBase64), "body of %s is not Base64", id);
   }
 
--- a/core/src/main/java/io/briarward/core/forwarding/HeaderRules.java
+++ b/core/src/main/java/io/briarward/core/forwarding/HeaderRules.java
@@ -49,6 +49,17 @@
     return bearer ? Optional.of(authorization.substring(BEARER.length()).trim()) : Optional.empty();
   }
 
+  /**
+   * Returns whether a client may set a header of a request to an upstream: one that does not frame
+   * the message, belong to one connection, authenticate the client or stand for the node.
+   */
+  public static boolean mayForward(String headerName) {
+    String name = Ascii.toLowerCase(headerName);
+    return !HOP_BY_HOP.contains(name)
+        && !AUTHENTICATION.contains(name)
+        && !SET_BY_NODE.contains(name);
+  }
+
   /**
    * Returns the request headers to forward to the upstream, in order.
    *
@@ -60,12 +71,9 @@
     ImmutableSet<String> namedByConnection = headersNamedByConnection(headers);
     ImmutableList.Builder<Map.Entry<String, String>> kept = ImmutableList.builder();
     for (Map.Entry<String, String> header : headers) {
-      String name = Ascii.toLowerCase(header.getKey());
       boolean dropped =
-          HOP_BY_HOP.contains(name)
-              || AUTHENTICATION.contains(name)
-              || SET_BY_NODE.contains(name)
-              || namedByConnection.contains(name)
+          !mayForward(header.getKey())
+              || namedByConnection.contains(Ascii.toLowerCase(header.getKey()))
               || secret.filter(header.getValue()::contains).isPresent();
       if (!dropped) {
         kept.add(Map.entry(header.getKey(), header.getValue()));
