Tests: an answer whose head stops midway is never a success

Live requests, streams, items, reward calls and reports of samplers fail; so does every client that HttpClients creates, among them those of the own interface, of other nodes and of the store. No change of the product.

--- a/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
+++ b/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
@@ -5,6 +5,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
@@ -99,4 +100,35 @@
       assertWithMessage("length %s", length).that(response).doesNotContain("200 ");
     }
   }
+
+  /**
+   * Guards against a response whose head stops midway and that is taken for a whole one. All
+   * clients of a node, also those of other nodes and of the store, are created here.
+   */
+  @Test
+  void headThatStopsMidwayIsNoResponseOnNewAndOnKeptConnections() throws Exception {
+    String head = SUCCESS.substring(0, SUCCESS.indexOf("hello"));
+    int cuts = head.length() - 1;
+    start(
+        (socket, before) -> {
+          boolean kept = before % 2 == 0;
+          if (before < 2 * cuts && kept) {
+            socket.write(SUCCESS);
+          } else {
+            socket.end(Buffer.buffer(head.substring(0, 1 + before / 2 % cuts)));
+          }
+        });
+    for (int i = 0; i < cuts; i++) {
+      assertThat(get(send())).isEqualTo("200 hello");
+      assertFails(send(), "kept connection, " + (1 + i) + " bytes");
+    }
+    for (int i = 0; i < cuts; i++) {
+      assertFails(send(), "new connection");
+    }
+  }
+
+  private static void assertFails(Future<String> response, String description) throws Exception {
+    String text = get(response.otherwise("failed"));
+    assertWithMessage(description).that(text).isEqualTo("failed");
+  }
 }
