--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -3,23 +3,17 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.collect.HashMultiset;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Multiset;
-import com.google.common.collect.Sets;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Predicate;
-import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 
 /**
@@ -50,7 +44,7 @@
 
   private final BatchSpec spec;
   private final RewardQueue rewards = new RewardQueue();
-  private final Multiset<String> unfinishedByGroup = HashMultiset.create();
+  private final BatchGroups groups;
   private final int maxAttempts;
   private final boolean singleVersion;
   private final TextMemory memory;
@@ -62,9 +56,7 @@
   private final Map<String, ItemProgress> started = new HashMap<>();
 
   private final ArrayDeque<ItemResult> finished = new ArrayDeque<>();
-  private final ToDoubleFunction<BatchItem> expectedLength;
-  private final int totalGroups;
-  private final Set<String> groupsWithLoss = new HashSet<>();
+  private final ExpectedLength expectedLength;
   private int running;
 
   private BatchRun(
@@ -73,24 +65,12 @@
     this.maxAttempts = terms.maxAttempts();
     this.singleVersion = terms.singleVersion();
     this.memory = checkNotNull(memory, "memory");
-    this.expectedLength = lengthEstimator(spec.items());
-    this.totalGroups = (int) spec.items().stream().map(BatchItem::group).distinct().count();
+    this.expectedLength = ExpectedLength.of(spec.items());
     spec.items().stream()
         .filter(item -> !listed.contains(item.id()))
-        .sorted(Comparator.comparingDouble(expectedLength).reversed())
+        .sorted(Comparator.comparingDouble(expectedLength::tokens).reversed())
         .forEach(item -> items.put(item.id(), item));
-    items.values().forEach(item -> unfinishedByGroup.add(item.group()));
-  }
-
-  /** Returns a function that estimates an item's tokens, by the mean estimate if it has none. */
-  private static ToDoubleFunction<BatchItem> lengthEstimator(ImmutableList<BatchItem> items) {
-    double meanTokens =
-        items.stream()
-            .mapToInt(BatchItem::expectedTokens)
-            .filter(tokens -> tokens > 0)
-            .average()
-            .orElse(0);
-    return item -> item.expectedTokens() > 0 ? item.expectedTokens() : meanTokens;
+    this.groups = new BatchGroups(spec, items.values());
   }
 
   /**
@@ -124,7 +104,7 @@
 
   /** Returns the number of tokens an item is expected to generate, 0 if unknown. */
   public long expectedTokens(BatchItem item) {
-    return Math.round(expectedLength.applyAsDouble(item));
+    return Math.round(expectedLength.tokens(item));
   }
 
   /**
@@ -138,7 +118,7 @@
     Map<String, GroupStanding> standings = new HashMap<>();
     for (BatchItem item : items.values()) {
       String group = item.group();
-      if (groupsWithLoss.contains(group)) {
+      if (groups.hasLoss(group)) {
         standings.put(group, GroupStanding.SURPLUS);
       } else {
         remainingTokensByGroup.merge(group, remainingTokens(item, pace), Math::max);
@@ -152,10 +132,7 @@
 
   /** Returns the number of groups that the caller still waits for. */
   public int neededGroups() {
-    int targetGroups = spec.targetGroups() == 0 ? totalGroups : spec.targetGroups();
-    int completeGroups =
-        totalGroups - Sets.union(unfinishedByGroup.elementSet(), groupsWithLoss).size();
-    return Math.max(0, targetGroups - completeGroups);
+    return groups.needed();
   }
 
   /** Returns the time that the rest of an item without a result needs, in milliseconds. */
@@ -272,7 +249,7 @@
    * @param allowed a further condition on the item
    */
   public Optional<BatchItem> nextReward(long nowMillis, Predicate<BatchItem> allowed) {
-    return rewards.next(nowMillis, unfinishedByGroup::count, allowed);
+    return rewards.next(nowMillis, groups::unfinished, allowed);
   }
 
   /** Returns the number of items whose text is complete and has no score. */
@@ -392,7 +369,7 @@
 
   private void fail(BatchItem item) {
     rewards.remove(item.id());
-    groupsWithLoss.add(item.group());
+    groups.onLoss(item);
     addResult(item, progress(item.id()).map(ItemProgress::fail).orElse(ItemResult.lost(item.id())));
   }
 
@@ -400,7 +377,7 @@
     finished.add(result);
     items.remove(item.id());
     started.remove(item.id());
-    unfinishedByGroup.remove(item.group());
+    groups.onResult(item);
   }
 
   private BatchItem item(String itemId) {
--- a/node/src/main/java/io/briarward/node/batch/BatchService.java
+++ b/node/src/main/java/io/briarward/node/batch/BatchService.java
@@ -257,7 +257,7 @@
         .onErrorResumeNext(
             error -> {
               log.warn("batch-insert-failed", "batch", head.id(), "cause", error.toString());
-              boolean stillMayTakeEffect = mayTakeEffect || !hadNoEffect(error);
+              boolean stillMayTakeEffect = mayTakeEffect || !PlatformException.hadNoEffect(error);
               if (attemptsLeft > 1) {
                 return insert(head, batch, attemptsLeft - 1, stillMayTakeEffect);
               }
@@ -266,11 +266,6 @@
             });
   }
 
-  private static boolean hadNoEffect(Throwable error) {
-    return error instanceof PlatformException platform
-        && platform.effect() == PlatformException.Effect.NONE;
-  }
-
   private SubmitOutcome onInserted(BatchHead head, LoadedBatch batch, CommitResult result) {
     if (result instanceof CommitResult.Committed committed) {
       ownership.run(batch, StoredHead.written(head, committed), ImmutableSet.of());
--- a/node/src/main/java/io/briarward/node/platform/PlatformException.java
+++ b/node/src/main/java/io/briarward/node/platform/PlatformException.java
@@ -26,4 +26,9 @@
   public Effect effect() {
     return effect;
   }
+
+  /** Returns whether an error of a call to the platform says that the call had no effect. */
+  public static boolean hadNoEffect(Throwable error) {
+    return error instanceof PlatformException platform && platform.effect == Effect.NONE;
+  }
 }
--- a/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchServiceTest.java
@@ -615,6 +615,17 @@
   /** Guards against a batch that no sampler takes and that uses up the chances of other batches. */
   @Test
   void itemsThatSamplersRejectDoNotStarveAnotherBatch() {
+    assertRejectedBatchDoesNotStarveAnother();
+  }
+
+  /** Guards against batches that compete and of which one is rejected by all samplers. */
+  @Test
+  void rejectedBatchDoesNotStarveOneThatCompetesWithIt() {
+    cluster.addSecondModel();
+    assertRejectedBatchDoesNotStarveAnother();
+  }
+
+  private void assertRejectedBatchDoesNotStarveAnother() {
     cluster.samplers.setOutcomes(
         call -> call.item().id().startsWith("rejected") ? RunOutcome.NOT_RUN : RunOutcome.COMPLETE);
     BatchCluster.Process process = cluster.start("a");
@@ -636,20 +647,6 @@
     assertThat(BatchCluster.allResults(process, "x")).hasSize(90);
   }
 
-  /** Guards against batches that compete and of which one is rejected by all samplers. */
-  @Test
-  void rejectedBatchDoesNotStarveOneThatCompetesWithIt() {
-    cluster.addSecondModel();
-    cluster.samplers.setOutcomes(
-        call -> call.item().id().startsWith("rejected") ? RunOutcome.NOT_RUN : RunOutcome.COMPLETE);
-    BatchCluster.Process process = cluster.start("a");
-    process.submit(BatchCluster.spec("rejected", 184));
-    cluster.advance(1_000);
-    process.submit(BatchCluster.spec("x", ITEMS));
-    cluster.advance(4_000);
-    assertThat(BatchCluster.allResults(process, "x")).hasSize(ITEMS);
-  }
-
   /** Guards against a batch that is tried too rarely once samplers have room for it again. */
   @Test
   void batchThatWasRejectedForLongStartsSoonAfterSamplersHaveRoom() {
