--- a/node/src/test/java/io/briarward/node/batch/BatchCluster.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchCluster.java
@@ -166,10 +166,17 @@
       }
     }
 
+    private LoadedBatch loaded(BatchSpec spec) {
+      SubmissionMemory memory = SubmissionMemory.open(submissionMemory);
+      spec.items().forEach(memory::endItem);
+      memory.endParsing();
+      return new LoadedBatch(spec, memory);
+    }
+
     /** Returns a submission that is sent on subscription. */
     Single<SubmitOutcome> submission(BatchSpec spec) {
       return Single.using(
-          () -> new LoadedBatch(spec, SubmissionMemory.open(submissionMemory)),
+          () -> loaded(spec),
           batch -> batches.submit(batch, encode(spec), ORGANISATION, TERMS),
           batches::release);
     }
@@ -316,12 +323,16 @@
   private static BatchSpec decode(String id, Buffer bytes, SubmissionMemory memory) {
     List<String> words = Splitter.on(' ').splitToList(bytes.toString());
     List<String> prefixes = words.subList(1, words.size());
-    return spec(
-        id,
-        Integer.parseInt(words.get(0)),
-        itemIndex ->
-            Optional.of(prefixes.get(itemIndex % prefixes.size()))
-                .filter(prefix -> !prefix.equals("-")));
+    BatchSpec spec =
+        spec(
+            id,
+            Integer.parseInt(words.get(0)),
+            itemIndex ->
+                Optional.of(prefixes.get(itemIndex % prefixes.size()))
+                    .filter(prefix -> !prefix.equals("-")));
+    spec.items().forEach(memory::endItem);
+    memory.endParsing();
+    return spec;
   }
 
   /** Returns all results of a batch that a process serves. */
--- a/node/src/test/java/io/briarward/node/batch/BatchTakeoverTest.java
+++ b/node/src/test/java/io/briarward/node/batch/BatchTakeoverTest.java
@@ -9,6 +9,7 @@
 import io.briarward.core.batch.ItemResult;
 import io.briarward.core.platform.Row;
 import io.briarward.core.platform.Transaction;
+import io.briarward.node.batch.BatchService.SubmitOutcome;
 import io.briarward.node.fleet.NodeRegistry;
 import io.briarward.node.testing.MemoryStore.WriteOutcome;
 import java.util.ArrayList;
@@ -20,6 +21,9 @@
 
 /** Load: all VMs are lost with open batches, or the owner of a batch loses the store. */
 class BatchTakeoverTest {
+  /** More than half of the memory that a process of the cluster has for submissions. */
+  private static final int HALF_MEMORY_ITEMS = 2_000;
+
   private static final int ITEMS = 8;
   private static final int BATCHES = 6;
 
@@ -252,4 +256,28 @@
                 process.incarnation.equals(value.path("owner").asText())
                     || process.incarnation.equals(value.path("incarnation").asText()));
   }
+
+  /** Guards against batches that a node takes over beyond its memory, and against memory kept. */
+  @Test
+  void batchThatDoesNotFitIsRunOnceAnotherHasEnded() {
+    BatchCluster.Process a = cluster.start("a");
+    BatchCluster.Process b = cluster.start("b");
+    assertThat(a.submit(BatchCluster.spec("x", HALF_MEMORY_ITEMS)))
+        .isEqualTo(SubmitOutcome.ACCEPTED);
+    assertThat(b.submit(BatchCluster.spec("y", HALF_MEMORY_ITEMS)))
+        .isEqualTo(SubmitOutcome.ACCEPTED);
+    b.kill();
+    cluster.advance(10_000);
+    assertThat(cluster.owner("y")).hasValue(a.incarnation);
+    assertThat(BatchCluster.allResults(a, "y")).isEmpty();
+    assertThat(a.submissionMemory.heldBytes()).isGreaterThan(0);
+
+    assertThat(cluster.await(a.batches.end("x", BatchCluster.ORGANISATION))).isTrue();
+    cluster.advance(5_000);
+    assertThat(BatchCluster.allResults(a, "y")).isNotEmpty();
+
+    assertThat(cluster.await(a.batches.end("y", BatchCluster.ORGANISATION))).isTrue();
+    cluster.advance(5_000);
+    assertThat(a.submissionMemory.heldBytes()).isEqualTo(0);
+  }
 }
