--- a/core/src/main/java/io/briarward/core/batch/BatchRun.java
+++ b/core/src/main/java/io/briarward/core/batch/BatchRun.java
@@ -284,7 +284,7 @@
     }
   }
 
-  /** Handles an interrupted or rejected run, which does not count as a failure of the item. */
+  /** Handles an interrupted run, which does not count as a failure of the item. */
   public void onInterrupted(String itemId, long nowMillis) {
     running--;
     startedItem(itemId).waitUntil(nowMillis + RETRY_DELAY_MILLIS);
--- a/core/src/main/java/io/briarward/core/batch/SubmissionMemory.java
+++ b/core/src/main/java/io/briarward/core/batch/SubmissionMemory.java
@@ -7,7 +7,9 @@
 import io.briarward.core.errors.Failure;
 import io.briarward.core.memory.ByteBudget;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Reserves the memory that the parsed form of one submission takes, while it is parsed and for as
@@ -43,7 +45,7 @@
   private final ByteBudget budget;
   private final ByteBudget.Share share;
   private final Map<String, String> sharedTexts = new HashMap<>();
-  private final Map<String, Boolean> groups = new HashMap<>();
+  private final Set<String> groups = new HashSet<>();
   private long keptBytes;
   private long passingBytes;
 
@@ -99,7 +101,7 @@
     if (!item.headers().isEmpty()) {
       keptBytes += MAP_BYTES + MAP_ENTRY_BYTES * item.headers().size();
     }
-    if (groups.putIfAbsent(item.group(), true) == null) {
+    if (groups.add(item.group())) {
       keptBytes += GROUP_BYTES;
     }
     item.rewardCall()
