--- a/cli/src/test/java/io/briarward/cli/UntrustedClientsOfNodeTest.java
+++ b/cli/src/test/java/io/briarward/cli/UntrustedClientsOfNodeTest.java
@@ -22,9 +22,14 @@
 import io.briarward.core.configuration.ConfigurationCodec;
 import io.briarward.core.configuration.Organisation;
 import io.briarward.core.configuration.Partner;
+import io.briarward.core.configuration.RolloutPolicy;
 import io.briarward.core.configuration.Route;
 import io.briarward.core.configuration.Service;
 import io.briarward.core.configuration.Upstream;
+import io.briarward.core.rollout.GroupSpec;
+import io.briarward.core.rollout.RolloutCodec;
+import io.briarward.core.rollout.RolloutSpec;
+import io.briarward.core.rollout.SamplingParameters;
 import io.briarward.standins.StandIns;
 import io.briarward.standins.http.RunningStandIn;
 import io.briarward.standins.input.ChildJvm;
@@ -40,8 +45,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -56,6 +64,9 @@
 class UntrustedClientsOfNodeTest {
   private static final String HOST = "127.0.0.1";
   private static final String SECRET = "mill-secret";
+  private static final String TRAINER_SECRET = "trainer-secret";
+  private static final int OPEN_ROLLOUTS = 16;
+  private static final int GROUPS_OF_ROLLOUT = 60_000;
   private static final String OPERATOR_TOKEN = "operator-token";
   private static final int HEAP_MIB = 64;
   private static final int DIRECT_MIB = 24;
@@ -182,7 +193,9 @@
             ImmutableList.of(new Partner("vatuwaqa", 0.5)),
             ImmutableList.of(new Organisation("mill", "vatuwaqa", 1, 1_000, 1_000)),
             ImmutableList.of(
-                new ApiKey("k", "mill", sha256(SECRET), ImmutableSet.of(ApiKey.Scope.CALL))),
+                new ApiKey("k", "mill", sha256(SECRET), ImmutableSet.of(ApiKey.Scope.CALL)),
+                new ApiKey(
+                    "t", "mill", sha256(TRAINER_SECRET), ImmutableSet.of(ApiKey.Scope.TRAIN))),
             ImmutableList.of(
                 new Service(
                     "order-desk",
@@ -195,10 +208,15 @@
                             start(StandIns.Name.PLAIN).port(),
                             false,
                             true,
-                            16)))),
+                            16))),
+                new Service(
+                    "llm",
+                    Service.Kind.MODEL,
+                    ImmutableList.of(
+                        new Upstream("engine", "nadi", HOST, FreePorts.next(), false, true, 16)))),
             ImmutableList.of(
                 new Route("*", "/orders", "order-desk", false, true, 60_000, 1, Optional.empty())),
-            ImmutableList.of(),
+            ImmutableList.of(new RolloutPolicy("p", "llm", 1, 600_000, 0.1)),
             ImmutableList.of());
     HttpRequest request =
         HttpRequest.newBuilder(uri(operatorPort, "/v1/configuration"))
@@ -317,4 +335,31 @@
       assertThat(child.awaitExit(EXIT_SECONDS)).isEqualTo(0);
     }
   }
+
+  /** Guards against rollouts of legal size that a node keeps without a bound. */
+  @Test
+  void openRolloutsLeaveTheNodeServing() throws Exception {
+    List<Integer> statuses = new ArrayList<>();
+    for (int i = 0; i < OPEN_ROLLOUTS; i++) {
+      HttpRequest request =
+          HttpRequest.newBuilder(uri(httpPort, "/v1/rollouts"))
+              .header("Authorization", "Bearer " + TRAINER_SECRET)
+              .POST(HttpRequest.BodyPublishers.ofByteArray(rollout("r" + i)))
+              .build();
+      statuses.add(callers.send(request, HttpResponse.BodyHandlers.ofString()).statusCode());
+      await(this::isServed);
+    }
+    assertWithinBounds();
+    assertThat(statuses).contains(201);
+    statuses.forEach(status -> assertThat(status).isAnyOf(201, 503));
+  }
+
+  private static byte[] rollout(String id) {
+    ImmutableList<GroupSpec> groups =
+        IntStream.range(0, GROUPS_OF_ROLLOUT)
+            .mapToObj(i -> new GroupSpec("g" + i, "x", 1, new SamplingParameters(1, 1, 1)))
+            .collect(ImmutableList.toImmutableList());
+    return RolloutCodec.printSpec(
+        new RolloutSpec(id, "llm", "p", 0, groups, Optional.empty(), Optional.empty()));
+  }
 }
