A response whose status line is none fails its attempt

Callers got a sampler's bytes with the status 000 as an answer, also with 20, +20, 600 or 999, under another protocol's name, and 101 or 102 as a final answer.

Cause: the HTTP decoder takes whatever stands in the place of the status for a number, and any word for a protocol; nothing above it asked whether there is such a status.

Change: ResponseSyntax checks the bytes of a response before they are decoded; ResponseBoundaryGuard, through which all clients of a node read, closes the connection if the status line breaks the grammar. Interim responses are dropped before the client, which took most of them for the final one; the guard's test expects that now, and is as strict otherwise.

--- a/node/src/main/java/io/briarward/node/http/HttpClients.java
+++ b/node/src/main/java/io/briarward/node/http/HttpClients.java
@@ -13,7 +13,7 @@
  * <p>Their connections are guarded by a {@link ResponseBoundaryGuard}. Thread-safe.
  */
 public final class HttpClients {
-  private static final StrayBytesLog LOG = StrayBytesLog.create(Schedulers.trampoline());
+  private static final ServerFaultLog LOG = ServerFaultLog.create(Schedulers.trampoline());
 
   private HttpClients() {}
 
--- a/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
+++ b/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
@@ -4,6 +4,7 @@
 
 import com.google.common.annotations.VisibleForTesting;
 import io.briarward.core.forwarding.JoinedHeads;
+import io.briarward.core.forwarding.ResponseSyntax;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -27,7 +28,8 @@
 import java.util.Optional;
 
 /**
- * Closes a client connection on which the server sends bytes that belong to no response.
+ * Closes a client connection on which the server sends bytes that belong to no response, or a
+ * response that breaks the grammar, see {@link ResponseSyntax}.
  *
  * <p>A decoder keeps an incomplete head and completes it with the bytes that follow. So if a server
  * sends the beginning of a surplus response on a pooled connection, the response to the next
@@ -47,6 +49,7 @@
   private final Listener listener;
   private final SocketAddress server;
   private final MessageHandler messageHandler = new MessageHandler();
+  private final ResponseSyntax syntax = ResponseSyntax.create();
   private int sentRequests;
   private int awaitedResponses;
   private boolean decoding;
@@ -77,8 +80,7 @@
     }
   }
 
-  /** Is told of bytes that belong to no response. */
-  @FunctionalInterface
+  /** Is told why connections are closed. */
   interface Listener {
     /**
      * Handles stray bytes, after which the connection is closed.
@@ -86,6 +88,13 @@
      * @param server the address of the server that sent them
      */
     void onStrayBytes(SocketAddress server, Position position);
+
+    /**
+     * Handles a response that breaks the grammar, after which the connection is closed.
+     *
+     * @param server the address of the server that sent it
+     */
+    void onBrokenResponse(SocketAddress server, ResponseSyntax.Fault fault);
   }
 
   private ResponseBoundaryGuard(Listener listener, SocketAddress server) {
@@ -137,11 +146,25 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
       if (!(message instanceof ByteBuf bytes)) {
         context.fireChannelRead(message);
+      } else if (rejecting) {
+        bytes.release();
       } else if (awaitedResponses == 0) {
         close(context, Position.IDLE, bytes);
       } else {
+        check(context, bytes);
+      }
+    }
+
+    private void check(ChannelHandlerContext context, ByteBuf bytes) {
+      Optional<ResponseSyntax.Fault> fault = syntax.read(bytes.nioBuffer());
+      if (fault.isEmpty()) {
         decode(context, bytes);
+        return;
       }
+      bytes.release();
+      rejecting = true;
+      listener.onBrokenResponse(server, fault.get());
+      context.channel().close();
     }
 
     /**
@@ -185,6 +208,7 @@
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
       if (message instanceof HttpRequest) {
+        syntax.onRequest();
         sentRequests++;
         awaitedResponses++;
         interimResponses = 0;
@@ -202,7 +226,10 @@
         onHead(response);
       }
       boolean failed = message instanceof HttpObject part && part.decoderResult().isFailure();
-      if (!failed && !informational && message instanceof LastHttpContent end) {
+      if (!failed && informational) {
+        // The client would take most interim responses for the final one.
+        ReferenceCountUtil.release(message);
+      } else if (!failed && message instanceof LastHttpContent end) {
         awaitedResponses--;
         heldEnd = Optional.of(end);
         if (!decoding) {
--- a/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
+++ b/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
@@ -3,6 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.google.common.collect.ImmutableList;
+import io.briarward.standins.input.BrokenResponses;
+import io.briarward.standins.input.RawServer;
+import io.briarward.standins.input.RawServer.Script;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -17,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.AfterEach;
@@ -27,6 +32,8 @@
       "HTTP/1.1 200 OK\r\nServer-Id: i-1\r\nContent-Length: 5\r\n\r\nhello";
   private static final String FAILURE = "HTTP/1.1 500 Failed\r\nContent-Length: 6\r\n\r\nfailed";
   private static final long PART_DELAY_MILLIS = 20;
+  private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  private static final long TIMEOUT_MILLIS = 2_000;
 
   private final Vertx vertx = Vertx.vertx();
   private final AtomicInteger connections = new AtomicInteger();
@@ -131,4 +138,69 @@
     String text = get(response.otherwise("failed"));
     assertWithMessage(description).that(text).isEqualTo("failed");
   }
+
+  private static Future<String> outcome(Future<String> response) {
+    return response
+        .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .otherwise(cause -> cause instanceof TimeoutException ? "silent" : "failed");
+  }
+
+  /** Sends each response on a new and on a kept connection, and expects that both fail. */
+  private void assertBroken(List<String> responses) throws Exception {
+    List<String> accepted = new ArrayList<>();
+    long openConnections;
+    try (RawServer server =
+        RawServer.start(
+            before -> Script.respond(before % 3 == 1 ? SUCCESS : responses.get(before / 3)))) {
+      port = server.port();
+      for (String response : responses) {
+        String outcomes =
+            get(outcome(send())) + ", " + get(outcome(send())) + ", " + get(outcome(send()));
+        if (!outcomes.equals("failed, 200 hello, failed")) {
+          accepted.add(outcomes + " for " + response);
+        }
+      }
+      openConnections = openAfterWait(server);
+    }
+    assertWithMessage(String.join("\n---\n", accepted)).that(accepted).isEmpty();
+    assertWithMessage("open connections").that(openConnections).isEqualTo(0);
+  }
+
+  /** Returns the number of connections that are still open after a time-out. */
+  private static long openAfterWait(RawServer server) throws InterruptedException {
+    for (long i = 0; server.openConnections() > 0 && i < TIMEOUT_MILLIS; i++) {
+      Thread.sleep(1);
+    }
+    return server.openConnections();
+  }
+
+  @Test
+  void responseWithBrokenStatusLineIsNoResponse() throws Exception {
+    assertBroken(BrokenResponses.withBrokenStatusLine(""));
+  }
+
+  /** What the grammar allows, though few servers send it. */
+  @Test
+  void unusualResponsesAreResponses() throws Exception {
+    ImmutableList<String> responses =
+        ImmutableList.of(
+            "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 \r\ncontent-length:\t05 \r\n\r\nhello",
+            "HTTP/1.1 200 \u00e9\t!\r\nX:\r\nXA: \u00ff\t1 : \r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ:1\r\nContent-Length: 5\r\n\r\nhello",
+            CHUNKED + "5;a=\"b c\"\r\nhello\r\n0;x\r\nXA: 1\r\nXB:\r\n\r\n",
+            CHUNKED + "0000000000000000002 \r\nhe\r\n3\t;x\r\nllo\r\n00\r\n\r\n",
+            "HTTP/1.1 100 Continue\r\n\r\n" + SUCCESS,
+            "HTTP/1.1 102 Processing\r\n\r\n" + SUCCESS,
+            "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + SUCCESS,
+            "HTTP/1.1 199 Unknown\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + SUCCESS);
+    try (RawServer server = RawServer.start(before -> Script.respond(responses.get(before)))) {
+      port = server.port();
+      for (String response : responses) {
+        assertWithMessage(response).that(get(outcome(send()))).isEqualTo("200 hello");
+      }
+      assertThat(server.connections()).isEqualTo(1);
+    }
+  }
 }
--- /dev/null
+++ b/node/src/test/java/io/briarward/node/live/BrokenResponseTest.java
@@ -0,0 +1,108 @@
+package io.briarward.node.live;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.hash.Hashing;
+import io.briarward.core.configuration.ApiKey;
+import io.briarward.core.configuration.Configuration;
+import io.briarward.core.configuration.Organisation;
+import io.briarward.core.configuration.Partner;
+import io.briarward.core.configuration.Route;
+import io.briarward.core.configuration.Service;
+import io.briarward.core.configuration.Upstream;
+import io.briarward.node.Node;
+import io.briarward.node.testing.TestDeployment;
+import io.briarward.standins.input.BrokenResponses;
+import io.briarward.standins.input.RawClient;
+import io.briarward.standins.input.RawServer;
+import io.briarward.standins.input.RawServer.Script;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against responses of upstreams in trouble that callers get as whole successes. */
+class BrokenResponseTest {
+  private static final String SECRET = "mill-secret";
+  private static final String RUN_UNKNOWN = "\"run\":\"unknown\"";
+
+  private final TestDeployment deployment = TestDeployment.start();
+  private Node node;
+
+  @BeforeEach
+  void startNode() {
+    node = deployment.node("vm-1");
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    node.stop().blockingAwait();
+    deployment.close();
+  }
+
+  private void configure(RawServer upstream) {
+    String sha256 = Hashing.sha256().hashString(SECRET, StandardCharsets.UTF_8).toString();
+    Upstream entry = new Upstream("desk-1", "nadi", "127.0.0.1", upstream.port(), false, true, 16);
+    Configuration configuration =
+        new Configuration(
+            ImmutableList.of("nadi"),
+            ImmutableList.of(new Partner("vatuwaqa", 0.5)),
+            ImmutableList.of(new Organisation("mill", "vatuwaqa", 1, 1_000, 1_000)),
+            ImmutableList.of(new ApiKey("k", "mill", sha256, ImmutableSet.of(ApiKey.Scope.CALL))),
+            ImmutableList.of(
+                new Service("order-desk", Service.Kind.PLAIN, ImmutableList.of(entry))),
+            ImmutableList.of(route("/orders", false), route("/lookups", true)),
+            ImmutableList.of(),
+            ImmutableList.of());
+    deployment.apply(node, configuration, 0);
+  }
+
+  private static Route route(String prefix, boolean idempotent) {
+    return new Route("*", prefix, "order-desk", false, idempotent, 60_000, 1, Optional.empty());
+  }
+
+  private String post(String path, int bodyBytes) throws Exception {
+    String request =
+        "POST "
+            + path
+            + " HTTP/1.1\r\nHost: mill\r\nConnection: close\r\nAuthorization: Bearer "
+            + SECRET
+            + "\r\nContent-Length: "
+            + bodyBytes
+            + "\r\n\r\n"
+            + "q".repeat(bodyBytes);
+    try (RawClient client = RawClient.create(deployment.vertx())) {
+      return client
+          .send(node.httpPort(), request)
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(30, TimeUnit.SECONDS);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"/orders", "/lookups"})
+  void brokenResponseIsFailure(String path) throws Exception {
+    ImmutableList<String> responses = BrokenResponses.all("");
+    int[] next = {0};
+    List<String> wrong = new ArrayList<>();
+    try (RawServer upstream = RawServer.start(unused -> Script.respond(responses.get(next[0])))) {
+      configure(upstream);
+      for (next[0] = 0; next[0] < responses.size(); next[0]++) {
+        String response = post(path, 1);
+        boolean failure = response.startsWith("HTTP/1.1 50") && response.contains(RUN_UNKNOWN);
+        if (!failure || response.contains("hello")) {
+          wrong.add(response + " for " + responses.get(next[0]));
+        }
+      }
+    }
+    assertWithMessage(String.join("\n---\n", wrong)).that(wrong).isEmpty();
+  }
+}
