A response whose head or chunks break the grammar fails its attempt

Callers could get an answer whose head held a line that is no field: "X A: 1" was passed on as "X: 1".

Cause: the HTTP decoder cuts a name at the first blank and a chunk size at the first byte that is no digit, and counts a chunk in 32 bits without a check. So it passes on what the sampler did not send, and two readers may find the end of a body in two places.

Change: ResponseSyntax follows the whole response: fields of heads and trailers, the length, chunk sizes and ends of chunks. What RFC 9112 does not allow closes the connection, and the attempt counts as broken off.

--- a/core/src/main/java/io/briarward/core/forwarding/ResponseSyntax.java
+++ b/core/src/main/java/io/briarward/core/forwarding/ResponseSyntax.java
@@ -1,17 +1,23 @@
 package io.briarward.core.forwarding;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
 import com.google.common.base.CharMatcher;
+import com.google.common.primitives.Ints;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * Checks the bytes of the responses on a client connection against the grammar of HTTP/1 (RFC 9112)
  * before they are decoded.
  *
- * <p>Decoders are lenient: they take other bytes for a status. What they make of such bytes is not
- * what the server sent, so a response that breaks the grammar is none. An interim response is
- * followed by another response; what follows the head of the final one is not looked at. Not for
- * pipelined requests. Not thread-safe.
+ * <p>Decoders are lenient: they take other bytes for a status, cut a field name at a blank, or read
+ * a chunk size up to the first byte that is no digit. What they make of such bytes is not what the
+ * server sent, so a response that breaks the grammar is none. An interim response is followed by
+ * another response; bytes after the final one are not looked at. Not for pipelined requests. Not
+ * thread-safe.
  */
 public final class ResponseSyntax {
   /** More than a decoder accepts, so that this class only bounds its own memory. */
@@ -19,24 +25,49 @@
 
   private static final int STATUS_SWITCHING_PROTOCOLS = 101;
   private static final int STATUS_OK = 200;
+  private static final int STATUS_NO_CONTENT = 204;
+  private static final int STATUS_NOT_MODIFIED = 304;
   private static final String VERSION = "HTTP/1.";
   private static final int STATUS_AT = "HTTP/1.1 ".length();
   private static final int REASON_AT = "HTTP/1.1 200".length();
+  private static final int MAX_LENGTH_DIGITS = 18;
   private static final CharMatcher DIGIT = CharMatcher.inRange('0', '9');
+  private static final CharMatcher HEX_DIGIT =
+      DIGIT.or(CharMatcher.inRange('a', 'f')).or(CharMatcher.inRange('A', 'F'));
+  private static final CharMatcher BLANK = CharMatcher.anyOf(" \t");
+
+  private static final CharMatcher TOKEN =
+      DIGIT
+          .or(CharMatcher.inRange('a', 'z'))
+          .or(CharMatcher.inRange('A', 'Z'))
+          .or(CharMatcher.anyOf("!#$%&'*+-.^_`|~"))
+          .precomputed();
+
   private static final CharMatcher TEXT =
-      CharMatcher.anyOf(" \t")
+      BLANK
           .or(CharMatcher.inRange('!', '~'))
           .or(CharMatcher.inRange('\u0080', '\u00ff'))
           .precomputed();
 
   private final StringBuilder line = new StringBuilder();
   private Part part = Part.ENDED;
+  private boolean requestedHeadOnly;
+  private boolean oldVersion;
   private int status;
+  private OptionalLong contentLength = OptionalLong.empty();
+  private boolean chunked;
+  private long bodyBytesLeft;
 
   /** A part of a response that breaks the grammar. */
   public enum Fault {
     /** The line with the version and the status. */
-    STATUS_LINE("status-line");
+    STATUS_LINE("status-line"),
+    /** A header or a trailer. */
+    FIELD("field"),
+    /** The headers that tell the length of the body. */
+    LENGTH("length"),
+    /** The size or the end of a chunk. */
+    CHUNK("chunk");
 
     private final String label;
 
@@ -51,10 +82,21 @@
   }
 
   private enum Part {
-    STATUS_LINE,
-    HEADERS,
-    /** The head of the final response has ended. */
-    ENDED
+    STATUS_LINE(Fault.STATUS_LINE),
+    HEADERS(Fault.FIELD),
+    BODY_OF_KNOWN_LENGTH(Fault.LENGTH),
+    CHUNK_SIZE(Fault.CHUNK),
+    CHUNK(Fault.CHUNK),
+    CHUNK_END(Fault.CHUNK),
+    TRAILERS(Fault.FIELD),
+    /** The response has ended, or its body ends with the connection. */
+    ENDED(Fault.LENGTH);
+
+    private final Fault fault;
+
+    Part(Fault fault) {
+      this.fault = fault;
+    }
   }
 
   private ResponseSyntax() {}
@@ -64,8 +106,13 @@
     return new ResponseSyntax();
   }
 
-  /** Begins with the response to the next request. */
-  public void onRequest() {
+  /**
+   * Begins with the response to the next request.
+   *
+   * @param method the method of the request
+   */
+  public void onRequest(String method) {
+    requestedHeadOnly = checkNotNull(method, "method").equals("HEAD");
     line.setLength(0);
     part = Part.STATUS_LINE;
   }
@@ -77,11 +124,21 @@
    */
   public Optional<Fault> read(ByteBuffer bytes) {
     while (bytes.hasRemaining() && part != Part.ENDED) {
+      if (part == Part.BODY_OF_KNOWN_LENGTH || part == Part.CHUNK) {
+        skipBody(bytes);
+        continue;
+      }
+      Part ofLine = part;
       if (!readLine(bytes)) {
-        return faultUnless(line.length() <= MAX_LINE_BYTES);
+        return line.length() > MAX_LINE_BYTES ? Optional.of(ofLine.fault) : Optional.empty();
+      }
+      boolean endsWithCarriageReturn = line.length() > 0 && line.charAt(line.length() - 1) == '\r';
+      if (!endsWithCarriageReturn) {
+        return Optional.of(ofLine.fault);
       }
-      Optional<Fault> fault = onLine(line.toString());
+      String text = line.substring(0, line.length() - 1);
       line.setLength(0);
+      Optional<Fault> fault = onLine(text);
       if (fault.isPresent()) {
         return fault;
       }
@@ -89,6 +146,15 @@
     return Optional.empty();
   }
 
+  private void skipBody(ByteBuffer bytes) {
+    int skipped = (int) Math.min(bodyBytesLeft, bytes.remaining());
+    bytes.position(bytes.position() + skipped);
+    bodyBytesLeft -= skipped;
+    if (bodyBytesLeft == 0) {
+      part = part == Part.CHUNK ? Part.CHUNK_END : Part.ENDED;
+    }
+  }
+
   /** Adds bytes to the line, and returns whether its end has arrived. */
   private boolean readLine(ByteBuffer bytes) {
     while (bytes.hasRemaining() && line.length() <= MAX_LINE_BYTES) {
@@ -102,27 +168,43 @@
   }
 
   private Optional<Fault> onLine(String text) {
-    if (part == Part.STATUS_LINE) {
-      return onStatusLine(text);
-    }
-    if (text.equals("\r") || text.isEmpty()) {
-      part = status < STATUS_OK ? Part.STATUS_LINE : Part.ENDED;
+    switch (part) {
+      case STATUS_LINE -> {
+        return onStatusLine(text);
+      }
+      case HEADERS -> {
+        return text.isEmpty() ? onHeadEnd() : onHeader(text);
+      }
+      case CHUNK_SIZE -> {
+        return onChunkSize(text);
+      }
+      case CHUNK_END -> {
+        part = Part.CHUNK_SIZE;
+        return faultUnless(text.isEmpty(), Fault.CHUNK);
+      }
+      case TRAILERS -> {
+        part = text.isEmpty() ? Part.ENDED : Part.TRAILERS;
+        return faultUnless(text.isEmpty() || nameLength(text).isPresent(), Fault.FIELD);
+      }
+      default -> throw new AssertionError(part);
     }
-    return Optional.empty();
   }
 
-  private static Optional<Fault> faultUnless(boolean valid) {
-    return valid ? Optional.empty() : Optional.of(Fault.STATUS_LINE);
+  private static Optional<Fault> faultUnless(boolean valid, Fault fault) {
+    return valid ? Optional.empty() : Optional.of(fault);
   }
 
   private Optional<Fault> onStatusLine(String text) {
     part = Part.HEADERS;
-    if (!text.endsWith("\r") || !isStatusLine(text.substring(0, text.length() - 1))) {
+    contentLength = OptionalLong.empty();
+    chunked = false;
+    if (!isStatusLine(text)) {
       return Optional.of(Fault.STATUS_LINE);
     }
+    oldVersion = text.charAt(VERSION.length()) == '0';
     status = Integer.parseInt(text, STATUS_AT, REASON_AT, 10);
     // No request of a client asks for another protocol.
-    return faultUnless(status != STATUS_SWITCHING_PROTOCOLS);
+    return faultUnless(status != STATUS_SWITCHING_PROTOCOLS, Fault.STATUS_LINE);
   }
 
   private static boolean isStatusLine(String text) {
@@ -136,4 +218,70 @@
         && (text.length() == REASON_AT || text.charAt(REASON_AT) == ' ')
         && TEXT.matchesAllOf(text);
   }
+
+  /** Returns the length of the name of a field, or nothing if the line is none. */
+  private static OptionalInt nameLength(String text) {
+    int colon = text.indexOf(':');
+    boolean valid =
+        colon > 0
+            && TOKEN.matchesAllOf(text.substring(0, colon))
+            && TEXT.matchesAllOf(text.substring(colon));
+    return valid ? OptionalInt.of(colon) : OptionalInt.empty();
+  }
+
+  private Optional<Fault> onHeader(String text) {
+    OptionalInt colon = nameLength(text);
+    if (colon.isEmpty()) {
+      return Optional.of(Fault.FIELD);
+    }
+    String name = text.substring(0, colon.getAsInt());
+    String value = BLANK.trimFrom(text.substring(colon.getAsInt() + 1));
+    if (name.equalsIgnoreCase("Content-Length")) {
+      boolean valid = contentLength.isEmpty() && isLength(value);
+      contentLength = valid ? OptionalLong.of(Long.parseLong(value)) : contentLength;
+      return faultUnless(valid, Fault.LENGTH);
+    }
+    if (name.equalsIgnoreCase("Transfer-Encoding")) {
+      boolean valid = !chunked && !oldVersion && value.equalsIgnoreCase("chunked");
+      chunked = true;
+      return faultUnless(valid, Fault.LENGTH);
+    }
+    return Optional.empty();
+  }
+
+  private static boolean isLength(String value) {
+    return !value.isEmpty() && value.length() <= MAX_LENGTH_DIGITS && DIGIT.matchesAllOf(value);
+  }
+
+  private Optional<Fault> onHeadEnd() {
+    if (chunked && contentLength.isPresent()) {
+      return Optional.of(Fault.LENGTH);
+    }
+    if (status < STATUS_OK) {
+      part = Part.STATUS_LINE;
+    } else if (requestedHeadOnly
+        || status == STATUS_NO_CONTENT
+        || status == STATUS_NOT_MODIFIED
+        || contentLength.equals(OptionalLong.of(0))) {
+      part = Part.ENDED;
+    } else if (chunked) {
+      part = Part.CHUNK_SIZE;
+    } else {
+      bodyBytesLeft = contentLength.orElse(0);
+      part = contentLength.isPresent() ? Part.BODY_OF_KNOWN_LENGTH : Part.ENDED;
+    }
+    return Optional.empty();
+  }
+
+  private Optional<Fault> onChunkSize(String text) {
+    int extensionAt = text.indexOf(';');
+    String size = BLANK.trimTrailingFrom(extensionAt < 0 ? text : text.substring(0, extensionAt));
+    // The decoder counts the bytes of a chunk in 32 bits and does not check for more.
+    Optional<Integer> chunkBytes = Optional.ofNullable(Ints.tryParse(size, 16));
+    boolean valid =
+        chunkBytes.isPresent() && HEX_DIGIT.matchesAllOf(size) && TEXT.matchesAllOf(text);
+    bodyBytesLeft = chunkBytes.orElse(0);
+    part = bodyBytesLeft == 0 ? Part.TRAILERS : Part.CHUNK;
+    return faultUnless(valid, Fault.CHUNK);
+  }
 }
--- a/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
+++ b/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
@@ -207,8 +207,8 @@
 
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-      if (message instanceof HttpRequest) {
-        syntax.onRequest();
+      if (message instanceof HttpRequest request) {
+        syntax.onRequest(request.method().name());
         sentRequests++;
         awaitedResponses++;
         interimResponses = 0;
--- a/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
+++ b/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
@@ -179,6 +179,26 @@
     assertBroken(BrokenResponses.withBrokenStatusLine(""));
   }
 
+  @Test
+  void responseWithBrokenFieldIsNoResponse() throws Exception {
+    assertBroken(BrokenResponses.withBrokenField(""));
+  }
+
+  @Test
+  void responseWithBrokenTrailerIsNoResponse() throws Exception {
+    assertBroken(BrokenResponses.withBrokenTrailer(""));
+  }
+
+  @Test
+  void responseWithBrokenLengthIsNoResponse() throws Exception {
+    assertBroken(BrokenResponses.withBrokenLength(""));
+  }
+
+  @Test
+  void responseWithBrokenChunkIsNoResponse() throws Exception {
+    assertBroken(BrokenResponses.withBrokenChunk(""));
+  }
+
   /** What the grammar allows, though few servers send it. */
   @Test
   void unusualResponsesAreResponses() throws Exception {
