A body without a length is whole only after an orderly end

Callers got a part of an answer as the whole one: a sampler answered a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the HTTP decoder takes any end of the connection for the end of such a body. After the reset the next write of the upload fails, which closes the channel before a read sees the reset.

Change: client connections of a node allow a half-closed channel, so the orderly end of the other side is an event of its own, and only it completes such a body. What the decoder passes on after an exception or at any other end is dropped. The end is passed on before the connection is closed, so the failing writes of an upload no longer spoil a whole answer on the own interface; a connection that ends with its body is not used again.

ResponseBoundaryGuardTest closed the channel itself to end a body: that is not the server's end, so it sends the event now, and two tests expect that a close by this side and a reset do not end the body.

--- a/core/src/main/java/io/briarward/core/forwarding/ResponseSyntax.java
+++ b/core/src/main/java/io/briarward/core/forwarding/ResponseSyntax.java
@@ -89,7 +89,7 @@
     CHUNK(Fault.CHUNK),
     CHUNK_END(Fault.CHUNK),
     TRAILERS(Fault.FIELD),
-    /** The response has ended, or its body ends with the connection. */
+    BODY_UNTIL_CLOSE(Fault.LENGTH),
     ENDED(Fault.LENGTH);
 
     private final Fault fault;
@@ -123,18 +123,16 @@
    * @return the part that breaks the grammar, after which nothing more must be read
    */
   public Optional<Fault> read(ByteBuffer bytes) {
-    while (bytes.hasRemaining() && part != Part.ENDED) {
+    while (bytes.hasRemaining() && part != Part.ENDED && part != Part.BODY_UNTIL_CLOSE) {
       if (part == Part.BODY_OF_KNOWN_LENGTH || part == Part.CHUNK) {
         skipBody(bytes);
         continue;
       }
-      Part ofLine = part;
       if (!readLine(bytes)) {
-        return line.length() > MAX_LINE_BYTES ? Optional.of(ofLine.fault) : Optional.empty();
+        return faultUnless(line.length() <= MAX_LINE_BYTES, part.fault);
       }
-      boolean endsWithCarriageReturn = line.length() > 0 && line.charAt(line.length() - 1) == '\r';
-      if (!endsWithCarriageReturn) {
-        return Optional.of(ofLine.fault);
+      if (line.isEmpty() || line.charAt(line.length() - 1) != '\r') {
+        return Optional.of(part.fault);
       }
       String text = line.substring(0, line.length() - 1);
       line.setLength(0);
@@ -146,6 +144,11 @@
     return Optional.empty();
   }
 
+  /** Returns whether the body of the response ends only with the connection. */
+  public boolean endsWithConnection() {
+    return part == Part.BODY_UNTIL_CLOSE;
+  }
+
   private void skipBody(ByteBuffer bytes) {
     int skipped = (int) Math.min(bodyBytesLeft, bytes.remaining());
     bytes.position(bytes.position() + skipped);
@@ -268,7 +271,7 @@
       part = Part.CHUNK_SIZE;
     } else {
       bodyBytesLeft = contentLength.orElse(0);
-      part = contentLength.isPresent() ? Part.BODY_OF_KNOWN_LENGTH : Part.ENDED;
+      part = contentLength.isPresent() ? Part.BODY_OF_KNOWN_LENGTH : Part.BODY_UNTIL_CLOSE;
     }
     return Optional.empty();
   }
--- a/core/src/test/java/io/briarward/core/forwarding/ResponseSyntaxTest.java
+++ b/core/src/test/java/io/briarward/core/forwarding/ResponseSyntaxTest.java
@@ -161,6 +161,24 @@
     assertThat(requested("HEAD").read(bytes(CHUNKED + "\0\n"))).isEmpty();
   }
 
+  @Test
+  void onlyBodyOfUnknownLengthEndsWithTheConnection() {
+    ImmutableList<String> others =
+        ImmutableList.of(
+            "HTTP/1.1 100 Continue\r\n\r\n",
+            "HTTP/1.1 204 None\r\n\r\n",
+            CHUNKED,
+            STATUS_LINE + "Content-Length: 2\r\n\r\n");
+    for (String response : others) {
+      ResponseSyntax syntax = requested("GET");
+      assertThat(syntax.read(bytes(response))).isEmpty();
+      assertWithMessage(response).that(syntax.endsWithConnection()).isFalse();
+    }
+    ResponseSyntax syntax = requested("GET");
+    assertThat(syntax.read(bytes(STATUS_LINE + "\r\n"))).isEmpty();
+    assertThat(syntax.endsWithConnection()).isTrue();
+  }
+
   @Test
   void nextResponseIsCheckedFromItsBeginning() {
     ResponseSyntax syntax = requested("GET");
--- a/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
+++ b/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
@@ -11,10 +11,14 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -36,8 +40,10 @@
  * request would be read as the rest of it and get its status. Bytes are therefore decoded only
  * while a response is awaited, a response must end with the last of the bytes that were received
  * together, and a head must not contain another status line. A server that sends interim responses
- * without end does not occupy the event loop until the time-out of the request. Confined to the
- * event loop of the connection.
+ * without end does not occupy the event loop until the time-out of the request.
+ *
+ * <p>A body without a length is whole once the server has ended the connection, but not if the
+ * connection was reset or closed by this side. Confined to the event loop of the connection.
  */
 final class ResponseBoundaryGuard {
   private static final AttributeKey<ResponseBoundaryGuard> GUARD =
@@ -119,6 +125,8 @@
   static void install(ChannelHandlerContext client, SocketAddress server, Listener listener) {
     ResponseBoundaryGuard guard = new ResponseBoundaryGuard(listener, server);
     client.channel().attr(GUARD).set(guard);
+    // The end of the input becomes an event of its own, told apart from a reset.
+    client.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
     client.pipeline().addFirst(guard.new ByteHandler());
     client.pipeline().addBefore(client.name(), null, guard.messageHandler);
   }
@@ -142,6 +150,36 @@
 
   /** Sees the bytes before they are decoded. */
   private final class ByteHandler extends ChannelInboundHandlerAdapter {
+    /**
+     * Ends a body without a length, if the server has ended the connection.
+     *
+     * <p>The client is told of the end before the writes of an upload fail.
+     */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      context.fireUserEventTriggered(event);
+      if (event == ChannelInputShutdownEvent.INSTANCE) {
+        context.channel().close();
+      }
+    }
+
+    /** A reset that is seen by a read: the end of the input follows as if it were orderly. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      rejecting = true;
+      context.fireExceptionCaught(cause);
+    }
+
+    /**
+     * The decoder takes any end of the connection for that of a body without a length. Here it is
+     * one without an orderly end of the input, for example after a write that failed.
+     */
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      rejecting = true;
+      context.fireChannelInactive();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
       if (!(message instanceof ByteBuf bytes)) {
@@ -247,6 +285,10 @@
     private void onHead(HttpResponse response) {
       informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       interimResponses += informational ? 1 : 0;
+      if (syntax.endsWithConnection()) {
+        // So that the client does not use the connection again at the end of the body.
+        response.headers().add(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      }
       if (interimResponses > MAX_INTERIM_RESPONSES) {
         invalidate(response, Position.INTERIM, "interim responses without end");
       } else if (JoinedHeads.isJoined(response.status().reasonPhrase(), response.headers())) {
--- a/node/src/main/java/io/briarward/node/live/LiveExchange.java
+++ b/node/src/main/java/io/briarward/node/live/LiveExchange.java
@@ -217,10 +217,13 @@
     if (finished || !isCurrent(upstream)) {
       return;
     }
+    upstreamRequest = Optional.empty();
+    upstream.reset();
+    if (runState() == RunState.RAN) {
+      return; // The upload fails if the upstream ends the connection after its whole response.
+    }
     boolean bodyTooLarge = HttpAnswers.failureOf(cause).kind() == ErrorKind.BODY_TOO_LARGE;
     releaseSlot(bodyTooLarge ? AttemptOutcome.ABANDONED : AttemptOutcome.FAILED);
-    upstream.reset();
-    upstreamRequest = Optional.empty();
     Failure failure =
         bodyTooLarge
             ? Failure.unknown(ErrorKind.BODY_TOO_LARGE, cause.getMessage())
--- a/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
+++ b/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import io.briarward.standins.input.BrokenResponses;
 import io.briarward.standins.input.RawServer;
+import io.briarward.standins.input.RawServer.Ending;
 import io.briarward.standins.input.RawServer.Script;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -33,6 +34,19 @@
   private static final String FAILURE = "HTTP/1.1 500 Failed\r\nContent-Length: 6\r\n\r\nfailed";
   private static final long PART_DELAY_MILLIS = 20;
   private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  private static final ImmutableList<String> PARTS =
+      ImmutableList.of(
+          "HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\n\r\n",
+          "HTTP/1.1 200 OK\r\n\r\nhello",
+          "HTTP/1.0 200 OK\r\n\r\nhello",
+          "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhello",
+          CHUNKED + "5\r\nhello\r\n",
+          CHUNKED + "5\r\nhello\r\n0\r\n");
+  private static final ImmutableList<Long> DELAYS_MILLIS = ImmutableList.of(0L, 3L, 30L);
+  private static final ImmutableList<Integer> UPLOADS_BYTES =
+      ImmutableList.of(200 << 10, 1 << 20, 7 << 20);
   private static final long TIMEOUT_MILLIS = 2_000;
 
   private final Vertx vertx = Vertx.vertx();
@@ -223,4 +237,80 @@
       assertThat(server.connections()).isEqualTo(1);
     }
   }
+
+  private Future<String> upload(int bodyBytes) {
+    RequestOptions options =
+        new RequestOptions().setMethod(HttpMethod.PUT).setHost("127.0.0.1").setPort(port);
+    return PooledRequests.open(client, options)
+        .compose(
+            request ->
+                request.send(Buffer.buffer(new byte[bodyBytes])).compose(HttpClientsTest::read));
+  }
+
+  @Test
+  void responseWhoseConnectionIsResetIsNoResponse() throws Exception {
+    for (String part : PARTS) {
+      for (long delayMillis : DELAYS_MILLIS) {
+        try (RawServer server =
+            RawServer.start(unused -> Script.respond(part, delayMillis, Ending.RESET))) {
+          port = server.port();
+          assertWithMessage("%s after %s ms", part, delayMillis)
+              .that(get(outcome(send())))
+              .isEqualTo("failed");
+        }
+      }
+    }
+  }
+
+  /** The reset may be seen first by a write of the upload, which then fails. */
+  @Test
+  void responseWhoseConnectionIsResetDuringTheUploadIsNoResponse() throws Exception {
+    for (String part : PARTS) {
+      for (long delayMillis : DELAYS_MILLIS) {
+        for (int bodyBytes : UPLOADS_BYTES) {
+          try (RawServer server =
+              RawServer.start(unused -> new Script(part, false, delayMillis, Ending.RESET))) {
+            port = server.port();
+            assertWithMessage("%s after %s ms of %s bytes", part, delayMillis, bodyBytes)
+                .that(get(outcome(upload(bodyBytes))))
+                .isEqualTo("failed");
+          }
+        }
+      }
+    }
+  }
+
+  @Test
+  void responseWithoutLengthWhoseConnectionEndsIsWhole() throws Exception {
+    String response = "HTTP/1.1 200 OK\r\n\r\nhello";
+    for (long delayMillis : DELAYS_MILLIS) {
+      try (RawServer server =
+          RawServer.start(unused -> new Script(response, false, delayMillis, Ending.CLOSE))) {
+        port = server.port();
+        assertThat(get(outcome(send()))).isEqualTo("200 hello");
+        for (int bodyBytes : UPLOADS_BYTES) {
+          assertWithMessage("upload of %s bytes", bodyBytes)
+              .that(get(outcome(upload(bodyBytes))))
+              .isEqualTo("200 hello");
+        }
+      }
+    }
+  }
+
+  /** Guards against a request that is written to a connection which ends with the body before. */
+  @Test
+  void requestThatWaitsForConnectionThatEndsWithBodyIsSentOnAnother() throws Exception {
+    String response = "HTTP/1.1 200 OK\r\n\r\nhello";
+    try (RawServer server = RawServer.start(unused -> Script.respond(response, 1, Ending.CLOSE))) {
+      port = server.port();
+      List<Future<String>> responses = new ArrayList<>();
+      for (int i = 0; i < 50; i++) {
+        responses.add(outcome(send()));
+      }
+      for (Future<String> each : responses) {
+        assertThat(get(each)).isEqualTo("200 hello");
+      }
+      assertThat(server.connections()).isEqualTo(50);
+    }
+  }
 }
--- a/node/src/test/java/io/briarward/node/http/ResponseBoundaryGuardTest.java
+++ b/node/src/test/java/io/briarward/node/http/ResponseBoundaryGuardTest.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.net.SocketAddress;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -60,6 +62,11 @@
       }
       ReferenceCountUtil.release(message);
     }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      received.append("failed");
+    }
   }
 
   private final class Recorder implements ResponseBoundaryGuard.Listener {
@@ -139,11 +146,31 @@
   }
 
   @Test
-  void bodyWithoutLengthEndsWithTheConnection() {
+  void bodyWithoutLengthIsWholeOnceTheServerEndsTheConnection() {
     send();
     receive("HTTP/1.1 200 OK\r\n\r\nhello");
-    channel.close();
+    channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
     assertThat(received()).isEqualTo("200 hello.");
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  /** The failed write of an upload closes the connection without another sign of the reset. */
+  @Test
+  void bodyWithoutLengthIsNotWholeIfThisSideClosesTheConnection() {
+    send();
+    receive("HTTP/1.1 200 OK\r\n\r\nhello");
+    channel.close();
+    assertThat(received()).isEqualTo("200 hello");
+  }
+
+  @Test
+  void bodyWithoutLengthIsNotWholeIfTheConnectionIsReset() {
+    send();
+    receive("HTTP/1.1 200 OK\r\n\r\nhello");
+    channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+    channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    assertThat(received()).isEqualTo("200 hellofailed");
+    assertThat(channel.isOpen()).isFalse();
   }
 
   @Test
--- a/node/src/test/java/io/briarward/node/live/BrokenResponseTest.java
+++ b/node/src/test/java/io/briarward/node/live/BrokenResponseTest.java
@@ -1,5 +1,6 @@
 package io.briarward.node.live;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.google.common.collect.ImmutableList;
@@ -16,7 +17,9 @@
 import io.briarward.node.testing.TestDeployment;
 import io.briarward.standins.input.BrokenResponses;
 import io.briarward.standins.input.RawClient;
+import io.briarward.standins.input.RawResponses;
 import io.briarward.standins.input.RawServer;
+import io.briarward.standins.input.RawServer.Ending;
 import io.briarward.standins.input.RawServer.Script;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -25,13 +28,22 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against responses of upstreams in trouble that callers get as whole successes. */
 class BrokenResponseTest {
   private static final String SECRET = "mill-secret";
+  private static final String HEAD = "HTTP/1.1 200 OK\r\n";
   private static final String RUN_UNKNOWN = "\"run\":\"unknown\"";
+  private static final ImmutableList<String> PARTS =
+      ImmutableList.of(
+          HEAD + "\r\n",
+          HEAD + "\r\nhello",
+          HEAD + "Content-Length: 6\r\n\r\nhello",
+          HEAD + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+  private static final ImmutableList<Long> DELAYS_MILLIS = ImmutableList.of(0L, 30L);
 
   private final TestDeployment deployment = TestDeployment.start();
   private Node node;
@@ -105,4 +117,42 @@
     }
     assertWithMessage(String.join("\n---\n", wrong)).that(wrong).isEmpty();
   }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"/orders", "/lookups"})
+  void responseWhoseConnectionIsResetNeverLooksWhole(String path) throws Exception {
+    int[] next = {0};
+    long[] delayMillis = {0};
+    List<String> whole = new ArrayList<>();
+    try (RawServer upstream =
+        RawServer.start(
+            unused -> new Script(PARTS.get(next[0]), false, delayMillis[0], Ending.RESET))) {
+      configure(upstream);
+      for (next[0] = 0; next[0] < PARTS.size(); next[0]++) {
+        for (long delay : DELAYS_MILLIS) {
+          delayMillis[0] = delay;
+          for (int bodyBytes : new int[] {1, 200 << 10, 7 << 20}) {
+            String response = post(path, bodyBytes);
+            if (RawResponses.isWholeSuccess(response)) {
+              whole.add(bodyBytes + " bytes, " + delay + " ms: " + response);
+            }
+          }
+        }
+      }
+    }
+    assertWithMessage(String.join("\n---\n", whole)).that(whole).isEmpty();
+  }
+
+  @Test
+  void responseWithoutLengthWhoseConnectionEndsIsWhole() throws Exception {
+    try (RawServer upstream =
+        RawServer.start(unused -> new Script(HEAD + "\r\nhello", false, 0, Ending.CLOSE))) {
+      configure(upstream);
+      for (int bodyBytes : new int[] {1, 200 << 10, 7 << 20}) {
+        String response = post("/orders", bodyBytes);
+        assertWithMessage(response).that(RawResponses.isWholeSuccess(response)).isTrue();
+        assertThat(response).contains("hello");
+      }
+    }
+  }
 }
