Reset the connection of an HTTP/1.0 caller whose answer breaks off

An answer in chunks that an upstream broke off looked whole to a caller that had sent its request as HTTP/1.0: such a response has no chunks, and closing the connection is its regular end.

Change: CallerResponse resets the connection of such a caller. Others see the missing chunk or length, as before.

Evidence: BrokenAnswerTest.answerThatBreaksOffEndsWithResetForCallerWithoutChunks got a 200 with the sampler's receipt and an orderly end before the change, and a reset with it.

--- a/node/src/main/java/io/briarward/node/http/CallerResponse.java
+++ b/node/src/main/java/io/briarward/node/http/CallerResponse.java
@@ -7,6 +7,8 @@
 import io.briarward.core.forwarding.ResponseHead;
 import io.briarward.core.forwarding.ResponseWriter;
 import io.briarward.node.telemetry.RepeatedErrors;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
@@ -14,6 +16,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
 import io.vertx.core.http.impl.HttpServerConnection;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -177,14 +180,21 @@
           });
     }
 
-    /** Closes the connection at once, though the caller may not read what was sent before. */
+    /**
+     * Closes the connection at once, though the caller may not read what was sent before.
+     *
+     * <p>A response to HTTP/1.0 may have neither a length nor chunks; only a reset shows that it is
+     * incomplete.
+     */
     @Override
     public void close() {
       Promise<Void> closed = Promise.promise();
-      ((HttpServerConnection) request.connection())
-          .channelHandlerContext()
-          .close()
-          .addListener(unused -> closed.complete());
+      ChannelHandlerContext connection =
+          ((HttpServerConnection) request.connection()).channelHandlerContext();
+      if (request.version() == HttpVersion.HTTP_1_0) {
+        connection.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+      }
+      connection.close().addListener(unused -> closed.complete());
       written = closed.future();
     }
   }
