--- a/core/src/main/java/io/briarward/core/forwarding/ResponseSyntax.java
+++ b/core/src/main/java/io/briarward/core/forwarding/ResponseSyntax.java
@@ -52,7 +52,7 @@
   private final StringBuilder line = new StringBuilder();
   private Part part = Part.ENDED;
   private boolean requestedHeadOnly;
-  private boolean oldVersion;
+  private boolean http10;
   private int status;
   private OptionalLong contentLength = OptionalLong.empty();
   private boolean chunked;
@@ -187,7 +187,7 @@
       }
       case TRAILERS -> {
         part = text.isEmpty() ? Part.ENDED : Part.TRAILERS;
-        return faultUnless(text.isEmpty() || nameLength(text).isPresent(), Fault.FIELD);
+        return faultUnless(text.isEmpty() || fieldNameLength(text).isPresent(), Fault.FIELD);
       }
       default -> throw new AssertionError(part);
     }
@@ -204,7 +204,7 @@
     if (!isStatusLine(text)) {
       return Optional.of(Fault.STATUS_LINE);
     }
-    oldVersion = text.charAt(VERSION.length()) == '0';
+    http10 = text.charAt(VERSION.length()) == '0';
     status = Integer.parseInt(text, STATUS_AT, REASON_AT, 10);
     // No request of a client asks for another protocol.
     return faultUnless(status != STATUS_SWITCHING_PROTOCOLS, Fault.STATUS_LINE);
@@ -223,7 +223,7 @@
   }
 
   /** Returns the length of the name of a field, or nothing if the line is none. */
-  private static OptionalInt nameLength(String text) {
+  private static OptionalInt fieldNameLength(String text) {
     int colon = text.indexOf(':');
     boolean valid =
         colon > 0
@@ -233,7 +233,7 @@
   }
 
   private Optional<Fault> onHeader(String text) {
-    OptionalInt colon = nameLength(text);
+    OptionalInt colon = fieldNameLength(text);
     if (colon.isEmpty()) {
       return Optional.of(Fault.FIELD);
     }
@@ -245,7 +245,7 @@
       return faultUnless(valid, Fault.LENGTH);
     }
     if (name.equalsIgnoreCase("Transfer-Encoding")) {
-      boolean valid = !chunked && !oldVersion && value.equalsIgnoreCase("chunked");
+      boolean valid = !chunked && !http10 && value.equalsIgnoreCase("chunked");
       chunked = true;
       return faultUnless(valid, Fault.LENGTH);
     }
