Tests: responses without a body leave the connection for the next request

The check of responses follows where each one ends; had it awaited a body after a HEAD, a 204 or a 304, the next response would have failed.

--- a/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
+++ b/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
@@ -79,8 +79,12 @@
   }
 
   private Future<String> send() {
+    return send(HttpMethod.GET);
+  }
+
+  private Future<String> send(HttpMethod method) {
     RequestOptions options =
-        new RequestOptions().setMethod(HttpMethod.GET).setHost("127.0.0.1").setPort(port);
+        new RequestOptions().setMethod(method).setHost("127.0.0.1").setPort(port);
     return PooledRequests.open(client, options)
         .compose(request -> request.send().compose(HttpClientsTest::read));
   }
@@ -238,6 +242,28 @@
     }
   }
 
+  /** A length announces no body there; the next response follows the head. */
+  @Test
+  void responsesWithoutBodyLeaveTheConnectionForTheNextRequest() throws Exception {
+    ImmutableList<String> heads =
+        ImmutableList.of(
+            "HTTP/1.1 204 No Content\r\n\r\n",
+            "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+            CHUNKED,
+            SUCCESS);
+    try (RawServer server = RawServer.start(before -> Script.respond(heads.get(before)))) {
+      port = server.port();
+      for (int i = 0; i < heads.size(); i++) {
+        HttpMethod method = i == 3 || i == 4 ? HttpMethod.HEAD : HttpMethod.GET;
+        String expected = heads.get(i).substring(9, 12) + (i < 5 ? " " : " hello");
+        assertThat(get(outcome(send(method)))).isEqualTo(expected);
+      }
+      assertThat(server.connections()).isEqualTo(1);
+    }
+  }
+
   private Future<String> upload(int bodyBytes) {
     RequestOptions options =
         new RequestOptions().setMethod(HttpMethod.PUT).setHost("127.0.0.1").setPort(port);
