--- a/core/src/main/java/io/briarward/core/forwarding/ResponseSyntax.java
+++ b/core/src/main/java/io/briarward/core/forwarding/ResponseSyntax.java
@@ -46,7 +46,7 @@
   private static final CharMatcher TEXT =
       BLANK
           .or(CharMatcher.inRange('!', '~'))
-          .or(CharMatcher.inRange('\u0080', '\u00ff'))
+          .or(CharMatcher.inRange((char) 0x80, (char) 0xff))
           .precomputed();
 
   private final StringBuilder line = new StringBuilder();
--- a/core/src/test/java/io/briarward/core/forwarding/ResponseSyntaxTest.java
+++ b/core/src/test/java/io/briarward/core/forwarding/ResponseSyntaxTest.java
@@ -45,11 +45,26 @@
   @ParameterizedTest
   @ValueSource(
       strings = {
-        "HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 20 X", "HTTP/1.1 +20 X",
-        "HTTP/1.1 2000 X", "HTTP/1.1  200 X", "HTTP/1.1\t200 X", " HTTP/1.1 200 X",
-            "HTTP/1.1 101 X",
-        "HTTP/1.2 200 X", "HTTP/2 200 X", "http/1.1 200 X", "ICY 200 X", "HTTP/1.1 200X",
-        "HTTP/1.1 200 \u0000", "HTTP/1.1 200 \u007f", "HTTP/1.1 200 \r", "HTTP/1.1 2\u00b20 X", ""
+        "HTTP/1.1 000 X",
+        "HTTP/1.1 099 X",
+        "HTTP/1.1 600 X",
+        "HTTP/1.1 20 X",
+        "HTTP/1.1 +20 X",
+        "HTTP/1.1 2000 X",
+        "HTTP/1.1  200 X",
+        "HTTP/1.1\t200 X",
+        " HTTP/1.1 200 X",
+        "HTTP/1.1 101 X",
+        "HTTP/1.2 200 X",
+        "HTTP/2 200 X",
+        "http/1.1 200 X",
+        "ICY 200 X",
+        "HTTP/1.1 200X",
+        "HTTP/1.1 200 \u0000",
+        "HTTP/1.1 200 \u007f",
+        "HTTP/1.1 200 \r",
+        "HTTP/1.1 2²0 X",
+        ""
       })
   void statusLineThatIsNone(String line) {
     assertFault(Fault.STATUS_LINE, line + "\r\n\r\n");
@@ -57,7 +72,7 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"HTTP/1.1 200", "HTTP/1.0 599 ", "HTTP/1.1 100 \u00e9\t!"})
+  @ValueSource(strings = {"HTTP/1.1 200", "HTTP/1.0 599 ", "HTTP/1.1 100 é\t!"})
   void statusLineOfUnusualForm(String line) {
     assertThat(fault(line + "\r\n\r\n")).isEmpty();
   }
@@ -65,7 +80,7 @@
   @ParameterizedTest
   @ValueSource(
       strings = {
-        "X A: 1", "X\tA: 1", "X\u0000A: 1", "X\u007fA: 1", "X\u0080A: 1", "X\u00ffA: 1", ": 1", "X",
+        "X A: 1", "X\tA: 1", "X\u0000A: 1", "X\u007fA: 1", "X\u0080A: 1", "XÿA: 1", ": 1", "X",
         "X : 1", " X: 1", "\tX: 1", "X\rA: 1", "X: 1\r2", "X: \u00012", "X: 1\u007f", "X(: 1"
       })
   void lineThatIsNoField(String line) {
--- a/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
+++ b/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
@@ -225,7 +225,7 @@
             "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 5\r\n\r\nhello",
             "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello",
             "HTTP/1.1 200 \r\ncontent-length:\t05 \r\n\r\nhello",
-            "HTTP/1.1 200 \u00e9\t!\r\nX:\r\nXA: \u00ff\t1 : \r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 é\t!\r\nX:\r\nXA: ÿ\t1 : \r\nContent-Length: 5\r\n\r\nhello",
             "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ:1\r\nContent-Length: 5\r\n\r\nhello",
             CHUNKED + "5;a=\"b c\"\r\nhello\r\n0;x\r\nXA: 1\r\nXB:\r\n\r\n",
             CHUNKED + "0000000000000000002 \r\nhe\r\n3\t;x\r\nllo\r\n00\r\n\r\n",
