--- a/core/src/main/java/io/briarward/core/forwarding/ResponseSyntax.java
+++ b/core/src/main/java/io/briarward/core/forwarding/ResponseSyntax.java
@@ -6,7 +6,6 @@
 import com.google.common.primitives.Ints;
 import java.nio.ByteBuffer;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -187,7 +186,7 @@
       }
       case TRAILERS -> {
         part = text.isEmpty() ? Part.ENDED : Part.TRAILERS;
-        return faultUnless(text.isEmpty() || fieldNameLength(text).isPresent(), Fault.FIELD);
+        return faultUnless(text.isEmpty() || fieldName(text).isPresent(), Fault.FIELD);
       }
       default -> throw new AssertionError(part);
     }
@@ -222,34 +221,36 @@
         && TEXT.matchesAllOf(text);
   }
 
-  /** Returns the length of the name of a field, or nothing if the line is none. */
-  private static OptionalInt fieldNameLength(String text) {
-    int colon = text.indexOf(':');
+  /** Returns the name of a field, or nothing if the line is none. */
+  private static Optional<String> fieldName(String text) {
+    int colon = Math.max(0, text.indexOf(':'));
+    String name = text.substring(0, colon);
     boolean valid =
-        colon > 0
-            && TOKEN.matchesAllOf(text.substring(0, colon))
-            && TEXT.matchesAllOf(text.substring(colon));
-    return valid ? OptionalInt.of(colon) : OptionalInt.empty();
+        !name.isEmpty()
+            && TOKEN.matchesAllOf(name)
+            && TEXT.matchesAllOf(text.subSequence(colon, text.length()));
+    return valid ? Optional.of(name) : Optional.empty();
   }
 
   private Optional<Fault> onHeader(String text) {
-    OptionalInt colon = fieldNameLength(text);
-    if (colon.isEmpty()) {
+    Optional<String> name = fieldName(text);
+    if (name.isEmpty()) {
       return Optional.of(Fault.FIELD);
     }
-    String name = text.substring(0, colon.getAsInt());
-    String value = BLANK.trimFrom(text.substring(colon.getAsInt() + 1));
-    if (name.equalsIgnoreCase("Content-Length")) {
-      boolean valid = contentLength.isEmpty() && isLength(value);
-      contentLength = valid ? OptionalLong.of(Long.parseLong(value)) : contentLength;
-      return faultUnless(valid, Fault.LENGTH);
-    }
-    if (name.equalsIgnoreCase("Transfer-Encoding")) {
-      boolean valid = !chunked && !http10 && value.equalsIgnoreCase("chunked");
+    boolean valid = true;
+    if (name.get().equalsIgnoreCase("Content-Length")) {
+      String length = fieldValue(text, name.get());
+      valid = contentLength.isEmpty() && isLength(length);
+      contentLength = valid ? OptionalLong.of(Long.parseLong(length)) : contentLength;
+    } else if (name.get().equalsIgnoreCase("Transfer-Encoding")) {
+      valid = !chunked && !http10 && fieldValue(text, name.get()).equalsIgnoreCase("chunked");
       chunked = true;
-      return faultUnless(valid, Fault.LENGTH);
     }
-    return Optional.empty();
+    return faultUnless(valid, Fault.LENGTH);
+  }
+
+  private static String fieldValue(String text, String name) {
+    return BLANK.trimFrom(text.substring(name.length() + 1));
   }
 
   private static boolean isLength(String value) {
--- a/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
+++ b/node/src/main/java/io/briarward/node/http/ResponseBoundaryGuard.java
@@ -197,12 +197,10 @@
       Optional<ResponseSyntax.Fault> fault = syntax.read(bytes.nioBuffer());
       if (fault.isEmpty()) {
         decode(context, bytes);
-        return;
+      } else {
+        listener.onBrokenResponse(server, fault.get());
+        close(context, bytes);
       }
-      bytes.release();
-      rejecting = true;
-      listener.onBrokenResponse(server, fault.get());
-      context.channel().close();
     }
 
     /**
@@ -225,8 +223,13 @@
     }
 
     private void close(ChannelHandlerContext context, Position position, ByteBuf strayBytes) {
-      strayBytes.release();
       reject(position);
+      close(context, strayBytes);
+    }
+
+    private void close(ChannelHandlerContext context, ByteBuf rejectedBytes) {
+      rejectedBytes.release();
+      rejecting = true;
       // Through all handlers, so that the client takes the connection out of its pool at once.
       context.channel().close();
     }
--- a/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
+++ b/node/src/test/java/io/briarward/node/http/HttpClientsTest.java
@@ -13,6 +13,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
@@ -25,6 +26,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -83,10 +85,18 @@
   }
 
   private Future<String> send(HttpMethod method) {
-    RequestOptions options =
-        new RequestOptions().setMethod(method).setHost("127.0.0.1").setPort(port);
-    return PooledRequests.open(client, options)
-        .compose(request -> request.send().compose(HttpClientsTest::read));
+    return open(method).compose(request -> request.send().compose(HttpClientsTest::read));
+  }
+
+  private Future<String> upload(int bodyBytes) {
+    Buffer body = Buffer.buffer(new byte[bodyBytes]);
+    return open(HttpMethod.PUT)
+        .compose(request -> request.send(body).compose(HttpClientsTest::read));
+  }
+
+  private Future<HttpClientRequest> open(HttpMethod method) {
+    return PooledRequests.open(
+        client, new RequestOptions().setMethod(method).setHost("127.0.0.1").setPort(port));
   }
 
   private static Future<String> read(HttpClientResponse response) {
@@ -264,45 +274,32 @@
     }
   }
 
-  private Future<String> upload(int bodyBytes) {
-    RequestOptions options =
-        new RequestOptions().setMethod(HttpMethod.PUT).setHost("127.0.0.1").setPort(port);
-    return PooledRequests.open(client, options)
-        .compose(
-            request ->
-                request.send(Buffer.buffer(new byte[bodyBytes])).compose(HttpClientsTest::read));
-  }
-
-  @Test
-  void responseWhoseConnectionIsResetIsNoResponse() throws Exception {
+  /** Resets the connection after each part of a response, and expects that the call fails. */
+  private void assertResetsFail(boolean readsBody, Supplier<Future<String>> call, String calls)
+      throws Exception {
     for (String part : PARTS) {
       for (long delayMillis : DELAYS_MILLIS) {
         try (RawServer server =
-            RawServer.start(unused -> Script.respond(part, delayMillis, Ending.RESET))) {
+            RawServer.start(unused -> new Script(part, readsBody, delayMillis, Ending.RESET))) {
           port = server.port();
-          assertWithMessage("%s after %s ms", part, delayMillis)
-              .that(get(outcome(send())))
+          assertWithMessage("%s after %s ms, %s", part, delayMillis, calls)
+              .that(get(outcome(call.get())))
               .isEqualTo("failed");
         }
       }
     }
   }
 
+  @Test
+  void responseWhoseConnectionIsResetIsNoResponse() throws Exception {
+    assertResetsFail(true, this::send, "without a body");
+  }
+
   /** The reset may be seen first by a write of the upload, which then fails. */
   @Test
   void responseWhoseConnectionIsResetDuringTheUploadIsNoResponse() throws Exception {
-    for (String part : PARTS) {
-      for (long delayMillis : DELAYS_MILLIS) {
-        for (int bodyBytes : UPLOADS_BYTES) {
-          try (RawServer server =
-              RawServer.start(unused -> new Script(part, false, delayMillis, Ending.RESET))) {
-            port = server.port();
-            assertWithMessage("%s after %s ms of %s bytes", part, delayMillis, bodyBytes)
-                .that(get(outcome(upload(bodyBytes))))
-                .isEqualTo("failed");
-          }
-        }
-      }
+    for (int bodyBytes : UPLOADS_BYTES) {
+      assertResetsFail(false, () -> upload(bodyBytes), bodyBytes + " bytes");
     }
   }
 
--- a/node/src/test/java/io/briarward/node/http/ResponseBoundaryGuardTest.java
+++ b/node/src/test/java/io/briarward/node/http/ResponseBoundaryGuardTest.java
@@ -173,6 +173,16 @@
     assertThat(channel.isOpen()).isFalse();
   }
 
+  @Test
+  void responseThatBreaksTheGrammarClosesTheConnection() {
+    send();
+    receive("HTTP/1.1 000 Zero\r\nContent-Length: 5\r\n\r\nhello");
+    assertThat(channel.isOpen()).isFalse();
+    assertThat(received()).isEmpty();
+    assertThat(faults).containsExactly(ResponseSyntax.Fault.STATUS_LINE);
+    assertThat(strayBytes).isEmpty();
+  }
+
   @Test
   void bytesWhileNoResponseIsAwaitedCloseTheConnection() {
     for (int length = 1; length <= SUCCESS.length(); length++) {
--- a/node/src/test/java/io/briarward/node/live/BrokenResponseTest.java
+++ b/node/src/test/java/io/briarward/node/live/BrokenResponseTest.java
@@ -16,7 +16,6 @@
 import io.briarward.node.Node;
 import io.briarward.node.testing.TestDeployment;
 import io.briarward.standins.input.BrokenResponses;
-import io.briarward.standins.input.RawClient;
 import io.briarward.standins.input.RawResponses;
 import io.briarward.standins.input.RawServer;
 import io.briarward.standins.input.RawServer.Ending;
@@ -25,7 +24,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -90,13 +88,7 @@
             + bodyBytes
             + "\r\n\r\n"
             + "q".repeat(bodyBytes);
-    try (RawClient client = RawClient.create(deployment.vertx())) {
-      return client
-          .send(node.httpPort(), request)
-          .toCompletionStage()
-          .toCompletableFuture()
-          .get(30, TimeUnit.SECONDS);
-    }
+    return deployment.sendRaw(node.httpPort(), request);
   }
 
   @ParameterizedTest
--- a/node/src/test/java/io/briarward/node/live/LiveProxyTest.java
+++ b/node/src/test/java/io/briarward/node/live/LiveProxyTest.java
@@ -25,7 +25,6 @@
 import io.briarward.standins.engine.CompletionText;
 import io.briarward.standins.http.RunningStandIn;
 import io.briarward.standins.input.EndlessBytes;
-import io.briarward.standins.input.RawClient;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
@@ -34,7 +33,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
@@ -348,13 +346,7 @@
   }
 
   private String callRaw(String request) throws Exception {
-    try (RawClient client = RawClient.create(deployment.vertx())) {
-      return client
-          .send(node.httpPort(), request)
-          .toCompletionStage()
-          .toCompletableFuture()
-          .get(30, TimeUnit.SECONDS);
-    }
+    return deployment.sendRaw(node.httpPort(), request);
   }
 
   @Test
--- a/node/src/test/java/io/briarward/node/testing/TestDeployment.java
+++ b/node/src/test/java/io/briarward/node/testing/TestDeployment.java
@@ -13,6 +13,7 @@
 import io.briarward.node.settings.SettingsParser;
 import io.briarward.standins.StandIns;
 import io.briarward.standins.http.RunningStandIn;
+import io.briarward.standins.input.RawClient;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -20,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Runs stand-ins of the platform, and nodes, in this process on loopback ports. */
 public final class TestDeployment implements AutoCloseable {
@@ -126,6 +128,17 @@
         .blockingGet();
   }
 
+  /** Sends the bytes of a request to a loopback port and returns all bytes received in return. */
+  public String sendRaw(int port, String request) throws Exception {
+    try (RawClient rawClient = RawClient.create(vertx)) {
+      return rawClient
+          .send(port, request)
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(CLIENT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
   /** Sets the value of a stand-in's fault. */
   public void fault(RunningStandIn standIn, String name, double value) {
     String body =
