--- a/review/standins-3/review3/Trainer.java
+++ b/review/standins-3/review3/Trainer.java
@@ -25,7 +25,8 @@
        {"name":"portal","healthPath":"/healthz","maxConns":96,"protocol":"h1","tls":false}],
        "limits":{"headerBytes":16384,"bodyBytes":33554432,"headerTimeoutMs":3000,
        "idleTimeoutMs":15000},
-       "tenants":[{"name":"t1","apiKeys":["k1"],"priority":1}]}
+       "tenants":[{"name":"t1","apiKeys":["k1"],"priority":1},
+       {"name":"t2","apiKeys":["k2"],"priority":1}]}
       """;
 
   static final long DEADLINE_MILLIS = 12_000;
@@ -34,6 +35,7 @@
   final String id;
   final Map<String, Integer> eventsByItem = new LinkedHashMap<>();
   final Map<String, String> outputByItem = new TreeMap<>();
+  String key = "k1";
   volatile long acceptedAt = -1;
   volatile long submittedAt = -1;
   volatile boolean complete;
@@ -59,7 +61,11 @@
   }
 
   static String head(String method, String path, String id) {
-    return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n"
+    return head(method, path, id, "k1");
+  }
+
+  static String head(String method, String path, String id, String key) {
+    return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nApi-Key: " + key + "\r\n"
         + "Briarward-Request-Id: " + id + "\r\n";
   }
 
@@ -93,7 +99,7 @@
     for (int attempt = 0; record.millis() < submittedAt + DEADLINE_MILLIS; attempt++) {
       Kit.Node node = nodes.get((first + attempt) % nodes.size());
       Kit.Answer answer =
-          Kit.call(node, head("POST", "/b/" + id, id) + "Content-Type: application/json\r\n",
+          Kit.call(node, head("POST", "/b/1", id, key) + "Content-Type: application/json\r\n",
               body, 8_000);
       record.line("submit " + id + " (" + body.length + " bytes) at " + node.name + ": "
           + answer.status());
@@ -114,7 +120,7 @@
     while (record.millis() < deadlineMillis && !complete) {
       Kit.Node node = nodes.get(at % nodes.size());
       Kit.Answer answer =
-          Kit.call(node, head("GET", "/briarward/lots/" + id + "?after=" + after, id + "r"),
+          Kit.call(node, head("GET", "/briarward/lots/" + id + "?after=" + after, id + "r", key),
               new byte[0], 3_000);
       if (answer.status() == 200) {
         Map<String, Object> page = Json.object(answer.text());
@@ -137,7 +143,7 @@
 
   void end(int first) {
     Kit.Answer answer =
-        Kit.call(nodes.get(first % nodes.size()), head("DELETE", "/briarward/lots/" + id, id + "e"),
+        Kit.call(nodes.get(first % nodes.size()), head("DELETE", "/briarward/lots/" + id, id + "e", key),
             new byte[0], 3_000);
     record.line("end " + id + ": " + answer.status());
   }
