Review: a node ends by itself while it takes over large batches

Cause: submissions that are read for a takeover or for the body of an item, and the bodies for their readers, count in no budget beside the parsed submissions.

--- /dev/null
+++ b/review/standins-3/review3/Callers.java
@@ -0,0 +1,114 @@
+package review3;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Consumers that send safe requests to one node on kept channels, one after another. */
+final class Callers {
+  private static final int TIMEOUT_MILLIS = 1_500;
+  private static final int SLACK_MILLIS = 500;
+  private static final int DEADLINE_MILLIS = 4_000;
+  private static final int CLOSED = 0;
+  private static final int SILENT = -1;
+
+  final AtomicInteger served = new AtomicInteger();
+
+  /** Requests without an answer at the route's `timeoutMs`. */
+  final AtomicInteger late = new AtomicInteger();
+
+  /** Requests without an answer half a second after the route's `timeoutMs`. */
+  final AtomicInteger tooLate = new AtomicInteger();
+
+  /** Requests that a sampler got and whose channel the node closed without an answer. */
+  final AtomicInteger cut = new AtomicInteger();
+
+  private final Kit.Node node;
+  private final Record record;
+  private final long untilMillis;
+
+  private Callers(Kit.Node node, Record record, long untilMillis) {
+    this.node = node;
+    this.record = record;
+    this.untilMillis = untilMillis;
+  }
+
+  static Callers start(int count, Kit.Node node, Record record, long untilMillis) {
+    Callers callers = new Callers(node, record, untilMillis);
+    for (int i = 0; i < count; i++) {
+      int caller = i;
+      Kit.daemon(() -> callers.call(caller)).start();
+    }
+    return callers;
+  }
+
+  private void call(int caller) {
+    for (int i = 0; record.millis() < untilMillis; ) {
+      try (Socket socket = new Socket()) {
+        socket.connect(new InetSocketAddress("127.0.0.1", node.front), 1_000);
+        socket.setSoTimeout(DEADLINE_MILLIS);
+        int status = 200;
+        while (status > 0 && record.millis() < untilMillis) {
+          status = send(socket, "c" + caller + "n" + i++);
+        }
+      } catch (IOException e) {
+        record.line("safe caller " + caller + ": " + e.getMessage());
+      }
+      Kit.sleep(100);
+    }
+  }
+
+  private int send(Socket socket, String id) throws IOException {
+    long sentAt = record.millis();
+    socket
+        .getOutputStream()
+        .write(
+            (Trainer.head("POST", "/p/" + id, id)
+                    + "Briarward-Deadline-Ms: "
+                    + DEADLINE_MILLIS
+                    + "\r\nContent-Length: 2\r\n\r\nhi")
+                .getBytes(StandardCharsets.UTF_8));
+    int status = answer(socket.getInputStream());
+    long tookMillis = record.millis() - sentAt;
+    served.addAndGet(status == 200 ? 1 : 0);
+    late.addAndGet(tookMillis > TIMEOUT_MILLIS ? 1 : 0);
+    tooLate.addAndGet(tookMillis > TIMEOUT_MILLIS + SLACK_MILLIS ? 1 : 0);
+    boolean passedOn = record.lastAt.containsKey(id);
+    cut.addAndGet(status == CLOSED && passedOn ? 1 : 0);
+    if (status != 200 || tookMillis > TIMEOUT_MILLIS) {
+      String answer =
+          status == CLOSED ? "channel closed" : status == SILENT ? "no answer" : "" + status;
+      record.line(
+          "safe " + id + ": " + answer + " after " + tookMillis + " ms"
+              + (passedOn ? ", passed on to a sampler" : ""));
+    }
+    return status;
+  }
+
+  /** Returns the status of a whole answer, or how the wait for one ended. */
+  static int answer(InputStream in) {
+    try {
+      StringBuilder head = new StringBuilder();
+      while (head.indexOf("\r\n\r\n") < 0) {
+        int next = in.read();
+        if (next < 0) {
+          return CLOSED;
+        }
+        head.append((char) next);
+      }
+      String lower = head.toString().toLowerCase();
+      int at = lower.indexOf("content-length:");
+      int length = Integer.parseInt(lower.substring(at + 15, lower.indexOf('\r', at)).trim());
+      boolean whole = in.readNBytes(length).length == length;
+      return whole ? Integer.parseInt(head.substring(9, 12)) : CLOSED;
+    } catch (SocketTimeoutException e) {
+      return SILENT;
+    } catch (IOException e) {
+      return CLOSED;
+    }
+  }
+}
