--- a/review/standins-3/review3/Kit.java
+++ b/review/standins-3/review3/Kit.java
@@ -4,6 +4,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -43,7 +44,7 @@
   }
 
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, null)) {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return socket.getLocalPort();
     }
   }
