--- a/review/standins-3/review3/Sampler.java
+++ b/review/standins-3/review3/Sampler.java
@@ -82,6 +82,9 @@
                 + ",\"kvUsed\":0,\"kvTotal\":72560,\"handleCount\":0}");
       } else if (path.equals("/briarward/order")) {
         order(call, new String(body, StandardCharsets.UTF_8));
+      } else if (path.equals("/healthz")) {
+        call.getResponseHeaders().set("Briarward-Instance-Id", id);
+        call.sendResponseHeaders(200, -1);
       } else if (path.startsWith("/p/")) {
         lookUp(call);
       } else {
